--- /dev/null
+++ b/bench/src/main/java/org/jujubefork/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.jujubefork.bench;
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/jobs/package-info.java
@@ -0,0 +1,2 @@
+/** Job records, their division into shards, progress and retries. */
+package org.jujubefork.core.jobs;
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Liveness of entries by gossip, and freshness of the configuration. */
+package org.jujubefork.core.membership;
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/model/EntryId.java
@@ -0,0 +1,47 @@
+package org.jujubefork.core.model;
+
+import java.util.Comparator;
+
+/**
+ * Identifies one run of an entry process.
+ *
+ * @param name the name from the settings, the same after a restart
+ * @param incarnation grows with each start of the process
+ */
+public record EntryId(String name, long incarnation) implements Comparable<EntryId> {
+    private static final Comparator<EntryId> ORDER =
+            Comparator.comparing(EntryId::name).thenComparingLong(EntryId::incarnation);
+
+    /** Checks the name. */
+    public EntryId {
+        Identifiers.check("entry name", name);
+    }
+
+    /** Returns the entry run {@code name#incarnation}. */
+    public static EntryId of(String name, long incarnation) {
+        return new EntryId(name, incarnation);
+    }
+
+    /**
+     * Parses the form that {@link #toString()} returns.
+     *
+     * @throws IllegalArgumentException if {@code text} has no {@code #} or no number after it
+     */
+    public static EntryId parse(String text) {
+        int mark = text.lastIndexOf('#');
+        if (mark < 0) {
+            throw new IllegalArgumentException("entry id without incarnation: " + text);
+        }
+        return new EntryId(text.substring(0, mark), Long.parseLong(text.substring(mark + 1)));
+    }
+
+    @Override
+    public int compareTo(EntryId other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        return name + "#" + incarnation;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/model/WorkKind.java
@@ -0,0 +1,26 @@
+package org.jujubefork.core.model;
+
+/** The kinds of work, each with its own ordering and placement policy. */
+public enum WorkKind {
+    /** A short request that may be executed more than once. */
+    LOOKUP(true),
+    /** A short non-idempotent request, executed at most once. */
+    COMMAND(true),
+    /** A job whose tasks run independently to completion. */
+    BATCH(false),
+    /** A job whose replicas run until it is cancelled. */
+    SERVICE(false),
+    /** A job that needs all its tasks at once. */
+    GANG(false);
+
+    private final boolean request;
+
+    WorkKind(boolean request) {
+        this.request = request;
+    }
+
+    /** Returns whether work of this kind is a short request with an answer body. */
+    public boolean isRequest() {
+        return request;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/requests/package-info.java
@@ -0,0 +1,2 @@
+/** Short requests: authentication, routing, claims, retries and answers. */
+package org.jujubefork.core.requests;
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform, run as processes by tests and examples. */
+package org.jujubefork.standins;
