Add the typed configuration that the reducer reads

Teams, queues, key hashes, policies by name and tuning figures are immutable records in core, so that parsing and merging stay outside of the decisions.

--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/configuration/KindPolicy.java
@@ -0,0 +1,10 @@
+package org.jujubefork.core.configuration;
+
+/**
+ * The names of the policies that apply to one kind of work.
+ *
+ * @param order name of a queue order, see {@code org.jujubefork.core.placement.QueueOrders}
+ * @param placement name of a placement policy, see {@code
+ *     org.jujubefork.core.placement.PlacementPolicies}
+ */
+public record KindPolicy(String order, String placement) {}
