Add the control state, events, effects and the one reducer over them

The reducer covers membership by gossip, shard ownership by epochs, leases of workers, placement of requests in weighted fair order, claims of non-idempotent requests and retries.

--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/control/Reducer.java
@@ -0,0 +1,92 @@
+package org.jujubefork.core.control;
+
+import org.jujubefork.core.event.ClaimEvent;
+import org.jujubefork.core.event.ConfigurationLoaded;
+import org.jujubefork.core.event.DrainRequested;
+import org.jujubefork.core.event.Event;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.event.JobEvent;
+import org.jujubefork.core.event.LimitEvent;
+import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.event.StoreEvent;
+import org.jujubefork.core.event.TaskEvent;
+import org.jujubefork.core.event.Tick;
+import org.jujubefork.core.jobs.Jobs;
+import org.jujubefork.core.limits.LimitState;
+import org.jujubefork.core.membership.Membership;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.ownership.Ownership;
+import org.jujubefork.core.placement.Admission;
+import org.jujubefork.core.placement.Scheduler;
+import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.Tasks;
+import org.jujubefork.core.placement.Workers;
+import org.jujubefork.core.requests.Claims;
+import org.jujubefork.core.requests.Requests;
+
+/**
+ * The one place where control state changes.
+ *
+ * <p>It is a pure function: the same state and event always give the same transition, so that a
+ * recorded log of events replays to the same effects.
+ */
+public final class Reducer {
+    private Reducer() {}
+
+    /** Returns the state after {@code event} and what is to be done about it. */
+    public static Transition reduce(State state, Event event) {
+        State timed = state.at(event.atMillis());
+        Transition reduced = dispatch(timed, event);
+        return placeWaiting(state, reduced, event instanceof Tick);
+    }
+
+    private static Transition dispatch(State state, Event event) {
+        return switch (event) {
+            case Tick e -> tick(state, e);
+            case MembershipEvent e -> Membership.reduce(state, e);
+            case StoreEvent e -> Membership.reduce(state, e);
+            case ConfigurationLoaded e -> Membership.reduce(state, e);
+            case FleetEvent e -> Workers.reduce(state, e);
+            case TaskEvent e -> Tasks.reduce(state, e);
+            case RequestEvent e -> Requests.reduce(state, e);
+            case ClaimEvent e -> Claims.reduce(state, e);
+            case JobEvent e -> Jobs.reduce(state, e);
+            case LimitEvent.LedgerLoaded e ->
+                    Transition.of(state.withLimits(new LimitState(e.revision(), e.ledger())));
+            case LimitEvent.LedgerWriteFailed e -> Transition.of(state);
+            case DrainRequested e -> Transition.of(state.withDraining());
+        };
+    }
+
+    private static Transition tick(State state, Tick tick) {
+        Transition result =
+                Transition.of(state).then(Ownership::tick).then(Workers::tick).then(Requests::tick);
+        for (ShardId shard : state.shards().keySet()) {
+            result =
+                    result.then(
+                            s ->
+                                    s.shards().containsKey(shard)
+                                            ? Admission.expire(s, shard)
+                                            : Transition.of(s));
+        }
+        return result.then(s -> Membership.tick(s, tick));
+    }
+
+    /** Runs the scheduler for shards in which something waits and something relevant changed. */
+    private static Transition placeWaiting(State before, Transition reduced, boolean always) {
+        Transition result = reduced;
+        for (ShardState shard : reduced.state().shards().values()) {
+            if (shard.queue().size() == 0) {
+                continue;
+            }
+            ShardState old = before.shards().get(shard.id());
+            boolean changed =
+                    old == null || old.queue() != shard.queue() || old.index() != shard.index();
+            if (always || changed) {
+                result = result.then(s -> Scheduler.run(s, shard.id()));
+            }
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/control/Transition.java
@@ -0,0 +1,39 @@
+package org.jujubefork.core.control;
+
+import java.util.function.Function;
+import org.jujubefork.core.effect.Effect;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * The result of reducing an event: the new state and what is to be done.
+ *
+ * @param state the new state
+ * @param effects effects in the order in which they are to be carried out
+ */
+public record Transition(State state, PVector<Effect> effects) {
+    /** Returns a transition to {@code state} without effects. */
+    public static Transition of(State state) {
+        return new Transition(state, TreePVector.empty());
+    }
+
+    /** Returns this transition with {@code effect} added. */
+    public Transition with(Effect effect) {
+        return new Transition(state, effects.plus(effect));
+    }
+
+    /** Returns this transition with another state. */
+    public Transition withState(State other) {
+        return new Transition(other, effects);
+    }
+
+    /**
+     * Returns this transition followed by {@code next}, which starts from this transition's state.
+     */
+    public Transition then(Function<State, Transition> next) {
+        Transition following = next.apply(state);
+        return new Transition(
+                following.state,
+                effects.isEmpty() ? following.effects : effects.plusAll(following.effects));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/membership/Freshness.java
@@ -0,0 +1,44 @@
+package org.jujubefork.core.membership;
+
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.control.State;
+
+/**
+ * Decides whether the configuration in force here may be relied on to check keys.
+ *
+ * <p>A change counts as accepted only when a majority of the expected entries have it in force. So
+ * an entry may rely on its configuration while the store confirms it, or while a majority answers
+ * that it has nothing newer. An entry that is cut off from both cannot know whether a key was
+ * withdrawn and has to refuse.
+ */
+public final class Freshness {
+    private Freshness() {}
+
+    /** Returns whether keys may be checked against the configuration that is in force. */
+    public static boolean isFresh(State state) {
+        return state.configuration()
+                .map(c -> isStoreContactFresh(state) || hasMajority(state, c))
+                .orElse(false);
+    }
+
+    /** Returns whether the store confirmed the configuration recently. */
+    public static boolean isStoreContactFresh(State state) {
+        long age = state.nowMillis() - state.membership().storeContactMillis();
+        return age <= state.timing().freshnessMillis();
+    }
+
+    /** Returns whether a majority of the expected entries has no newer configuration. */
+    static boolean hasMajority(State state, Configuration configuration) {
+        long others = confirmingMembers(state, configuration.version());
+        long self = state.membership().verified() ? 1 : 0;
+        return others + self >= configuration.majority();
+    }
+
+    /** Returns how many other entries answered lately that they have no newer version. */
+    static long confirmingMembers(State state, long version) {
+        long oldest = state.nowMillis() - state.timing().probeValidityMillis();
+        return state.membership().members().values().stream()
+                .filter(m -> m.probedAtMillis() >= oldest && m.probedVersion() <= version)
+                .count();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/membership/Member.java
@@ -0,0 +1,39 @@
+package org.jujubefork.core.membership;
+
+/**
+ * Another entry as this entry sees it.
+ *
+ * @param row the newest row received
+ * @param lastHeardMillis when a newer row last arrived
+ * @param probedAtMillis send time of the newest probe that the entry answered itself; {@link
+ *     #NEVER} if none
+ * @param probedVersion the configuration version in that answer
+ */
+public record Member(MemberRow row, long lastHeardMillis, long probedAtMillis, long probedVersion) {
+    /** Stands for a time that lies before all others. */
+    public static final long NEVER = Long.MIN_VALUE / 2;
+
+    /** Returns a member of which {@code row} is the first news. */
+    public static Member of(MemberRow row, long nowMillis) {
+        return new Member(row, nowMillis, NEVER, 0);
+    }
+
+    /** Returns this member with a newer row. */
+    public Member heard(MemberRow newer, long nowMillis) {
+        boolean sameRun = newer.id().equals(row.id());
+        return new Member(
+                newer, nowMillis, sameRun ? probedAtMillis : NEVER, sameRun ? probedVersion : 0);
+    }
+
+    /** Returns this member with the answer to a probe that was sent at {@code sentAtMillis}. */
+    public Member probed(long sentAtMillis, long version) {
+        return sentAtMillis < probedAtMillis
+                ? this
+                : new Member(row, lastHeardMillis, sentAtMillis, version);
+    }
+
+    /** Returns whether the member was heard from within {@code limitMillis}. */
+    public boolean isHeardWithin(long limitMillis, long nowMillis) {
+        return nowMillis - lastHeardMillis <= limitMillis;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/ownership/Candidates.java
@@ -0,0 +1,88 @@
+package org.jujubefork.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.membership.Member;
+import org.jujubefork.core.membership.Membership;
+import org.jujubefork.core.model.Distance;
+import org.jujubefork.core.model.Location;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.WorkerListing;
+
+/**
+ * Ranks live entries as owners of a shard. All entries with the same view find the same ranking.
+ */
+public final class Candidates {
+    private Candidates() {}
+
+    /**
+     * An entry that could own a shard.
+     *
+     * @param name the entry's name
+     * @param distance how far it stands from the shard
+     * @param owned how many shards it owns
+     * @param hash rendezvous hash of entry and shard
+     */
+    private record Candidate(String name, Distance distance, int owned, long hash) {}
+
+    private static final Comparator<Candidate> BEST_FIRST =
+            Comparator.comparing(Candidate::distance)
+                    .thenComparingInt(Candidate::owned)
+                    .thenComparing(Candidate::hash, Long::compareUnsigned)
+                    .thenComparing(Candidate::name);
+
+    /** Returns whether this entry is the best live candidate for {@code shard}. */
+    public static boolean isBest(State state, ShardId shard) {
+        if (state.draining()) {
+            return false;
+        }
+        Candidate self =
+                candidate(
+                        state,
+                        state.self().id().name(),
+                        state.self().location(),
+                        state.shards().size(),
+                        shard);
+        return others(state, shard).stream().allMatch(c -> BEST_FIRST.compare(self, c) < 0);
+    }
+
+    /** Returns the name of the best live candidate for {@code shard} other than this entry. */
+    public static Optional<String> bestOther(State state, ShardId shard) {
+        return others(state, shard).stream().min(BEST_FIRST).map(Candidate::name);
+    }
+
+    private static List<Candidate> others(State state, ShardId shard) {
+        List<Candidate> candidates = new ArrayList<>();
+        for (Member member : state.membership().members().values()) {
+            if (Membership.isAlive(state, member) && !member.row().leaving()) {
+                candidates.add(
+                        candidate(
+                                state,
+                                member.row().id().name(),
+                                member.row().location(),
+                                member.row().shards().size(),
+                                shard));
+            }
+        }
+        return candidates;
+    }
+
+    private static Candidate candidate(
+            State state, String name, Location location, int owned, ShardId shard) {
+        Distance distance = distance(state, location, shard);
+        return new Candidate(
+                name, distance, owned, Sharding.hash(name, Sharding.hash(shard.value(), 0)));
+    }
+
+    private static Distance distance(State state, Location location, ShardId shard) {
+        var workers = state.fleet().byShard().get(shard);
+        if (workers == null || workers.isEmpty()) {
+            return Distance.OTHER_REGION;
+        }
+        WorkerListing any = workers.firstEntry().getValue();
+        return location.distanceTo(any.location());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/ownership/ShardView.java
@@ -0,0 +1,50 @@
+package org.jujubefork.core.ownership;
+
+/**
+ * What an entry knows about the ownership of one shard.
+ *
+ * @param highestNumber the highest epoch number seen
+ * @param vacantSinceMillis since when no live owner is known; {@link #OWNED} if there is one
+ * @param backoffUntilMillis until when this entry leaves the shard alone after it lost it
+ * @param losses how often in a row this entry lost the shard to another entry
+ */
+public record ShardView(
+        long highestNumber, long vacantSinceMillis, long backoffUntilMillis, int losses) {
+    /** Stands for a shard with a live owner. */
+    public static final long OWNED = Long.MAX_VALUE;
+
+    /** Nothing is known of the shard. */
+    public static final ShardView UNKNOWN = new ShardView(0, OWNED, Long.MIN_VALUE / 2, 0);
+
+    private static final long FIRST_BACKOFF_MILLIS = 2_000;
+    private static final int MAX_DOUBLINGS = 5;
+
+    /** Returns this view with at least {@code number} as the highest epoch number. */
+    public ShardView seen(long number) {
+        return number <= highestNumber
+                ? this
+                : new ShardView(number, vacantSinceMillis, backoffUntilMillis, losses);
+    }
+
+    /** Returns this view of a shard with a live owner. */
+    public ShardView owned() {
+        return vacantSinceMillis == OWNED
+                ? this
+                : new ShardView(highestNumber, OWNED, backoffUntilMillis, losses);
+    }
+
+    /** Returns this view of a shard without a live owner. */
+    public ShardView vacant(long nowMillis) {
+        return vacantSinceMillis == OWNED
+                ? new ShardView(highestNumber, nowMillis, backoffUntilMillis, losses)
+                : this;
+    }
+
+    /**
+     * Returns this view after this entry lost the shard; the time to wait doubles with each loss.
+     */
+    public ShardView lost(long nowMillis) {
+        long wait = FIRST_BACKOFF_MILLIS << Math.min(losses, MAX_DOUBLINGS);
+        return new ShardView(highestNumber, OWNED, nowMillis + wait, losses + 1);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/ownership/Sharding.java
@@ -0,0 +1,38 @@
+package org.jujubefork.core.ownership;
+
+import org.jujubefork.core.model.Location;
+import org.jujubefork.core.model.ShardId;
+
+/** Divides workers into shards. */
+public final class Sharding {
+    private Sharding() {}
+
+    /** Returns the shard of a worker that stands at {@code location}. */
+    public static ShardId shardOf(Location location, int shardsPerZone) {
+        if (shardsPerZone == 1) {
+            return ShardId.of(location.zone());
+        }
+        long part = Long.remainderUnsigned(hash(location.rack(), 0), shardsPerZone);
+        return ShardId.of(location.zone() + "/" + part);
+    }
+
+    /** Returns the availability zone of {@code shard}. */
+    public static String zoneOf(ShardId shard) {
+        int slash = shard.value().indexOf('/');
+        return slash < 0 ? shard.value() : shard.value().substring(0, slash);
+    }
+
+    /**
+     * Returns a hash that is the same on all entries: 64-bit FNV-1a, mixed so that similar texts
+     * differ in all bits.
+     */
+    static long hash(String text, long seed) {
+        long h = 0xcbf29ce484222325L ^ seed;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        h = (h ^ (h >>> 33)) * 0xff51afd7ed558ccdL;
+        h = (h ^ (h >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return h ^ (h >>> 33);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/placement/QueueOrders.java
@@ -0,0 +1,29 @@
+package org.jujubefork.core.placement;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** The queue orders that settings can name. */
+public final class QueueOrders {
+    /** The team farthest below its weighted share goes first. */
+    public static final QueueOrder WEIGHTED_FAIR = QueueOrder.TeamView::weightedShare;
+
+    /** The oldest work goes first; a baseline for comparisons. */
+    public static final QueueOrder FIFO = team -> team.headSinceMillis();
+
+    private static final Map<String, QueueOrder> BY_NAME =
+            Map.of("weighted-fair", WEIGHTED_FAIR, "fifo", FIFO);
+
+    private QueueOrders() {}
+
+    /** Returns the names that settings may use. */
+    public static Set<String> names() {
+        return BY_NAME.keySet();
+    }
+
+    /** Returns the order {@code name}, if it exists. */
+    public static Optional<QueueOrder> named(String name) {
+        return Optional.ofNullable(BY_NAME.get(name));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/placement/Reports.java
@@ -0,0 +1,144 @@
+package org.jujubefork.core.placement;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.StopMode;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.jobs.Jobs;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.EndedTask;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.ReportedTask;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.core.model.WorkerReport;
+import org.jujubefork.core.requests.Attempts;
+
+/** Brings what an owner knows of a worker's tasks in line with what the worker reports. */
+final class Reports {
+    private Reports() {}
+
+    /**
+     * Merges the report of a granted lease; {@code before} is the worker as it was known until
+     * then.
+     */
+    static Transition merge(
+            State state, ShardId shard, WorkerState before, FleetEvent.LeaseGranted event) {
+        WorkerReport report = event.report();
+        WorkerId worker = event.worker();
+        boolean restarted =
+                before.incarnation() != 0 && before.incarnation() != report.incarnation();
+        Transition result = Transition.of(state);
+        for (ReportedTask task : report.running()) {
+            result = result.then(s -> Transition.of(running(s, shard, worker, task)));
+        }
+        for (EndedTask task : report.ended()) {
+            result = result.then(s -> ended(s, shard, worker, task));
+        }
+        if (restarted) {
+            return result.then(s -> loseUnreported(s, shard, worker, report, Long.MAX_VALUE));
+        }
+        return result.then(s -> loseUnreported(s, shard, worker, report, event.sentAtMillis()))
+                .then(s -> stopUnconfirmed(s, shard, worker));
+    }
+
+    /** Gives up all tasks of a worker whose lease is over, so that they can run elsewhere. */
+    static Transition loseAll(State state, ShardId shard, WorkerId worker) {
+        Transition result = Transition.of(state);
+        for (TaskId task : state.shards().get(shard).workers().get(worker).tasks()) {
+            result = result.then(s -> lose(s, shard, task));
+        }
+        return result;
+    }
+
+    private static State running(State state, ShardId shard, WorkerId worker, ReportedTask task) {
+        ShardState owned = state.shards().get(shard);
+        Optional<RunningTask> known = owned.task(task.spec().id());
+        if (known.isPresent()) {
+            return state.withShard(
+                    owned.update(known.get().reported(task.usage(), task.progress())));
+        }
+        RunningTask adopted =
+                RunningTask.starting(task.spec(), worker, state.nowMillis(), Optional.empty())
+                        .reported(task.usage(), task.progress());
+        return state.withShard(owned.place(adopted));
+    }
+
+    private static Transition ended(State state, ShardId shard, WorkerId worker, EndedTask task) {
+        ShardState owned = state.shards().get(shard);
+        Optional<RunningTask> known = owned.task(task.spec().id());
+        if (task.spec().kind().isRequest()) {
+            // The connection that started a request reports its end with the answer; only requests
+            // that another
+            // owner started, or whose connection was lost, end through the report.
+            boolean awaited =
+                    known.isPresent()
+                            && known.get().origin().isPresent()
+                            && known.get().phase() != TaskPhase.UNCONFIRMED;
+            State released = awaited ? state : state.withShard(owned.release(task.spec().id()));
+            return Transition.of(Workers.acknowledge(released, worker, task.spec().id()));
+        }
+        State released = state.withShard(owned.release(task.spec().id()));
+        return Jobs.taskEnded(released, shard, worker, task);
+    }
+
+    private static Transition loseUnreported(
+            State state, ShardId shard, WorkerId worker, WorkerReport report, long placedBefore) {
+        Set<TaskId> reported = new HashSet<>();
+        report.running().forEach(t -> reported.add(t.spec().id()));
+        ShardState owned = state.shards().get(shard);
+        Transition result = Transition.of(state);
+        for (TaskId id : owned.workers().get(worker).tasks()) {
+            RunningTask task = owned.tasks().get(id);
+            boolean answered =
+                    task.phase() == TaskPhase.RUNNING || task.phase() == TaskPhase.STOPPING;
+            boolean awaited = task.origin().isPresent() && placedBefore != Long.MAX_VALUE;
+            boolean older = task.placedAtMillis() < placedBefore;
+            boolean gone = placedBefore == Long.MAX_VALUE || (answered && older && !awaited);
+            if (!reported.contains(id) && gone) {
+                result = result.then(s -> lose(s, shard, id));
+            }
+        }
+        return result;
+    }
+
+    private static Transition lose(State state, ShardId shard, TaskId id) {
+        ShardState owned = state.shards().get(shard);
+        RunningTask task = owned.tasks().get(id);
+        State released = state.withShard(owned.release(id));
+        if (task.spec().job().isPresent()) {
+            return Jobs.taskLost(released, shard, task);
+        }
+        boolean unanswered = task.origin().isPresent() && task.phase() != TaskPhase.UNCONFIRMED;
+        return unanswered
+                ? Attempts.report(
+                        released,
+                        task.origin().get(),
+                        AttemptResult.unknown(RefusalReason.WORKER_CONNECTION_LOST))
+                : Transition.of(released);
+    }
+
+    private static Transition stopUnconfirmed(State state, ShardId shard, WorkerId worker) {
+        ShardState owned = state.shards().get(shard);
+        WorkerState known = owned.workers().get(worker);
+        Transition result = Transition.of(state);
+        for (TaskId id : known.tasks()) {
+            if (owned.tasks().get(id).phase() == TaskPhase.UNCONFIRMED) {
+                result =
+                        result.with(
+                                new WorkerEffect.StopTask(
+                                        worker,
+                                        known.listing().address(),
+                                        owned.epoch(),
+                                        id,
+                                        StopMode.STOP));
+            }
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardSummaries.java
@@ -0,0 +1,62 @@
+package org.jujubefork.core.placement;
+
+import java.util.Optional;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.membership.ShardSummary;
+import org.jujubefork.core.membership.TeamLoad;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.ownership.Handover;
+import org.pcollections.PSortedMap;
+import org.pcollections.TreePMap;
+
+/** Sums up owned shards for gossip and for routing. */
+public final class ShardSummaries {
+    private ShardSummaries() {}
+
+    /** Returns the summaries of all shards that this entry owns. */
+    public static PSortedMap<ShardId, ShardSummary> of(State state) {
+        PSortedMap<ShardId, ShardSummary> summaries = TreePMap.empty();
+        for (ShardState shard : state.shards().values()) {
+            summaries = summaries.plus(shard.id(), of(shard, Handover.target(state, shard.id())));
+        }
+        return summaries;
+    }
+
+    /** Returns the summary of {@code shard}. */
+    public static ShardSummary of(ShardState shard, Optional<String> handoverTo) {
+        Resources free = Resources.ZERO;
+        Resources largest = Resources.ZERO;
+        int slots = 0;
+        for (WorkerKey worker : shard.index().byFree()) {
+            free = free.plus(worker.free());
+            largest = largest.max(worker.free());
+            slots += worker.slots();
+        }
+        return new ShardSummary(
+                shard.epoch(),
+                shard.index().byFree().size(),
+                slots,
+                shard.queue().requestCount(),
+                shard.capacity(),
+                free,
+                largest,
+                teams(shard),
+                handoverTo);
+    }
+
+    private static PSortedMap<TeamId, TeamLoad> teams(ShardState shard) {
+        PSortedMap<TeamId, TeamLoad> teams = TreePMap.empty();
+        for (var entry : shard.usage().entrySet()) {
+            teams = teams.plus(entry.getKey(), new TeamLoad(entry.getValue(), Resources.ZERO, 0));
+        }
+        for (var lane : shard.queue().lanes().entrySet()) {
+            TeamId team = lane.getKey().team();
+            TeamLoad known = teams.containsKey(team) ? teams.get(team) : TeamLoad.NONE;
+            int queued = known.queued() + lane.getValue().size();
+            teams = teams.plus(team, new TeamLoad(known.running(), known.waiting(), queued));
+        }
+        return teams;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -0,0 +1,169 @@
+package org.jujubefork.core.placement;
+
+import java.util.Optional;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.DecisionKind;
+import org.jujubefork.core.effect.LogDecision;
+import org.jujubefork.core.effect.StopMode;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.TaskEvent;
+import org.jujubefork.core.jobs.Jobs;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.StartRefusal;
+import org.jujubefork.core.ownership.Ownership;
+import org.jujubefork.core.requests.Attempts;
+
+/** Follows tasks from the start command to their end. */
+public final class Tasks {
+    private Tasks() {}
+
+    /** Reduces what became of a command to a worker. */
+    public static Transition reduce(State state, TaskEvent event) {
+        for (ShardState shard : state.shards().values()) {
+            Optional<RunningTask> task = shard.task(event.task());
+            if (task.isPresent()) {
+                return owned(state, shard, task.get(), event);
+            }
+        }
+        RunningTask detached = state.detached().get(event.task());
+        return detached == null ? Transition.of(state) : detached(state, detached, event);
+    }
+
+    private static Transition owned(
+            State state, ShardState shard, RunningTask task, TaskEvent event) {
+        return switch (event) {
+            case TaskEvent.StartAccepted e ->
+                    Transition.of(
+                            task.phase() == TaskPhase.STARTING
+                                    ? state.withShard(shard.update(task.in(TaskPhase.RUNNING)))
+                                    : state);
+            case TaskEvent.StartRefused e -> refused(state, shard, task, e);
+            case TaskEvent.StartNotSent e -> notSent(state, shard, task);
+            case TaskEvent.StartUnknown e -> unknown(state, shard, task, e);
+            case TaskEvent.RequestFinished e -> finished(state, shard, task, e);
+            case TaskEvent.StopConfirmed e -> stopConfirmed(state, shard, task);
+            case TaskEvent.StopFailed e ->
+                    Workers.suspend(
+                            state, shard.id(), task.worker(), "no answer to a stop command");
+        };
+    }
+
+    private static Transition refused(
+            State state, ShardState shard, RunningTask task, TaskEvent.StartRefused event) {
+        Transition result = sendBack(state, shard, task, RefusalReason.WORKER_REFUSED);
+        Optional<Epoch> current = event.current();
+        if (event.reason() == StartRefusal.STALE_EPOCH
+                && current.isPresent()
+                && current.get().isAbove(shard.epoch())) {
+            return result.then(s -> Ownership.outranked(s, shard.id(), current.get()));
+        }
+        String reason = "start refused: " + event.reason();
+        return result.then(s -> Workers.suspend(s, shard.id(), task.worker(), reason));
+    }
+
+    private static Transition notSent(State state, ShardState shard, RunningTask task) {
+        return sendBack(state, shard, task, RefusalReason.WORKER_UNREACHABLE)
+                .then(
+                        s ->
+                                Workers.suspend(
+                                        s, shard.id(), task.worker(), "no connection for a start"));
+    }
+
+    /**
+     * Handles a task that provably did not start: it waits again, or its request is tried
+     * elsewhere.
+     */
+    private static Transition sendBack(
+            State state, ShardState shard, RunningTask task, RefusalReason reason) {
+        State released = state.withShard(shard.release(task.spec().id()));
+        if (task.origin().isPresent()) {
+            return Attempts.report(released, task.origin().get(), AttemptResult.notRunHere(reason));
+        }
+        return Jobs.startRefused(released, shard.id(), task);
+    }
+
+    private static Transition unknown(
+            State state, ShardState shard, RunningTask task, TaskEvent.StartUnknown event) {
+        State unconfirmed = state.withShard(shard.update(task.in(TaskPhase.UNCONFIRMED)));
+        Transition result =
+                Transition.of(unconfirmed)
+                        .with(
+                                new WorkerEffect.StopTask(
+                                        task.worker(),
+                                        shard.workers().get(task.worker()).listing().address(),
+                                        shard.epoch(),
+                                        task.spec().id(),
+                                        StopMode.STOP));
+        if (task.origin().isEmpty()) {
+            return result;
+        }
+        return result.then(
+                s ->
+                        Attempts.report(
+                                s,
+                                task.origin().get(),
+                                AttemptResult.unknown(RefusalReason.WORKER_CONNECTION_LOST)));
+    }
+
+    private static Transition finished(
+            State state, ShardState shard, RunningTask task, TaskEvent.RequestFinished event) {
+        State released = state.withShard(shard.release(task.spec().id()));
+        Transition result = Transition.of(released).with(endDecision(state, task, event));
+        return task.origin()
+                .map(o -> result.then(s -> Attempts.report(s, o, AttemptResult.done())))
+                .orElse(result);
+    }
+
+    private static LogDecision endDecision(
+            State state, RunningTask task, TaskEvent.RequestFinished event) {
+        return new LogDecision(
+                DecisionKind.ENDED,
+                task.spec().id().value(),
+                Optional.of(task.spec().team()),
+                task.worker().value(),
+                event.succeeded() ? "succeeded" : "failed",
+                0,
+                state.nowMillis() - task.placedAtMillis());
+    }
+
+    private static Transition stopConfirmed(State state, ShardState shard, RunningTask task) {
+        if (task.phase() != TaskPhase.UNCONFIRMED) {
+            return Transition.of(state);
+        }
+        State released = state.withShard(shard.release(task.spec().id()));
+        return task.spec().job().isPresent()
+                ? Jobs.taskLost(released, shard.id(), task)
+                : Transition.of(released);
+    }
+
+    private static Transition detached(State state, RunningTask task, TaskEvent event) {
+        Optional<AttemptResult> result =
+                switch (event) {
+                    case TaskEvent.RequestFinished e -> Optional.of(AttemptResult.done());
+                    case TaskEvent.StartRefused e ->
+                            Optional.of(AttemptResult.notRunHere(RefusalReason.WORKER_REFUSED));
+                    case TaskEvent.StartNotSent e ->
+                            Optional.of(AttemptResult.notRunHere(RefusalReason.WORKER_UNREACHABLE));
+                    case TaskEvent.StartUnknown e ->
+                            Optional.of(
+                                    AttemptResult.unknown(RefusalReason.WORKER_CONNECTION_LOST));
+                    case TaskEvent.StartAccepted e -> Optional.empty();
+                    case TaskEvent.StopConfirmed e -> Optional.empty();
+                    case TaskEvent.StopFailed e -> Optional.empty();
+                };
+        if (result.isEmpty()) {
+            return Transition.of(state);
+        }
+        State without = state.withDetached(state.detached().minus(task.spec().id()));
+        return Attempts.report(without, task.origin().orElseThrow(), result.get());
+    }
+
+    /** Returns the shard of a placed task. */
+    public static Optional<ShardId> shardOf(State state, RunningTask task) {
+        return Workers.shardOf(state, task.worker()).map(ShardState::id);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -0,0 +1,220 @@
+package org.jujubefork.core.placement;
+
+import java.util.Optional;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.DecisionKind;
+import org.jujubefork.core.effect.LogDecision;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.core.model.WorkerListing;
+import org.jujubefork.core.ownership.FleetState;
+import org.jujubefork.core.ownership.Ownership;
+import org.pcollections.PSortedMap;
+
+/** Takes and renews the leases of an owned shard's workers. */
+public final class Workers {
+    /** Time between two attempts to reach a worker that does not answer. */
+    static final long RETRY_MILLIS = 1_000;
+
+    private Workers() {}
+
+    /** Reduces news of workers. */
+    public static Transition reduce(State state, FleetEvent event) {
+        return switch (event) {
+            case FleetEvent.WorkersListed e -> listed(state, e);
+            case FleetEvent.LeaseGranted e -> granted(state, e);
+            case FleetEvent.LeaseRefused e -> refused(state, e);
+            case FleetEvent.LeaseFailed e -> failed(state, e);
+        };
+    }
+
+    /**
+     * Renews leases, asks again for leases that were not granted, and gives up tasks of lost
+     * workers.
+     */
+    public static Transition tick(State state) {
+        Transition result = Transition.of(state);
+        for (ShardState shard : state.shards().values()) {
+            for (WorkerState worker : shard.workers().values()) {
+                if (isDue(state, worker)) {
+                    result = result.then(s -> ask(s, shard.id(), worker.id()));
+                }
+                if (isLeaseOver(state, worker) && !worker.tasks().isEmpty()) {
+                    result = result.then(s -> Reports.loseAll(s, shard.id(), worker.id()));
+                }
+            }
+        }
+        return result;
+    }
+
+    /** Asks for the lease of a worker that the shard does not have yet. */
+    public static Transition acquire(State state, ShardId shard, WorkerListing listing) {
+        WorkerState worker = WorkerState.acquiring(listing, state.nowMillis());
+        return ask(
+                state.withShard(state.shards().get(shard).withWorker(worker)), shard, worker.id());
+    }
+
+    /** Returns the owned shard that {@code worker} belongs to. */
+    public static Optional<ShardState> shardOf(State state, WorkerId worker) {
+        return state.shards().values().stream()
+                .filter(s -> s.workers().containsKey(worker))
+                .findFirst();
+    }
+
+    /** Stops placing on {@code worker} until it answers a renewal, which is sent at once. */
+    public static Transition suspend(State state, ShardId shard, WorkerId worker, String reason) {
+        ShardState owned = state.shards().get(shard);
+        WorkerState known = owned.workers().get(worker);
+        if (known.phase() != WorkerPhase.ACTIVE) {
+            return Transition.of(state);
+        }
+        State suspended = state.withShard(owned.withWorker(known.in(WorkerPhase.UNREACHABLE)));
+        return Transition.of(suspended)
+                .with(decision(DecisionKind.WORKER_INACTIVE, worker, shard, reason))
+                .then(s -> ask(s, shard, worker));
+    }
+
+    /** Has the next renewal of {@code worker} acknowledge the end of {@code task}. */
+    public static State acknowledge(State state, WorkerId worker, TaskId task) {
+        return shardOf(state, worker)
+                .map(
+                        s ->
+                                state.withShard(
+                                        s.withWorker(s.workers().get(worker).acknowledging(task))))
+                .orElse(state);
+    }
+
+    private static boolean isDue(State state, WorkerState worker) {
+        long interval =
+                worker.phase() == WorkerPhase.ACTIVE
+                        ? state.timing().renewIntervalMillis()
+                        : RETRY_MILLIS;
+        return state.nowMillis() - worker.askedAtMillis() >= interval;
+    }
+
+    private static boolean isLeaseOver(State state, WorkerState worker) {
+        return worker.phase() != WorkerPhase.ACTIVE
+                && state.nowMillis() - worker.leaseSentMillis()
+                        >= state.timing().leaseOverAfterMillis();
+    }
+
+    private static Transition ask(State state, ShardId shard, WorkerId worker) {
+        ShardState owned = state.shards().get(shard);
+        WorkerState known = owned.workers().get(worker);
+        long ttl = state.timing().leaseTtlMillis();
+        String address = known.listing().address();
+        WorkerEffect effect =
+                known.phase() == WorkerPhase.ACQUIRING
+                        ? new WorkerEffect.AcquireLease(worker, address, owned.epoch(), ttl)
+                        : new WorkerEffect.RenewLease(
+                                worker, address, owned.epoch(), ttl, known.acknowledgements());
+        State asked = state.withShard(owned.withWorker(known.asked(state.nowMillis())));
+        return Transition.of(asked).with(effect);
+    }
+
+    private static Transition listed(State state, FleetEvent.WorkersListed event) {
+        int shardsPerZone = state.configuration().map(c -> c.shardsPerZone()).orElse(1);
+        FleetState fleet = FleetState.of(event.workers(), shardsPerZone);
+        Transition result = Transition.of(state.withFleet(fleet));
+        for (ShardId shard : state.shards().keySet()) {
+            result = result.then(s -> alignShard(s, shard));
+        }
+        return result;
+    }
+
+    private static Transition alignShard(State state, ShardId shard) {
+        PSortedMap<WorkerId, WorkerListing> listings = state.fleet().byShard().get(shard);
+        Transition result = Transition.of(state);
+        for (WorkerState worker : state.shards().get(shard).workers().values()) {
+            Optional<WorkerListing> now =
+                    Optional.ofNullable(listings).map(l -> l.get(worker.id()));
+            result = result.then(s -> Transition.of(alignWorker(s, shard, worker.id(), now)));
+        }
+        if (listings != null) {
+            for (WorkerListing listing : listings.values()) {
+                if (!state.shards().get(shard).workers().containsKey(listing.id())) {
+                    result = result.then(s -> acquire(s, shard, listing));
+                }
+            }
+        }
+        return result;
+    }
+
+    private static State alignWorker(
+            State state, ShardId shard, WorkerId id, Optional<WorkerListing> now) {
+        ShardState owned = state.shards().get(shard);
+        WorkerState worker = owned.workers().get(id);
+        boolean gone = now.isEmpty() && worker.tasks().isEmpty() && isLeaseOver(state, worker);
+        if (gone) {
+            return state.withShard(owned.withoutWorker(id));
+        }
+        boolean unchanged = now.isPresent() && now.get().equals(worker.listing());
+        return unchanged ? state : state.withShard(owned.withWorker(worker.listed(now)));
+    }
+
+    private static Transition granted(State state, FleetEvent.LeaseGranted event) {
+        Optional<ShardState> shard = heldUnder(state, event.worker(), event.epoch());
+        if (shard.isEmpty()) {
+            return Transition.of(state);
+        }
+        WorkerState before = shard.get().workers().get(event.worker());
+        WorkerState after = before.granted(event.report(), event.sentAtMillis());
+        Transition result = Transition.of(state.withShard(shard.get().withWorker(after)));
+        if (before.phase() != WorkerPhase.ACTIVE) {
+            result =
+                    result.with(
+                            decision(
+                                    DecisionKind.WORKER_ACTIVE,
+                                    event.worker(),
+                                    shard.get().id(),
+                                    "lease granted"));
+        }
+        return result.then(s -> Reports.merge(s, shard.get().id(), before, event));
+    }
+
+    private static Transition refused(State state, FleetEvent.LeaseRefused event) {
+        Optional<ShardState> shard = heldUnder(state, event.worker(), event.epoch());
+        if (shard.isEmpty()) {
+            return Transition.of(state);
+        }
+        if (event.current().isPresent() && event.current().get().isAbove(event.epoch())) {
+            return Ownership.outranked(state, shard.get().id(), event.current().get());
+        }
+        WorkerState worker = shard.get().workers().get(event.worker());
+        State acquiring = state.withShard(shard.get().withWorker(worker.in(WorkerPhase.ACQUIRING)));
+        return ask(acquiring, shard.get().id(), event.worker());
+    }
+
+    private static Transition failed(State state, FleetEvent.LeaseFailed event) {
+        Optional<ShardState> shard = heldUnder(state, event.worker(), event.epoch());
+        if (shard.isEmpty()) {
+            return Transition.of(state);
+        }
+        WorkerState worker = shard.get().workers().get(event.worker());
+        if (worker.phase() != WorkerPhase.ACTIVE) {
+            return Transition.of(state);
+        }
+        return Transition.of(
+                        state.withShard(shard.get().withWorker(worker.in(WorkerPhase.UNREACHABLE))))
+                .with(
+                        decision(
+                                DecisionKind.WORKER_INACTIVE,
+                                event.worker(),
+                                shard.get().id(),
+                                "no answer to a renewal"));
+    }
+
+    private static Optional<ShardState> heldUnder(
+            State state, WorkerId worker, org.jujubefork.core.model.Epoch epoch) {
+        return shardOf(state, worker).filter(s -> s.epoch().equals(epoch));
+    }
+
+    private static LogDecision decision(
+            DecisionKind kind, WorkerId worker, ShardId shard, String reason) {
+        return new LogDecision(kind, worker.value(), Optional.empty(), shard.value(), reason, 0, 0);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -0,0 +1,330 @@
+package org.jujubefork.core.requests;
+
+import java.util.Optional;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.configuration.KeyGrant;
+import org.jujubefork.core.configuration.Queue;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.DecisionKind;
+import org.jujubefork.core.effect.LogDecision;
+import org.jujubefork.core.effect.RequestEffect;
+import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.membership.Freshness;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.placement.Admission;
+import org.jujubefork.core.placement.QueuedWork;
+import org.jujubefork.core.placement.RequestOrigin;
+import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.WorkQueue;
+
+/** Takes requests from callers and other entries, and sees that each is answered once. */
+public final class Requests {
+    /** How long a caller is told to wait for a condition that should pass soon. */
+    static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /** Time after a deadline in which the owner of a shard may still report. */
+    static final long REPORT_GRACE_MILLIS = 500;
+
+    private Requests() {}
+
+    /** Reduces the life of requests. */
+    public static Transition reduce(State state, RequestEvent event) {
+        return switch (event) {
+            case RequestEvent.RequestArrived e -> arrived(state, e);
+            case RequestEvent.RequestForwarded e -> forwarded(state, e);
+            case RequestEvent.ForwardAnswered e ->
+                    isForwardedTo(state, e.request(), e.by())
+                            ? attemptEnded(state, e.request(), e.result())
+                            : Transition.of(state);
+            case RequestEvent.ForwardFailed e -> forwardFailed(state, e);
+            case RequestEvent.RequestCancelled e -> cancelled(state, e.request());
+        };
+    }
+
+    /** Answers requests whose deadline has passed. */
+    public static Transition tick(State state) {
+        Transition result = Transition.of(state);
+        for (WorkQueue.Deadline deadline : state.requests().deadlines()) {
+            if (deadline.atMillis() + REPORT_GRACE_MILLIS > state.nowMillis()) {
+                break;
+            }
+            FrontRequest request = state.requests().active().get(deadline.request());
+            result = result.then(s -> overdue(s, request));
+        }
+        return result;
+    }
+
+    private static Transition arrived(State state, RequestEvent.RequestArrived event) {
+        RefusalReason reason = check(state, event);
+        if (reason != RefusalReason.NONE) {
+            return refuse(state, event.request(), event.queue().value(), retryable(reason));
+        }
+        Queue queue = state.configuration().orElseThrow().queue(event.queue()).orElseThrow();
+        Optional<String> claimKey =
+                queue.kind() == WorkKind.COMMAND
+                        ? event.idempotencyKey().map(k -> Claims.key(queue.team(), k))
+                        : Optional.empty();
+        FrontRequest request =
+                FrontRequest.arrived(
+                        event.request(), queue, state.nowMillis(), claimKey, event.random());
+        State accepted = state.withRequests(state.requests().arrived(request));
+        return claimKey.isPresent()
+                ? Claims.create(accepted, request)
+                : dispatch(accepted, request);
+    }
+
+    private static RefusalReason check(State state, RequestEvent.RequestArrived event) {
+        if (state.draining()) {
+            return RefusalReason.DRAINING;
+        }
+        Optional<Configuration> configuration = state.configuration();
+        if (configuration.isEmpty()) {
+            return RefusalReason.NO_CONFIGURATION;
+        }
+        Optional<Queue> queue = configuration.get().queue(event.queue());
+        if (queue.isEmpty()) {
+            return RefusalReason.QUEUE_UNKNOWN;
+        }
+        RefusalReason key = checkKey(state, queue.get(), event.keyHash());
+        if (key != RefusalReason.NONE) {
+            return key;
+        }
+        if (!queue.get().kind().isRequest()) {
+            return RefusalReason.WRONG_KIND;
+        }
+        return queue.get().kind() == WorkKind.COMMAND && event.idempotencyKey().isEmpty()
+                ? RefusalReason.IDEMPOTENCY_KEY_MISSING
+                : RefusalReason.NONE;
+    }
+
+    /** Returns why the key does not open {@code queue}, or {@link RefusalReason#NONE}. */
+    public static RefusalReason checkKey(State state, Queue queue, Optional<String> keyHash) {
+        if (queue.open()) {
+            return RefusalReason.NONE;
+        }
+        if (!Freshness.isFresh(state)) {
+            return RefusalReason.CONFIGURATION_NOT_FRESH;
+        }
+        if (keyHash.isEmpty()) {
+            return RefusalReason.KEY_MISSING;
+        }
+        Optional<KeyGrant> grant = state.configuration().orElseThrow().key(keyHash.get());
+        if (grant.isEmpty()) {
+            return RefusalReason.KEY_UNKNOWN;
+        }
+        return grant.get().team().equals(Optional.of(queue.team()))
+                ? RefusalReason.NONE
+                : RefusalReason.WRONG_TEAM;
+    }
+
+    private static AttemptResult retryable(RefusalReason reason) {
+        return switch (reason) {
+            case DRAINING, NO_CONFIGURATION, CONFIGURATION_NOT_FRESH, NO_SHARD ->
+                    AttemptResult.notRun(reason, RETRY_AFTER_MILLIS);
+            default -> AttemptResult.notRun(reason);
+        };
+    }
+
+    /** Sends {@code request} to the best shard that has not been tried. */
+    static Transition dispatch(State state, FrontRequest request) {
+        Optional<Routing.Route> route = Routing.choose(state, request);
+        if (route.isEmpty()) {
+            return finish(state, request, retryable(RefusalReason.NO_SHARD));
+        }
+        FrontRequest routed = request.routedTo(route.get().shard(), route.get().owner());
+        Transition result =
+                Transition.of(state.withRequests(state.requests().with(routed)))
+                        .with(routeDecision(routed, route.get()));
+        return route.get().owner().isPresent()
+                ? result.with(forward(state, routed, route.get()))
+                : result.then(s -> enqueue(s, routed, RequestOrigin.local(routed.id())));
+    }
+
+    private static RequestEffect.Forward forward(
+            State state, FrontRequest request, Routing.Route route) {
+        Queue queue = request.queue();
+        return new RequestEffect.Forward(
+                request.id(),
+                route.owner().orElseThrow(),
+                route.peerAddress(),
+                new ForwardedRequest(
+                        route.shard(),
+                        queue.id(),
+                        queue.team(),
+                        queue.kind(),
+                        queue.size(),
+                        queue.urgent(),
+                        request.deadlineMillis() - state.nowMillis()));
+    }
+
+    private static LogDecision routeDecision(FrontRequest request, Routing.Route route) {
+        return new LogDecision(
+                DecisionKind.ROUTED,
+                request.id().value(),
+                Optional.of(request.queue().team()),
+                route.shard().value(),
+                route.owner().map(EntryId::toString).orElse("local"),
+                route.alternatives(),
+                0);
+    }
+
+    private static Transition enqueue(State state, FrontRequest request, RequestOrigin origin) {
+        Queue queue = request.queue();
+        return Admission.enqueue(
+                state,
+                request.shard().orElseThrow(),
+                new QueuedWork.Request(
+                        origin,
+                        queue.team(),
+                        queue.id(),
+                        queue.kind(),
+                        queue.size(),
+                        queue.urgent(),
+                        state.nowMillis(),
+                        request.deadlineMillis()));
+    }
+
+    private static Transition forwarded(State state, RequestEvent.RequestForwarded event) {
+        ForwardedRequest work = event.forwarded();
+        RequestOrigin origin = RequestOrigin.forwarded(event.request(), event.from());
+        if (!state.shards().containsKey(work.shard()) || state.configuration().isEmpty()) {
+            return Attempts.report(
+                    state, origin, AttemptResult.notRunHere(RefusalReason.NOT_OWNER));
+        }
+        return Admission.enqueue(
+                state,
+                work.shard(),
+                new QueuedWork.Request(
+                        origin,
+                        work.team(),
+                        work.queue(),
+                        work.kind(),
+                        work.size(),
+                        work.urgent(),
+                        state.nowMillis(),
+                        state.nowMillis() + work.remainingMillis()));
+    }
+
+    private static boolean isForwardedTo(State state, RequestId id, EntryId owner) {
+        FrontRequest request = state.requests().active().get(id);
+        return request != null && request.owner().equals(Optional.of(owner));
+    }
+
+    private static Transition forwardFailed(State state, RequestEvent.ForwardFailed event) {
+        if (!isForwardedTo(state, event.request(), event.to())) {
+            return Transition.of(state);
+        }
+        AttemptResult result =
+                event.sent()
+                        ? AttemptResult.unknown(RefusalReason.ENTRY_CONNECTION_LOST)
+                        : AttemptResult.notRunHere(RefusalReason.ENTRY_UNREACHABLE);
+        return attemptEnded(state, event.request(), result);
+    }
+
+    /** Answers or retries a request after an attempt ended. */
+    public static Transition attemptEnded(State state, RequestId id, AttemptResult result) {
+        FrontRequest request = state.requests().active().get(id);
+        if (request == null || request.phase() == RequestPhase.SETTLING) {
+            return Transition.of(state);
+        }
+        boolean safe = result.outcome() == Outcome.NOT_RUN || request.isIdempotent();
+        boolean wanted = result.outcome() != Outcome.DONE && result.retryElsewhere() && safe;
+        boolean inTime = state.nowMillis() < request.deadlineMillis();
+        if (wanted && inTime && state.requests().retries().allows()) {
+            return retry(state, request, result);
+        }
+        return finish(state, request, result);
+    }
+
+    private static Transition retry(State state, FrontRequest request, AttemptResult result) {
+        FrontRequest next = request.afterAttempt();
+        if (Routing.choose(state, next).isEmpty()) {
+            next = next.withoutTried();
+        }
+        FrontRequest again = next;
+        State spent = state.withRequests(state.requests().retried().with(again));
+        return Transition.of(spent)
+                .with(new RequestEffect.ResetAnswer(request.id()))
+                .with(
+                        new LogDecision(
+                                DecisionKind.RETRIED,
+                                request.id().value(),
+                                Optional.of(request.queue().team()),
+                                request.shard().map(ShardId::value).orElse(""),
+                                result.reason().code(),
+                                0,
+                                state.nowMillis() - request.arrivedAtMillis()))
+                .then(s -> dispatch(s, again));
+    }
+
+    /** Answers the caller, after the claim of a non-idempotent request is settled or released. */
+    static Transition finish(State state, FrontRequest request, AttemptResult result) {
+        if (request.claimKey().isPresent()) {
+            return Claims.finish(state, request, result);
+        }
+        State without = state.withRequests(state.requests().without(request));
+        return result.outcome() == Outcome.DONE
+                ? Transition.of(without).with(new RequestEffect.ReleaseAnswer(request.id()))
+                : refuse(without, request.id(), request.queue().id().value(), result);
+    }
+
+    /** Tells the caller that the request did not run, or that its outcome is not known. */
+    static Transition refuse(State state, RequestId request, String queue, AttemptResult result) {
+        return Transition.of(state)
+                .with(new RequestEffect.Refuse(request, result))
+                .with(
+                        new LogDecision(
+                                DecisionKind.REFUSED,
+                                request.value(),
+                                Optional.empty(),
+                                queue,
+                                result.outcome() + "/" + result.reason().code(),
+                                0,
+                                0));
+    }
+
+    private static Transition overdue(State state, FrontRequest request) {
+        return switch (request.phase()) {
+            case CLAIMING, SETTLING -> Transition.of(state);
+            case LOCAL, FORWARDED -> {
+                Transition ended =
+                        finish(
+                                state,
+                                request,
+                                AttemptResult.unknown(RefusalReason.DEADLINE_AFTER_START));
+                yield cancelForward(state, request).map(ended::with).orElse(ended);
+            }
+        };
+    }
+
+    private static Optional<RequestEffect> cancelForward(State state, FrontRequest request) {
+        return request.owner()
+                .flatMap(o -> state.membership().member(o))
+                .map(m -> new RequestEffect.CancelForward(request.id(), m.row().peerAddress()));
+    }
+
+    private static Transition cancelled(State state, RequestId id) {
+        for (ShardState shard : state.shards().values()) {
+            Optional<QueuedWork.Request> waiting = shard.queue().request(id);
+            if (waiting.isPresent()) {
+                return Attempts.report(
+                        Admission.remove(state, shard.id(), waiting.get()),
+                        waiting.get().origin(),
+                        AttemptResult.notRun(RefusalReason.CANCELLED));
+            }
+        }
+        FrontRequest request = state.requests().active().get(id);
+        if (request == null) {
+            return Transition.of(state);
+        }
+        Transition result = Transition.of(state);
+        return cancelForward(state, request).map(result::with).orElse(result);
+    }
+}
