--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/source/Finding.java
@@ -0,0 +1,49 @@
+package org.jujubefork.config.source;
+
+import java.util.Collection;
+import java.util.Locale;
+
+/**
+ * Something that is wrong in a settings text, with its place.
+ *
+ * @param severity whether the text can still be used
+ * @param file the name of the text
+ * @param line the line, from 1
+ * @param column the column in characters, from 1
+ * @param path the JSON path of the value, such as {@code $.teams[2].weight}
+ * @param message what is wrong and what was expected
+ */
+public record Finding(
+        Severity severity, String file, int line, int column, String path, String message) {
+    /** Returns an error at {@code place}. */
+    public static Finding error(SourcePlace place, String path, String message) {
+        return new Finding(
+                Severity.ERROR, place.file(), place.line(), place.column(), path, message);
+    }
+
+    /** Returns a warning at {@code place}. */
+    public static Finding warning(SourcePlace place, String path, String message) {
+        return new Finding(
+                Severity.WARNING, place.file(), place.line(), place.column(), path, message);
+    }
+
+    /** Returns whether any of {@code findings} is an error. */
+    public static boolean anyError(Collection<Finding> findings) {
+        return findings.stream().anyMatch(finding -> finding.severity() == Severity.ERROR);
+    }
+
+    @Override
+    public String toString() {
+        return file
+                + ":"
+                + line
+                + ":"
+                + column
+                + ": "
+                + severity.name().toLowerCase(Locale.ROOT)
+                + ": "
+                + path
+                + ": "
+                + message;
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/source/SourceKind.java
@@ -0,0 +1,30 @@
+package org.jujubefork.config.source;
+
+/** The kinds of JSON values. */
+public enum SourceKind {
+    /** An object. */
+    OBJECT("an object"),
+    /** An array. */
+    ARRAY("an array"),
+    /** A string. */
+    TEXT("a string"),
+    /** A number without fraction and exponent. */
+    WHOLE("a whole number"),
+    /** A number with fraction or exponent. */
+    DECIMAL("a number with a fraction"),
+    /** {@code true} or {@code false}. */
+    FLAG("a boolean"),
+    /** {@code null}. */
+    NULL("null");
+
+    private final String description;
+
+    SourceKind(String description) {
+        this.description = description;
+    }
+
+    /** Returns the kind with its article, for messages. */
+    public String description() {
+        return description;
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/source/SourcePlace.java
@@ -0,0 +1,16 @@
+package org.jujubefork.config.source;
+
+/**
+ * A place in a settings text.
+ *
+ * @param file the name by which findings refer to the text
+ * @param line the line, from 1
+ * @param column the column in characters, from 1
+ * @param offset the index of the character in the text, from 0
+ */
+public record SourcePlace(String file, int line, int column, int offset) {
+    @Override
+    public String toString() {
+        return file + ":" + line + ":" + column;
+    }
+}
