--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/cell/ConfigurationDiff.java
@@ -0,0 +1,118 @@
+package org.jujubefork.config.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jujubefork.config.source.SourceKind;
+import org.jujubefork.config.source.SourceMember;
+import org.jujubefork.config.source.SourceParser;
+import org.jujubefork.config.source.SourceText;
+import org.jujubefork.config.source.SourceValue;
+
+/** Lists the differences between two configuration documents, value by value. */
+public final class ConfigurationDiff {
+    private static final List<String> NAMING_FIELDS = List.of("name", "id");
+
+    private ConfigurationDiff() {}
+
+    /**
+     * Returns the changes that lead from {@code before} to {@code after}, sorted by path. Versions
+     * are not compared. A text that differs only in comments or layout is one change of the path
+     * {@code base (comments or layout)}, and so is one that cannot be parsed.
+     */
+    public static List<ConfigurationChange> of(
+            ConfigurationDocument before, ConfigurationDocument after) {
+        List<ConfigurationChange> changes =
+                new ArrayList<>(
+                        compare("base", Optional.of(before.base()), Optional.of(after.base())));
+        SortedSet<String> sites = new TreeSet<>(before.overlays().keySet());
+        sites.addAll(after.overlays().keySet());
+        for (String site : sites) {
+            changes.addAll(
+                    compare(
+                            "overlay " + site,
+                            Optional.ofNullable(before.overlays().get(site)),
+                            Optional.ofNullable(after.overlays().get(site))));
+        }
+        return List.copyOf(changes);
+    }
+
+    private static List<ConfigurationChange> compare(
+            String text, Optional<String> before, Optional<String> after) {
+        if (before.equals(after)) {
+            return List.of();
+        }
+        Map<String, String> old = values(text, before);
+        Map<String, String> current = values(text, after);
+        SortedSet<String> paths = new TreeSet<>(old.keySet());
+        paths.addAll(current.keySet());
+        List<ConfigurationChange> changes =
+                paths.stream()
+                        .map(
+                                path ->
+                                        new ConfigurationChange(
+                                                path,
+                                                Optional.ofNullable(old.get(path)),
+                                                Optional.ofNullable(current.get(path))))
+                        .filter(change -> !change.before().equals(change.after()))
+                        .toList();
+        if (!changes.isEmpty()) {
+            return changes;
+        }
+        return List.of(
+                new ConfigurationChange(
+                        text + " (comments or layout)",
+                        before.map(ConfigurationDiff::size),
+                        after.map(ConfigurationDiff::size)));
+    }
+
+    private static String size(String text) {
+        return text.length() + " characters";
+    }
+
+    private static Map<String, String> values(String name, Optional<String> text) {
+        Map<String, String> values = new TreeMap<>();
+        text.map(content -> SourceParser.parse(name, content))
+                .flatMap(SourceText::root)
+                .ifPresent(root -> root.members().forEach(m -> collect(name + " ", m, values)));
+        return values;
+    }
+
+    private static void collect(String prefix, SourceMember member, Map<String, String> into) {
+        collect(prefix + member.name(), member.value(), into);
+    }
+
+    private static void collect(String path, SourceValue value, Map<String, String> into) {
+        switch (value.kind()) {
+            case OBJECT -> {
+                if (value.members().isEmpty()) {
+                    into.put(path, "{}");
+                }
+                value.members().forEach(member -> collect(path + ".", member, into));
+            }
+            case ARRAY -> {
+                for (int i = 0; i < value.elements().size(); i++) {
+                    SourceValue element = value.elements().get(i);
+                    collect(path + "[" + label(element, i) + "]", element, into);
+                }
+            }
+            case TEXT -> into.put(path, "\"" + value.text() + "\"");
+            default -> into.put(path, value.text());
+        }
+    }
+
+    /** Names an element by its content, so that an insertion does not change all later elements. */
+    private static String label(SourceValue element, int index) {
+        if (element.is(SourceKind.TEXT)) {
+            return element.text();
+        }
+        return NAMING_FIELDS.stream()
+                .flatMap(field -> element.textOf(field).stream())
+                .findFirst()
+                .orElse(Integer.toString(index));
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/cell/ConfigurationDocument.java
@@ -0,0 +1,58 @@
+package org.jujubefork.config.cell;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The configuration texts of all sites as the store holds them under one key.
+ *
+ * @param version grows by one with each accepted change; 0 means that none was accepted yet
+ * @param base the text of the base file
+ * @param overlays the texts of the overlays by site
+ */
+public record ConfigurationDocument(long version, String base, SortedMap<String, String> overlays) {
+    /** Checks the version and copies the overlays. */
+    public ConfigurationDocument {
+        if (version < 0) {
+            throw new IllegalArgumentException("version must not be negative: " + version);
+        }
+        if (base == null) {
+            throw new IllegalArgumentException("base must be given");
+        }
+        overlays =
+                overlays == null
+                        ? Collections.emptySortedMap()
+                        : Collections.unmodifiableSortedMap(new TreeMap<>(overlays));
+    }
+
+    /** Returns a document of the given texts. */
+    public static ConfigurationDocument of(
+            long version, String base, Map<String, String> overlays) {
+        return new ConfigurationDocument(version, base, new TreeMap<>(overlays));
+    }
+
+    /** Returns the same texts under {@code newVersion}. */
+    public ConfigurationDocument withVersion(long newVersion) {
+        return new ConfigurationDocument(newVersion, base, overlays);
+    }
+
+    /** Returns this document with {@code newBase} as its base text. */
+    public ConfigurationDocument withBase(String newBase) {
+        return new ConfigurationDocument(version, newBase, overlays);
+    }
+
+    /** Returns the base text under the name that findings use, {@code base.jsonc}. */
+    public NamedText namedBase() {
+        return NamedText.of("base.jsonc", base);
+    }
+
+    /** Returns the overlay texts under the names that findings use, {@code SITE.jsonc}. */
+    public List<NamedText> namedOverlays() {
+        return overlays.entrySet().stream()
+                .map(entry -> NamedText.of(entry.getKey() + ".jsonc", entry.getValue()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/cell/PolicyNames.java
@@ -0,0 +1,29 @@
+package org.jujubefork.config.cell;
+
+import java.util.List;
+
+/**
+ * The policies that a configuration may name. The policies themselves are part of the scheduler's
+ * decisions, so the reader is given their names.
+ *
+ * @param orders names of queue orders
+ * @param placements names of placement policies
+ */
+public record PolicyNames(List<String> orders, List<String> placements) {
+    /** The policies of this version of the scheduler. */
+    public static final PolicyNames BUILT_IN =
+            new PolicyNames(
+                    List.of("weighted-fair", "fifo"),
+                    List.of("best-fit", "least-loaded", "first-fit", "spread"));
+
+    /** Copies the lists. */
+    public PolicyNames {
+        orders = List.copyOf(orders);
+        placements = List.copyOf(placements);
+    }
+
+    /** Returns the given names. */
+    public static PolicyNames of(List<String> orders, List<String> placements) {
+        return new PolicyNames(orders, placements);
+    }
+}
--- a/config/src/main/java/org/jujubefork/config/settings/DaemonSettingsReader.java
+++ b/config/src/main/java/org/jujubefork/config/settings/DaemonSettingsReader.java
@@ -59,7 +59,7 @@
         if (!findings.isEmpty()) {
             throw new InvalidSettingsException(findings);
         }
-        return settings(FieldValues.of(source.root(), DaemonSettingsSchema.ROOT));
+        return settings(FieldValues.of(source.root().stream().toList(), DaemonSettingsSchema.ROOT));
     }
 
     /** Checks settings against each other. Those of a wrong type are left to the shape check. */
