--- a/config/src/main/java/org/jujubefork/config/cell/CellReader.java
+++ b/config/src/main/java/org/jujubefork/config/cell/CellReader.java
@@ -1,6 +1,7 @@
 package org.jujubefork.config.cell;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -111,6 +112,10 @@
             findings.addAll(overlay.findings());
             overlay.root().ifPresent(root -> checkOverlay(root, base.root(), findings::add));
         }
+        findings.sort(
+                Comparator.comparing((Finding finding) -> !finding.file().equals(base.file()))
+                        .thenComparing(Finding::file)
+                        .thenComparing(Finding.BY_PLACE));
         Map<String, Configuration> configurations = new TreeMap<>();
         if (!Finding.anyError(findings)) {
             SourceValue root = base.root().orElseThrow();
--- a/config/src/main/java/org/jujubefork/config/cell/CellReading.java
+++ b/config/src/main/java/org/jujubefork/config/cell/CellReading.java
@@ -12,7 +12,7 @@
  * @param document the texts by site
  * @param configurations the merged configuration of each site that the base lists; empty if any
  *     finding is an error
- * @param findings everything that is wrong, errors and warnings, in the order of the texts
+ * @param findings errors and warnings; those of the base first, then by overlay and place
  */
 public record CellReading(
         ConfigurationDocument document,
--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/edit/AccessKeys.java
@@ -0,0 +1,40 @@
+package org.jujubefork.config.edit;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.random.RandomGenerator;
+
+/** Makes access keys and their hashes. */
+public final class AccessKeys {
+    /** The start of each key, by which scanners for leaked secrets recognise it. */
+    public static final String PREFIX = "jj_";
+
+    /** Random bytes in a key. */
+    private static final int KEY_BYTES = 32;
+
+    private AccessKeys() {}
+
+    /**
+     * Returns a new key: {@link #PREFIX} and 32 random bytes in base64url without padding.
+     *
+     * @param random the source of the key; a {@link java.security.SecureRandom} for keys in use
+     */
+    public static String generate(RandomGenerator random) {
+        byte[] bytes = new byte[KEY_BYTES];
+        random.nextBytes(bytes);
+        return PREFIX + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+    }
+
+    /** Returns the lower-case hexadecimal SHA-256 hash of {@code key} in UTF-8. */
+    public static String hash(String key) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/edit/TextSplicer.java
@@ -0,0 +1,126 @@
+package org.jujubefork.config.edit;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.jujubefork.config.source.SourceValue;
+
+/**
+ * Collects replacements in a parsed text and applies them at the positions of its tokens, so that
+ * everything between the tokens stays as it is.
+ */
+final class TextSplicer {
+    private static final int INDENT = 2;
+
+    private record Splice(int start, int end, String replacement) {}
+
+    private final String text;
+    private final List<Splice> splices = new ArrayList<>();
+
+    TextSplicer(String text) {
+        this.text = text;
+    }
+
+    /** Replaces {@code value} by {@code literal}. */
+    void replace(SourceValue value, String literal) {
+        splices.add(new Splice(value.start().offset(), value.endOffset(), literal));
+    }
+
+    /**
+     * Appends {@code item}, a member or element, to an object or array.
+     *
+     * @param ends the end offsets of the present items
+     */
+    void append(SourceValue container, List<Integer> ends, String item) {
+        int close = container.endOffset() - 1;
+        int from = ends.isEmpty() ? container.start().offset() + 1 : ends.getLast();
+        int at = lastContentBefore(close, from);
+        String containerIndent = indentAt(container.start().offset());
+        String indent =
+                ends.isEmpty() || isOnLineOf(container.start().offset(), ends.getLast())
+                        ? containerIndent + " ".repeat(INDENT)
+                        : indentAt(ends.getLast());
+        if (!ends.isEmpty()) {
+            splices.add(new Splice(ends.getLast(), ends.getLast(), ","));
+        }
+        boolean closesOnOwnLine = text.substring(at, close).contains("\n");
+        String tail = closesOnOwnLine ? "" : "\n" + containerIndent;
+        splices.add(new Splice(at, at, "\n" + indent + item + tail));
+    }
+
+    /** Removes an element of {@code array} together with one comma. */
+    void remove(SourceValue array, int index) {
+        SourceValue element = array.elements().get(index);
+        int start = element.start().offset();
+        int end = element.endOffset();
+        boolean last = index == array.elements().size() - 1;
+        if (!last) {
+            int comma = commaBetween(end, array.elements().get(index + 1).start().offset());
+            splices.add(new Splice(comma, comma + 1, ""));
+        } else if (index > 0) {
+            int comma = commaBetween(array.elements().get(index - 1).endOffset(), start);
+            splices.add(new Splice(comma, comma + 1, ""));
+        }
+        int lineStart = text.lastIndexOf('\n', start - 1) + 1;
+        boolean startsLine = text.substring(lineStart, start).isBlank();
+        int after = !last && text.charAt(end) == ',' ? end + 1 : end;
+        boolean endsLine = after < text.length() && text.charAt(after) == '\n';
+        if (startsLine && endsLine) {
+            splices.add(new Splice(lineStart, end, ""));
+            splices.add(new Splice(after, after + 1, ""));
+        } else {
+            splices.add(new Splice(start, end, ""));
+        }
+    }
+
+    /** Returns the text with all replacements. */
+    String result() {
+        // The sort is stable, so insertions at the same offset keep their order.
+        List<Splice> ordered =
+                splices.stream().sorted(Comparator.comparingInt(Splice::start)).toList();
+        StringBuilder result = new StringBuilder();
+        int position = 0;
+        for (Splice splice : ordered) {
+            result.append(text, position, splice.start()).append(splice.replacement());
+            position = splice.end();
+        }
+        return result.append(text, position, text.length()).toString();
+    }
+
+    /** Returns the offset after the last character before {@code end} that is no white space. */
+    private int lastContentBefore(int end, int from) {
+        int at = end;
+        while (at > from && Character.isWhitespace(text.charAt(at - 1))) {
+            at--;
+        }
+        return at;
+    }
+
+    private boolean isOnLineOf(int start, int end) {
+        return text.indexOf('\n', start) < 0 || text.indexOf('\n', start) >= end;
+    }
+
+    private String indentAt(int offset) {
+        int lineStart = text.lastIndexOf('\n', offset - 1) + 1;
+        int end = lineStart;
+        while (end < offset && (text.charAt(end) == ' ' || text.charAt(end) == '\t')) {
+            end++;
+        }
+        return text.substring(lineStart, end);
+    }
+
+    /** Returns the offset of the comma between two elements, which is in no comment. */
+    private int commaBetween(int from, int to) {
+        int at = from;
+        while (at < to && text.charAt(at) != ',') {
+            if (text.startsWith("//", at)) {
+                at = text.indexOf('\n', at);
+            } else if (text.startsWith("/*", at)) {
+                at = text.indexOf("*/", at) + 2;
+            } else {
+                at++;
+            }
+        }
+        return at;
+    }
+}
--- a/config/src/main/java/org/jujubefork/config/schema/ShapeChecker.java
+++ b/config/src/main/java/org/jujubefork/config/schema/ShapeChecker.java
@@ -67,7 +67,8 @@
     }
 
     private void checkDecimal(SourceValue value, Shape.Decimal shape) {
-        if (!value.is(SourceKind.WHOLE) && !isKind(value, SourceKind.DECIMAL)) {
+        if (!value.is(SourceKind.WHOLE) && !value.is(SourceKind.DECIMAL)) {
+            add(value, "expected a number, found " + value.kind().description());
             return;
         }
         double number = Double.parseDouble(value.text());
--- a/config/src/main/java/org/jujubefork/config/settings/DaemonSettingsReader.java
+++ b/config/src/main/java/org/jujubefork/config/settings/DaemonSettingsReader.java
@@ -57,6 +57,7 @@
                             checkOrder(root, findings::add);
                         });
         if (!findings.isEmpty()) {
+            findings.sort(Finding.BY_PLACE);
             throw new InvalidSettingsException(findings);
         }
         return settings(FieldValues.of(source.root().stream().toList(), DaemonSettingsSchema.ROOT));
--- a/config/src/main/java/org/jujubefork/config/source/Finding.java
+++ b/config/src/main/java/org/jujubefork/config/source/Finding.java
@@ -1,6 +1,7 @@
 package org.jujubefork.config.source;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Locale;
 
 /**
@@ -15,6 +16,10 @@
  */
 public record Finding(
         Severity severity, String file, int line, int column, String path, String message) {
+    /** Orders findings of one text by their place. */
+    public static final Comparator<Finding> BY_PLACE =
+            Comparator.comparingInt(Finding::line).thenComparingInt(Finding::column);
+
     /** Returns an error at {@code place}. */
     public static Finding error(SourcePlace place, String path, String message) {
         return new Finding(
