--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/http/JsonFields.java
@@ -0,0 +1,185 @@
+package org.jujubefork.client.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.Resources;
+
+/**
+ * Reads the fields of a JSON object strictly: a missing field or one of another type is an error,
+ * and so is a value that the model types refuse.
+ */
+public final class JsonFields {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final JsonNode node;
+
+    private JsonFields(JsonNode node) {
+        this.node = node;
+    }
+
+    /** Returns a new empty object to be filled for a request. */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /** Returns the UTF-8 encoding of {@code node}. */
+    public static byte[] encode(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (IOException e) {
+            // A tree of in-memory nodes has nothing that can fail.
+            throw new IllegalStateException("JSON tree not writable", e);
+        }
+    }
+
+    /**
+     * Parses a JSON object.
+     *
+     * @throws MalformedAnswerException if {@code json} is no JSON object
+     */
+    public static JsonFields parse(byte[] json) throws MalformedAnswerException {
+        try {
+            return of(MAPPER.readTree(json));
+        } catch (IOException e) {
+            throw new MalformedAnswerException("answer is not JSON: " + e.getMessage(), e);
+        }
+    }
+
+    private static JsonFields of(JsonNode node) throws MalformedAnswerException {
+        if (node == null || !node.isObject()) {
+            throw new MalformedAnswerException("answer is not a JSON object");
+        }
+        return new JsonFields(node);
+    }
+
+    /** Returns the text field {@code name}. */
+    public String text(String name) throws MalformedAnswerException {
+        JsonNode value = node.path(name);
+        if (!value.isTextual()) {
+            throw new MalformedAnswerException("no text field '" + name + "' in the answer");
+        }
+        return value.textValue();
+    }
+
+    /** Returns the text field {@code name}, or empty if there is no such field. */
+    public Optional<String> textIfPresent(String name) throws MalformedAnswerException {
+        return node.hasNonNull(name) ? Optional.of(text(name)) : Optional.empty();
+    }
+
+    /** Returns the integer field {@code name}. */
+    public long number(String name) throws MalformedAnswerException {
+        JsonNode value = node.path(name);
+        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+            throw new MalformedAnswerException("no integer field '" + name + "' in the answer");
+        }
+        return value.longValue();
+    }
+
+    /** Returns the integer field {@code name} if it fits into an {@code int}. */
+    public int smallNumber(String name) throws MalformedAnswerException {
+        long value = number(name);
+        if (value != (int) value) {
+            throw new MalformedAnswerException("field '" + name + "' out of range: " + value);
+        }
+        return (int) value;
+    }
+
+    /** Returns the boolean field {@code name}. */
+    public boolean flag(String name) throws MalformedAnswerException {
+        JsonNode value = node.path(name);
+        if (!value.isBoolean()) {
+            throw new MalformedAnswerException("no boolean field '" + name + "' in the answer");
+        }
+        return value.booleanValue();
+    }
+
+    /** Returns the bytes that the text field {@code name} holds in Base64. */
+    public byte[] bytes(String name) throws MalformedAnswerException {
+        text(name);
+        try {
+            return node.path(name).binaryValue();
+        } catch (IOException e) {
+            throw new MalformedAnswerException("field '" + name + "' is not Base64", e);
+        }
+    }
+
+    /** Returns whether the object has the field {@code name} with a value other than null. */
+    public boolean has(String name) {
+        return node.hasNonNull(name);
+    }
+
+    /** Returns the object in the field {@code name}. */
+    public JsonFields child(String name) throws MalformedAnswerException {
+        if (!node.path(name).isObject()) {
+            throw new MalformedAnswerException("no object field '" + name + "' in the answer");
+        }
+        return new JsonFields(node.path(name));
+    }
+
+    /** Returns the objects in the array field {@code name}, each read by {@code reader}. */
+    public <T> List<T> list(String name, ElementReader<T> reader) throws MalformedAnswerException {
+        JsonNode array = node.path(name);
+        if (!array.isArray()) {
+            throw new MalformedAnswerException("no array field '" + name + "' in the answer");
+        }
+        List<T> result = new ArrayList<>(array.size());
+        for (JsonNode element : array) {
+            result.add(of(element).model("element of '" + name + "'", reader));
+        }
+        return List.copyOf(result);
+    }
+
+    /** Returns the resources in the object field {@code name}. */
+    public Resources resources(String name) throws MalformedAnswerException {
+        JsonFields child = child(name);
+        return Resources.of(
+                child.number("cpuMillis"), child.number("memoryMb"), child.number("accelerators"));
+    }
+
+    /** Returns the epoch in the fields {@code epoch} and {@code holder}. */
+    public Epoch epoch() throws MalformedAnswerException {
+        return model("epoch", f -> Epoch.of(f.number("epoch"), EntryId.parse(f.text("holder"))));
+    }
+
+    /** Returns the value of the enum field {@code name}. */
+    public <E extends Enum<E>> E constant(String name, Class<E> type)
+            throws MalformedAnswerException {
+        return model(name, f -> Enum.valueOf(type, f.text(name)));
+    }
+
+    /**
+     * Reads a model value from this object and reports a value that its constructor refuses.
+     *
+     * @throws MalformedAnswerException if a field is missing or refused; the message has {@code
+     *     what}
+     */
+    public <T> T model(String what, ElementReader<T> reader) throws MalformedAnswerException {
+        try {
+            return reader.read(this);
+        } catch (IllegalArgumentException e) {
+            throw new MalformedAnswerException(what + " refused: " + e.getMessage(), e);
+        }
+    }
+
+    /**
+     * Reads one value from a JSON object.
+     *
+     * @param <T> type of the value
+     */
+    @FunctionalInterface
+    public interface ElementReader<T> {
+        /**
+         * Returns the value.
+         *
+         * @throws MalformedAnswerException if a field is missing or has another type
+         */
+        T read(JsonFields fields) throws MalformedAnswerException;
+    }
+}
--- a/client/src/main/java/org/jujubefork/client/package-info.java
+++ b/client/src/main/java/org/jujubefork/client/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** HTTP clients of the platform's services; packages by service. */
 package org.jujubefork.client;
