--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/store/StoreClient.java
@@ -0,0 +1,197 @@
+package org.jujubefork.client.store;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jujubefork.client.http.Address;
+import org.jujubefork.client.http.CallResult;
+import org.jujubefork.client.http.JsonFields;
+import org.jujubefork.client.http.Transport;
+
+/**
+ * Client of the platform's key-value store (section 7 of the design page).
+ *
+ * <p>Keys may contain {@code /}; values are bytes. Each call blocks, has a time limit, is sent once
+ * and counts once against the store's rate, except that a read may be sent a second time when a
+ * kept-alive connection turns out to be closed. Safe for use by many threads.
+ */
+public final class StoreClient {
+    /** Largest value, in bytes. */
+    public static final int MAX_VALUE_BYTES = 1024 * 1024;
+
+    /** Value of {@code ifRevision} for a key that must not exist. */
+    public static final long ABSENT = 0;
+
+    /** Response header with the revision of a key's value. */
+    public static final String REVISION_HEADER = "Jujube-Revision";
+
+    /** Time that a watch may take beyond the wait that it asks for. */
+    private static final Duration WATCH_MARGIN = Duration.ofSeconds(2);
+
+    private final Transport transport;
+    private final Address address;
+
+    /** Creates a client of the store at {@code address}; the transport stays with the caller. */
+    public StoreClient(Transport transport, Address address) {
+        this.transport = transport;
+        this.address = address;
+    }
+
+    /**
+     * Reads a key.
+     *
+     * @return the value, or empty if the key does not exist
+     * @throws StoreException if the store gave no usable answer
+     */
+    public Optional<KeyValue> get(String key, Duration timeout) throws StoreException {
+        CallResult.Reply reply =
+                StoreAnswers.reply(transport.call(request(keyPath(key)).GET(), timeout));
+        if (reply.status() == 404) {
+            return Optional.empty();
+        }
+        try {
+            OptionalLong revision = reply.headers().firstValueAsLong(REVISION_HEADER);
+            if (reply.status() == 200 && revision.isPresent()) {
+                return Optional.of(new KeyValue(key, reply.body(), revision.getAsLong()));
+            }
+        } catch (NumberFormatException e) {
+            throw StoreAnswers.malformed(e);
+        }
+        throw new StoreException(
+                StoreException.Kind.MALFORMED,
+                "no value with a revision in the answer with status " + reply.status());
+    }
+
+    /**
+     * Writes a key.
+     *
+     * @param ifRevision the revision that the key must have, {@link #ABSENT} if it must not exist,
+     *     empty to write in any case
+     * @param lease the lease with which the key expires, if any
+     * @throws IllegalArgumentException if the value is longer than {@link #MAX_VALUE_BYTES}
+     */
+    public WriteResult put(
+            String key,
+            byte[] value,
+            OptionalLong ifRevision,
+            Optional<StoreLease> lease,
+            Duration timeout) {
+        if (value.length > MAX_VALUE_BYTES) {
+            throw new IllegalArgumentException(
+                    "value of " + key + " has " + value.length + " bytes");
+        }
+        StringBuilder path = new StringBuilder(keyPath(key));
+        char separator = '?';
+        if (ifRevision.isPresent()) {
+            path.append("?ifRevision=").append(ifRevision.getAsLong());
+            separator = '&';
+        }
+        if (lease.isPresent()) {
+            path.append(separator).append("lease=").append(StoreKeys.query(lease.get().id()));
+        }
+        HttpRequest.Builder request =
+                request(path.toString())
+                        .header("Content-Type", "application/octet-stream")
+                        .PUT(BodyPublishers.ofByteArray(value));
+        return StoreAnswers.write(transport.call(request, timeout));
+    }
+
+    /**
+     * Deletes a key. A key that does not exist gives {@code Conflict(0)} if a revision was
+     * expected, otherwise {@code NotSent}.
+     *
+     * @param ifRevision the revision that the key must have, empty to delete in any case
+     */
+    public WriteResult delete(String key, OptionalLong ifRevision, Duration timeout) {
+        String condition = ifRevision.isPresent() ? "?ifRevision=" + ifRevision.getAsLong() : "";
+        return StoreAnswers.write(
+                transport.call(request(keyPath(key) + condition).DELETE(), timeout));
+    }
+
+    /**
+     * Reads all keys that start with {@code prefix}, at one revision.
+     *
+     * @throws StoreException if the store gave no usable answer
+     */
+    public RangeResult range(String prefix, Duration timeout) throws StoreException {
+        String path = "/v1/range?prefix=" + StoreKeys.query(prefix);
+        CallResult.Reply reply = StoreAnswers.reply(transport.call(request(path).GET(), timeout));
+        return StoreAnswers.read(
+                reply,
+                200,
+                f -> new RangeResult(f.number("revision"), f.list("items", StoreAnswers::item)));
+    }
+
+    /**
+     * Waits for changes of keys that start with {@code prefix}.
+     *
+     * @param after the revision that the caller has seen
+     * @param wait how long the store waits for a first change; the call itself may take 2 s longer
+     * @throws StoreException if the store gave no usable answer
+     */
+    public WatchResult watch(String prefix, long after, Duration wait) throws StoreException {
+        String path =
+                "/v1/watch?prefix="
+                        + StoreKeys.query(prefix)
+                        + "&after="
+                        + after
+                        + "&timeoutMillis="
+                        + wait.toMillis();
+        CallResult.Reply reply =
+                StoreAnswers.reply(transport.call(request(path).GET(), wait.plus(WATCH_MARGIN)));
+        if (reply.status() == 410) {
+            return StoreAnswers.read(
+                    reply, 410, f -> new WatchResult.Trimmed(f.number("revision")));
+        }
+        return StoreAnswers.read(
+                reply,
+                200,
+                f ->
+                        new WatchResult.Changes(
+                                f.number("revision"), f.list("changes", StoreAnswers::change)));
+    }
+
+    /**
+     * Asks for a lease. A grant whose answer is lost leaves a lease that expires by itself.
+     *
+     * @throws StoreException if the store gave no usable answer
+     */
+    public StoreLease grantLease(Duration ttl, Duration timeout) throws StoreException {
+        byte[] body = JsonFields.encode(JsonFields.object().put("ttlMillis", ttl.toMillis()));
+        HttpRequest.Builder request =
+                request("/v1/leases")
+                        .header("Content-Type", "application/json")
+                        .POST(BodyPublishers.ofByteArray(body));
+        CallResult.Reply reply = StoreAnswers.reply(transport.call(request, timeout));
+        return StoreAnswers.read(
+                reply,
+                201,
+                f -> new StoreLease(f.text("id"), Duration.ofMillis(f.number("ttlMillis"))));
+    }
+
+    /**
+     * Starts the lease's time to live anew.
+     *
+     * @return false if the lease has expired
+     * @throws StoreException if the store gave no usable answer
+     */
+    public boolean keepAlive(StoreLease lease, Duration timeout) throws StoreException {
+        HttpRequest.Builder request =
+                request("/v1/leases/" + StoreKeys.query(lease.id())).PUT(BodyPublishers.noBody());
+        CallResult.Reply reply = StoreAnswers.reply(transport.call(request, timeout));
+        if (reply.status() == 404) {
+            return false;
+        }
+        return StoreAnswers.read(reply, 200, f -> f.number("ttlMillis") > 0);
+    }
+
+    private static String keyPath(String key) {
+        return "/v1/kv" + StoreKeys.path(key);
+    }
+
+    private HttpRequest.Builder request(String path) {
+        return HttpRequest.newBuilder(address.uri(path));
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/store/StoreKeys.java
@@ -0,0 +1,38 @@
+package org.jujubefork.client.store;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** Checks keys and encodes them for URIs. */
+final class StoreKeys {
+    /** Longest key, in characters. */
+    static final int MAX_KEY_LENGTH = 512;
+
+    private StoreKeys() {}
+
+    /**
+     * Returns {@code key} percent-encoded, with its slashes kept.
+     *
+     * @throws IllegalArgumentException if the key is empty or too long, or has an empty, {@code .}
+     *     or {@code ..} segment, which HTTP software may normalise away
+     */
+    static String path(String key) {
+        if (key.isEmpty() || key.length() > MAX_KEY_LENGTH) {
+            throw new IllegalArgumentException(
+                    "key must have 1 to " + MAX_KEY_LENGTH + " characters: '" + key + "'");
+        }
+        StringBuilder encoded = new StringBuilder(key.length() + 16);
+        for (String segment : key.split("/", -1)) {
+            if (segment.isEmpty() || segment.equals(".") || segment.equals("..")) {
+                throw new IllegalArgumentException("key with segment '" + segment + "': " + key);
+            }
+            encoded.append('/').append(query(segment));
+        }
+        return encoded.toString();
+    }
+
+    /** Returns {@code text} percent-encoded for a query or a path segment. */
+    static String query(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/store/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's key-value store. */
+package org.jujubefork.client.store;
