--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/worker/TaskJson.java
@@ -0,0 +1,81 @@
+package org.jujubefork.client.worker;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import org.jujubefork.client.http.JsonFields;
+import org.jujubefork.client.http.MalformedAnswerException;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.JobTask;
+import org.jujubefork.core.model.QueueId;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.TaskSpec;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+
+/** JSON form of tasks in the worker protocol. */
+public final class TaskJson {
+    private TaskJson() {}
+
+    /** Adds all fields of {@code spec} except its payload to {@code target}. */
+    public static void write(ObjectNode target, TaskSpec spec) {
+        target.put("taskId", spec.id().value())
+                .put("team", spec.team().value())
+                .put("queue", spec.queue().value())
+                .put("kind", spec.kind().name());
+        writeResources(target.putObject("size"), spec.size());
+        spec.job()
+                .ifPresent(
+                        job ->
+                                target.putObject("job")
+                                        .put("id", job.job().value())
+                                        .put("index", job.index())
+                                        .put("attempt", job.attempt()));
+    }
+
+    /** Adds the three amounts to {@code target}. */
+    public static void writeResources(ObjectNode target, Resources amount) {
+        target.put("cpuMillis", amount.cpuMillis())
+                .put("memoryMb", amount.memoryMb())
+                .put("accelerators", amount.accelerators());
+    }
+
+    /**
+     * Reads a task; its payload is the text field {@code payload}, empty if there is none.
+     *
+     * @throws MalformedAnswerException if a field is missing or refused by the model types
+     */
+    public static TaskSpec read(JsonFields fields) throws MalformedAnswerException {
+        return fields.model(
+                "task",
+                f ->
+                        new TaskSpec(
+                                TaskId.of(f.text("taskId")),
+                                TeamId.of(f.text("team")),
+                                QueueId.of(f.text("queue")),
+                                f.constant("kind", WorkKind.class),
+                                f.resources("size"),
+                                f.has("job") ? Optional.of(job(f.child("job"))) : Optional.empty(),
+                                f.textIfPresent("payload").orElse("")));
+    }
+
+    private static JobTask job(JsonFields fields) throws MalformedAnswerException {
+        return new JobTask(
+                JobId.of(fields.text("id")),
+                fields.smallNumber("index"),
+                fields.smallNumber("attempt"));
+    }
+
+    static RunningTask running(JsonFields fields) throws MalformedAnswerException {
+        return new RunningTask(read(fields), fields.resources("usage"), fields.number("ageMillis"));
+    }
+
+    static EndedTask ended(JsonFields fields) throws MalformedAnswerException {
+        return new EndedTask(
+                read(fields),
+                fields.constant("reason", EndReason.class),
+                fields.text("message"),
+                fields.resources("peakUsage"),
+                fields.number("progressMillis"));
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerClient.java
@@ -0,0 +1,150 @@
+package org.jujubefork.client.worker;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Collection;
+import org.jujubefork.client.http.Address;
+import org.jujubefork.client.http.CallResult;
+import org.jujubefork.client.http.ChunkSink;
+import org.jujubefork.client.http.JsonFields;
+import org.jujubefork.client.http.Transport;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.TaskSpec;
+
+/**
+ * Client of all workers (section 7 of the design page).
+ *
+ * <p>Each call blocks, has a time limit and is sent at most once (see {@link Transport}). Safe for
+ * use by many threads.
+ */
+public final class WorkerClient {
+    private final Transport transport;
+
+    /** Creates a client; the transport stays with the caller. */
+    public WorkerClient(Transport transport) {
+        this.transport = transport;
+    }
+
+    /**
+     * Asks to own a worker. A worker takes an epoch that is at least the one that it obeys.
+     *
+     * @param ttl how long the worker runs tasks without a further lease or renewal
+     */
+    public LeaseResult lease(Address worker, Epoch epoch, Duration ttl, Duration timeout) {
+        ObjectNode body = authority(epoch).put("ttlMillis", ttl.toMillis());
+        return WorkerAnswers.lease(post(worker, "/v1/lease", body, timeout));
+    }
+
+    /**
+     * Renews a worker's lease.
+     *
+     * @param acknowledged ended tasks that the worker may forget
+     */
+    public RenewResult renew(
+            Address worker,
+            Epoch epoch,
+            Duration ttl,
+            Collection<TaskId> acknowledged,
+            Duration timeout) {
+        ObjectNode body = authority(epoch).put("ttlMillis", ttl.toMillis());
+        ArrayNode list = body.putArray("acknowledged");
+        acknowledged.forEach(id -> list.add(id.value()));
+        return WorkerAnswers.renew(post(worker, "/v1/renew", body, timeout));
+    }
+
+    /**
+     * Starts a task of a job; the task's payload goes along.
+     *
+     * @param incarnation the incarnation from the worker's lease
+     * @throws IllegalArgumentException if the task is a request
+     */
+    public StartResult start(
+            Address worker, Epoch epoch, long incarnation, TaskSpec task, Duration timeout) {
+        if (task.kind().isRequest()) {
+            throw new IllegalArgumentException("task of a request: " + task.id());
+        }
+        ObjectNode body = command(epoch, incarnation, task).put("payload", task.payload());
+        return WorkerAnswers.start(post(worker, "/v1/tasks", body, timeout), false);
+    }
+
+    /**
+     * Runs a request and passes its answer on while it arrives.
+     *
+     * @param incarnation the incarnation from the worker's lease
+     * @param input the request's body, sent as Base64 in the field {@code body}
+     * @param sink receives the answer in chunks of at most {@link ChunkSink#MAX_CHUNK_BYTES}
+     * @param timeout limit for the whole call, including the run and the answer
+     * @throws IllegalArgumentException if the task is not a request
+     */
+    public StartResult request(
+            Address worker,
+            Epoch epoch,
+            long incarnation,
+            TaskSpec task,
+            byte[] input,
+            ChunkSink sink,
+            Duration timeout) {
+        if (!task.kind().isRequest()) {
+            throw new IllegalArgumentException("not a request: " + task.id());
+        }
+        ObjectNode body = command(epoch, incarnation, task).put("body", input);
+        HttpRequest.Builder request = postRequest(worker, "/v1/tasks", body);
+        return WorkerAnswers.start(transport.stream(request, sink, timeout), true);
+    }
+
+    /** Stops a task. */
+    public CommandResult stop(Address worker, Epoch epoch, TaskId task, Duration timeout) {
+        return command(worker, task, "stop", authority(epoch), timeout);
+    }
+
+    /** Makes a task save its progress and end. */
+    public CommandResult checkpoint(Address worker, Epoch epoch, TaskId task, Duration timeout) {
+        return command(worker, task, "checkpoint", authority(epoch), timeout);
+    }
+
+    /**
+     * Limits a task's use of processors.
+     *
+     * @param cpuMillis the limit in thousandths of a processor core
+     */
+    public CommandResult throttle(
+            Address worker, Epoch epoch, TaskId task, long cpuMillis, Duration timeout) {
+        ObjectNode body = authority(epoch).put("cpuMillis", cpuMillis);
+        return command(worker, task, "throttle", body, timeout);
+    }
+
+    private CommandResult command(
+            Address worker, TaskId task, String verb, ObjectNode body, Duration timeout) {
+        // Identifiers may contain '/', which is a separator in paths unless it is encoded.
+        String id = URLEncoder.encode(task.value(), StandardCharsets.UTF_8);
+        return WorkerAnswers.command(post(worker, "/v1/tasks/" + id + "/" + verb, body, timeout));
+    }
+
+    private static ObjectNode authority(Epoch epoch) {
+        return JsonFields.object()
+                .put("holder", epoch.holder().toString())
+                .put("epoch", epoch.number());
+    }
+
+    private static ObjectNode command(Epoch epoch, long incarnation, TaskSpec task) {
+        ObjectNode body = authority(epoch).put("incarnation", incarnation);
+        TaskJson.write(body, task);
+        return body;
+    }
+
+    private CallResult post(Address worker, String path, ObjectNode body, Duration timeout) {
+        return transport.call(postRequest(worker, path, body), timeout);
+    }
+
+    private static HttpRequest.Builder postRequest(Address worker, String path, ObjectNode body) {
+        return HttpRequest.newBuilder(worker.uri(path))
+                .header("Content-Type", "application/json")
+                .POST(BodyPublishers.ofByteArray(JsonFields.encode(body)));
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/worker/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the workers that run tasks. */
+package org.jujubefork.client.worker;
