--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/vms/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's VM list. */
+package org.jujubefork.client.vms;
