--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** Small HTTP server on Grizzly that runs handlers on virtual threads. */
+package org.jujubefork.standins.http;
