--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/api/ApiTransport.java
@@ -0,0 +1,184 @@
+package org.jujubefork.client.api;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jujubefork.core.model.Outcome;
+
+/** Sends calls to one entry after the other until one answers. */
+final class ApiTransport implements AutoCloseable {
+    /** Largest answer. The largest bodies of requests have 8 MiB, lists of tasks about 5 MB. */
+    private static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
+
+    private static final long FIRST_PAUSE_MILLIS = 50;
+    private static final long LONGEST_PAUSE_MILLIS = 1_000;
+    private static final double RETRIES_PER_CALL = 0.1;
+    private static final double RETRY_BURST = 10;
+    private static final int STATUS_ERROR = 400;
+    private static final int STATUS_TOO_MANY = 429;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    private final ApiClientSettings settings;
+    private final HttpClient http;
+    private final RetryBudget budget = RetryBudget.of(RETRIES_PER_CALL, RETRY_BURST);
+
+    ApiTransport(ApiClientSettings settings) {
+        this.settings = settings;
+        this.http =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(settings.connectTimeout())
+                        .build();
+    }
+
+    /**
+     * Sends {@code call} until an entry answers.
+     *
+     * <p>The next entry is tried when no connection can be made. After a connection was made, the
+     * call is sent again only if it is repeatable and the retry budget allows it; the same holds
+     * for answers that say "not run" and name a time for a retry.
+     *
+     * @throws ApiException if an entry refuses the call
+     * @throws NotReachableException if no entry answers in time
+     */
+    HttpResponse<byte[]> send(ApiCall call)
+            throws ApiException, NotReachableException, InterruptedException {
+        budget.recordCall();
+        long deadline = System.nanoTime() + settings.timeout().toNanos();
+        boolean sent = false;
+        for (int attempt = 0; ; attempt++) {
+            String entry = settings.entries().get(attempt % settings.entries().size());
+            long pauseMillis = pauseMillis(attempt);
+            IOException failure;
+            try {
+                HttpResponse<byte[]> response = sendOnce(call, entry, remaining(deadline));
+                if (response.statusCode() < STATUS_ERROR) {
+                    return response;
+                }
+                ApiException refused = new ApiException(response.statusCode(), error(response));
+                if (!mayRetry(call, refused) || !budget.tryRetry()) {
+                    throw refused;
+                }
+                pauseMillis = Math.max(pauseMillis, refused.error().retryAfterMillis().orElse(0L));
+                if (remaining(deadline).toMillis() <= pauseMillis) {
+                    throw refused;
+                }
+                sent = true;
+                TimeUnit.MILLISECONDS.sleep(pauseMillis);
+                continue;
+            } catch (ConnectException | HttpConnectTimeoutException e) {
+                failure = e;
+            } catch (IOException e) {
+                sent = true;
+                failure = e;
+                if (!call.repeatable() || !budget.tryRetry()) {
+                    throw notReachable(call, entry, true, e);
+                }
+            }
+            if (remaining(deadline).toMillis() <= pauseMillis) {
+                throw notReachable(call, entry, sent, failure);
+            }
+            TimeUnit.MILLISECONDS.sleep(pauseMillis);
+        }
+    }
+
+    private HttpResponse<byte[]> sendOnce(ApiCall call, String entry, Duration remaining)
+            throws IOException, InterruptedException {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(URI.create("http://" + entry + call.path()))
+                        .timeout(remaining)
+                        .method(call.method(), bodyOf(call));
+        settings.key().ifPresent(key -> request.header("Authorization", "Bearer " + key));
+        call.idempotencyKey().ifPresent(key -> request.header(ApiPaths.IDEMPOTENCY_HEADER, key));
+        if (!call.body().isEmpty()) {
+            request.header("Content-Type", call.contentType());
+        }
+        return http.send(
+                request.build(),
+                HttpResponse.BodyHandlers.limiting(
+                        HttpResponse.BodyHandlers.ofByteArray(), MAX_ANSWER_BYTES));
+    }
+
+    private static HttpRequest.BodyPublisher bodyOf(ApiCall call) {
+        return call.body().isEmpty()
+                ? HttpRequest.BodyPublishers.noBody()
+                : HttpRequest.BodyPublishers.ofString(call.body());
+    }
+
+    /** Returns no pause while there are entries that were not tried yet. */
+    private long pauseMillis(int attempt) {
+        int round = (attempt + 1) / settings.entries().size();
+        boolean roundEnds = (attempt + 1) % settings.entries().size() == 0;
+        return roundEnds
+                ? Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(round - 1, 10))
+                : 0;
+    }
+
+    private static Duration remaining(long deadline) {
+        return Duration.ofNanos(Math.max(1, deadline - System.nanoTime()));
+    }
+
+    private static boolean mayRetry(ApiCall call, ApiException refused) {
+        boolean temporary =
+                refused.status() == STATUS_TOO_MANY || refused.status() == STATUS_UNAVAILABLE;
+        boolean notRun = OutcomeNames.parse(refused.error().outcome()) == Outcome.NOT_RUN;
+        return temporary && notRun && call.repeatable();
+    }
+
+    /** Returns the body as an error, or one that describes the answer if the body is none. */
+    private static ErrorView error(HttpResponse<byte[]> response) {
+        try {
+            return ApiCodec.decodeAnswer(response.body(), ErrorView.class);
+        } catch (InvalidMessageException e) {
+            Optional<Outcome> stated =
+                    response.headers()
+                            .firstValue(ApiPaths.OUTCOME_HEADER)
+                            .flatMap(ApiTransport::outcome);
+            return ErrorView.of(
+                    ErrorCodes.UNAVAILABLE,
+                    "the answer with status "
+                            + response.statusCode()
+                            + " has no error body: "
+                            + e.getMessage(),
+                    stated.orElse(Outcome.UNKNOWN));
+        }
+    }
+
+    private static Optional<Outcome> outcome(String name) {
+        try {
+            return Optional.of(OutcomeNames.parse(name));
+        } catch (IllegalArgumentException _) {
+            return Optional.empty();
+        }
+    }
+
+    private static NotReachableException notReachable(
+            ApiCall call, String entry, boolean sent, IOException cause) {
+        Outcome outcome = sent ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        return new NotReachableException(
+                call.method()
+                        + " "
+                        + call.path()
+                        + " got no answer, last tried "
+                        + entry
+                        + ", outcome "
+                        + OutcomeNames.of(outcome)
+                        + ": "
+                        + cause,
+                outcome,
+                cause);
+    }
+
+    @Override
+    public void close() {
+        // The answer to every call is complete or abandoned when send returns.
+        http.shutdownNow();
+    }
+}
