--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/process/ManagedProcess.java
@@ -0,0 +1,225 @@
+package org.jujubefork.standins.process;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/**
+ * A JVM process that this one started. Closing kills it and waits for its end; processes that are
+ * still alive when this JVM exits are killed by a shutdown hook.
+ */
+public final class ManagedProcess implements AutoCloseable {
+    private static final Set<ManagedProcess> ALIVE = ConcurrentHashMap.newKeySet();
+    private static final int KEPT_LINES = 10_000;
+
+    static {
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> ALIVE.forEach(p -> p.process.destroyForcibly())));
+    }
+
+    private final String name;
+    private final Process process;
+    // Guarded by itself.
+    private final List<String> lines = new ArrayList<>();
+    private boolean outputEnded;
+
+    private ManagedProcess(String name, Process process) {
+        this.name = name;
+        this.process = process;
+    }
+
+    /**
+     * What to start.
+     *
+     * @param classPath class path, empty for that of this process
+     * @param maxHeapMb heap limit in MiB
+     * @param jvmFlags further flags of the JVM
+     */
+    public record Spec(
+            String mainClass,
+            String classPath,
+            int maxHeapMb,
+            List<String> jvmFlags,
+            List<String> arguments) {
+        public static Spec of(Class<?> mainClass, int maxHeapMb, String... arguments) {
+            return new Spec(mainClass.getName(), "", maxHeapMb, List.of(), List.of(arguments));
+        }
+    }
+
+    /** Starts a JVM; its standard output and error are kept line by line. */
+    public static ManagedProcess start(Spec spec) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add("-Xmx" + spec.maxHeapMb() + "m");
+        command.add("-XX:+UseSerialGC");
+        command.addAll(spec.jvmFlags());
+        command.add("-cp");
+        command.add(spec.classPath().isEmpty() ? currentClassPath() : spec.classPath());
+        command.add(spec.mainClass());
+        command.addAll(spec.arguments());
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        ManagedProcess result = new ManagedProcess(spec.mainClass(), process);
+        ALIVE.add(result);
+        Thread.ofVirtual().name("output-" + process.pid()).start(result::readOutput);
+        return result;
+    }
+
+    /** Surefire may start the JVM with a class path jar and keep the real class path here. */
+    private static String currentClassPath() {
+        String surefire = System.getProperty("surefire.test.class.path");
+        return surefire != null ? surefire : System.getProperty("java.class.path");
+    }
+
+    public long pid() {
+        return process.pid();
+    }
+
+    public boolean isAlive() {
+        return process.isAlive();
+    }
+
+    public List<String> output() {
+        synchronized (lines) {
+            return List.copyOf(lines);
+        }
+    }
+
+    /**
+     * Waits for a line of output.
+     *
+     * @return the first line that starts with {@code prefix}
+     * @throws IOException if the output ends without such a line
+     * @throws TimeoutException if there is no such line in time
+     */
+    public String awaitLine(String prefix, Duration limit)
+            throws IOException, InterruptedException, TimeoutException {
+        long deadline = System.nanoTime() + limit.toNanos();
+        synchronized (lines) {
+            while (true) {
+                for (String line : lines) {
+                    if (line.startsWith(prefix)) {
+                        return line;
+                    }
+                }
+                if (outputEnded) {
+                    throw new IOException(name + " ended without '" + prefix + "': " + lines);
+                }
+                long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()) + 1;
+                if (leftMillis <= 1) {
+                    throw new TimeoutException(
+                            name + " printed no '" + prefix + "' within " + limit + ": " + lines);
+                }
+                lines.wait(leftMillis);
+            }
+        }
+    }
+
+    /** Waits for the ready line of a stand-in and returns the port that it names. */
+    public int awaitPort(Duration limit)
+            throws IOException, InterruptedException, TimeoutException {
+        String line = awaitLine("ready ", limit);
+        return Integer.parseInt(line.substring(line.indexOf("port=") + "port=".length()));
+    }
+
+    /** Kills the process (SIGKILL) and waits for its end. */
+    public void kill() throws InterruptedException {
+        process.destroyForcibly();
+        process.waitFor();
+        ALIVE.remove(this);
+    }
+
+    /** Pauses the process (SIGSTOP). */
+    public void pause() throws IOException, InterruptedException {
+        signal("STOP");
+    }
+
+    /** Continues a paused process (SIGCONT). */
+    public void resume() throws IOException, InterruptedException {
+        signal("CONT");
+    }
+
+    /**
+     * Asks the process to stop (SIGTERM) and waits for its end.
+     *
+     * @return the exit code
+     * @throws TimeoutException if it is alive after {@code limit}
+     */
+    public int terminate(Duration limit) throws InterruptedException, TimeoutException {
+        process.destroy();
+        if (!process.waitFor(limit.toNanos(), TimeUnit.NANOSECONDS)) {
+            throw new TimeoutException(name + " did not end within " + limit + " of SIGTERM");
+        }
+        ALIVE.remove(this);
+        return process.exitValue();
+    }
+
+    /** Waits for the end of the process by itself; returns whether it ended in time. */
+    public boolean awaitEnd(Duration limit) throws InterruptedException {
+        return process.waitFor(limit.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+        boolean interrupted = false;
+        while (process.isAlive()) {
+            try {
+                process.waitFor();
+            } catch (InterruptedException e) {
+                interrupted = true;
+            }
+        }
+        ALIVE.remove(this);
+        if (interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Sends a signal for which {@link Process} has no method. */
+    private void signal(String signal) throws IOException, InterruptedException {
+        if (!process.isAlive()) {
+            throw new IOException(name + " has ended; no " + signal + " sent");
+        }
+        Process kill =
+                new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                        .redirectInput(new File("/dev/null"))
+                        .start();
+        int code = kill.waitFor();
+        if (code != 0) {
+            throw new IOException("kill -" + signal + " " + process.pid() + " gave " + code);
+        }
+    }
+
+    private void readOutput() {
+        try (BufferedReader reader = process.inputReader(StandardCharsets.UTF_8)) {
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                synchronized (lines) {
+                    // The first lines hold the ready line, the last ones the failure.
+                    if (lines.size() == KEPT_LINES) {
+                        lines.remove(KEPT_LINES / 2);
+                    }
+                    lines.add(line);
+                    lines.notifyAll();
+                }
+            }
+        } catch (IOException e) {
+            // The process was killed while a line was read.
+        } finally {
+            synchronized (lines) {
+                outputEnded = true;
+                lines.notifyAll();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/process/TcpRelay.java
@@ -0,0 +1,139 @@
+package org.jujubefork.standins.process;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Forwards connections from one loopback port to another and can disturb them. */
+public final class TcpRelay implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int BACKLOG = 64;
+
+    private final int port;
+    private final int targetPort;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    // Guarded by this; null while new connections are refused.
+    private ServerSocket listener;
+
+    private TcpRelay(int listenPort, int targetPort) throws IOException {
+        this.targetPort = targetPort;
+        this.listener = listen(listenPort);
+        this.port = listener.getLocalPort();
+        accept(listener);
+    }
+
+    /** Starts a relay from {@code listenPort}, 0 for a free one, to {@code targetPort}. */
+    public static TcpRelay start(int listenPort, int targetPort) throws IOException {
+        return new TcpRelay(listenPort, targetPort);
+    }
+
+    public int port() {
+        return port;
+    }
+
+    /** Resets all connections; new ones are still accepted. */
+    public void cut() {
+        for (Socket socket : sockets) {
+            reset(socket);
+        }
+    }
+
+    /** Refuses new connections from now on; existing ones go on. */
+    public synchronized void refuse() throws IOException {
+        if (listener != null) {
+            listener.close();
+            listener = null;
+        }
+    }
+
+    /** Accepts new connections again after {@link #refuse}. */
+    public synchronized void restore() throws IOException {
+        if (listener == null) {
+            listener = listen(port);
+            accept(listener);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        refuse();
+        cut();
+    }
+
+    private static ServerSocket listen(int port) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+        return socket;
+    }
+
+    private void accept(ServerSocket from) {
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            while (!from.isClosed()) {
+                                try {
+                                    forward(from.accept());
+                                } catch (IOException e) {
+                                    // The listener was closed, or the target refused.
+                                }
+                            }
+                        });
+    }
+
+    private void forward(Socket client) throws IOException {
+        sockets.add(client);
+        Socket target = new Socket();
+        sockets.add(target);
+        try {
+            target.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort));
+        } catch (IOException e) {
+            reset(client);
+            reset(target);
+            throw e;
+        }
+        Thread.ofVirtual().start(() -> copy(client, target));
+        Thread.ofVirtual().start(() -> copy(target, client));
+    }
+
+    private void copy(Socket from, Socket to) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream in = from.getInputStream();
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                to.getOutputStream().write(buffer, 0, n);
+            }
+            to.shutdownOutput();
+            if (from.isOutputShutdown()) {
+                close(from);
+                close(to);
+            }
+        } catch (IOException e) {
+            reset(from);
+            reset(to);
+        }
+    }
+
+    private void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            // The socket is closed already.
+        }
+        close(socket);
+    }
+
+    private void close(Socket socket) {
+        sockets.remove(socket);
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // Nothing can be done about a socket that does not close.
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/process/package-info.java
@@ -0,0 +1,2 @@
+/** Processes and connections that tests start, stop and disturb. */
+package org.jujubefork.standins.process;
