--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of many workers in one process. */
+package org.jujubefork.standins.fleet;
