--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/vms/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the platform's VM list. */
+package org.jujubefork.standins.vms;
