--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -0,0 +1,229 @@
+package org.jujubefork.entry;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.glassfish.grizzly.http.Method;
+import org.jboss.logging.Logger;
+import org.jujubefork.client.api.ApiPaths;
+import org.jujubefork.client.http.Transport;
+import org.jujubefork.client.vms.VmListClient;
+import org.jujubefork.client.worker.WorkerClient;
+import org.jujubefork.config.settings.DaemonSettings;
+import org.jujubefork.config.settings.HostPort;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.event.DrainRequested;
+import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.ControlLoop;
+import org.jujubefork.entry.control.EffectRouter;
+import org.jujubefork.entry.http.ConfigurationEndpoint;
+import org.jujubefork.entry.http.Exchange;
+import org.jujubefork.entry.http.HttpFrontEnd;
+import org.jujubefork.entry.http.OperatorAccess;
+import org.jujubefork.entry.http.RequestEndpoint;
+import org.jujubefork.entry.http.RequestIds;
+import org.jujubefork.entry.http.Route;
+import org.jujubefork.entry.peer.PeerExecutor;
+import org.jujubefork.entry.peer.PeerMessage;
+import org.jujubefork.entry.peer.PeerTransport;
+import org.jujubefork.entry.platform.ConfigurationApplier;
+import org.jujubefork.entry.platform.EntryRegistration;
+import org.jujubefork.entry.platform.StoreExecutor;
+import org.jujubefork.entry.platform.StoreWatcher;
+import org.jujubefork.entry.platform.VmListPoller;
+import org.jujubefork.entry.platform.WorkerExecutor;
+import org.jujubefork.entry.telemetry.DaemonMetrics;
+import org.jujubefork.entry.telemetry.DecisionLogger;
+import org.pcollections.TreePVector;
+
+/** A running entry: the control loop, the executors of its effects, the servers and the polls. */
+public final class Daemon implements AutoCloseable {
+    private static final Logger log = Logger.getLogger(Daemon.class);
+    private static final long DRAIN_POLL_MILLIS = 50;
+
+    /**
+     * Time in which a stopping entry still takes requests, so that the balancer can take notice.
+     */
+    private static final long LAME_DUCK_MILLIS = 1_000;
+
+    private final DaemonSettings settings;
+    private final ControlLoop loop;
+    private final Transport transport;
+    private final PeerTransport peers;
+    private final HttpFrontEnd http;
+    private final StoreWatcher watcher;
+    private final EntryRegistration registration;
+    private final VmListPoller vmList;
+    private volatile boolean stopping;
+
+    private Daemon(DaemonContext context) throws IOException {
+        settings = context.settings();
+        loop = context.loop();
+        transport = context.transport();
+        PeerExecutor peerExecutor =
+                new PeerExecutor(
+                        context.clock(),
+                        loop,
+                        context.registry(),
+                        context.configuration(),
+                        context.configuration()::newest,
+                        settings.maxRequestBodyBytes());
+        peers =
+                PeerTransport.start(
+                        settings.peerAddress(),
+                        new PeerMessage.Hello(context.id(), settings.peerAddress().toString()),
+                        peerExecutor,
+                        peerExecutor::connectionLost);
+        peerExecutor.attach(peers);
+        loop.start(router(context, peerExecutor));
+        postSeeds(context);
+        http = HttpFrontEnd.start(settings.httpAddress(), routes(context));
+        watcher =
+                StoreWatcher.start(
+                        context.store(),
+                        context.configuration(),
+                        context.clock(),
+                        loop,
+                        context.random(),
+                        context.metrics());
+        registration =
+                EntryRegistration.start(
+                        context.store(),
+                        settings.name(),
+                        settings.peerAddress().toString(),
+                        context.metrics());
+        vmList =
+                VmListPoller.start(
+                        new VmListClient(
+                                transport, DaemonContext.address(settings.vmListAddress())),
+                        Duration.ofMillis(settings.vmListIntervalMillis()),
+                        context.clock(),
+                        loop);
+    }
+
+    private static EffectRouter router(DaemonContext context, PeerExecutor peers) {
+        StoreExecutor store =
+                new StoreExecutor(
+                        context.store(),
+                        context.registry(),
+                        context.clock(),
+                        context.loop(),
+                        context.metrics());
+        return new EffectRouter(
+                peers::execute,
+                new WorkerExecutor(
+                        new WorkerClient(context.transport()),
+                        context.registry(),
+                        context.clock(),
+                        context.loop()),
+                new RequestExecutor(context.registry(), peers, store),
+                store,
+                new DecisionLogger(context.metrics()));
+    }
+
+    private void postSeeds(DaemonContext context) {
+        TreePVector<String> seeds =
+                TreePVector.from(settings.seeds().stream().map(HostPort::toString).toList());
+        loop.post(new MembershipEvent.PeersDiscovered(context.clock().millis(), seeds));
+    }
+
+    private List<Route> routes(DaemonContext context) {
+        OperatorAccess access = new OperatorAccess(loop::state);
+        ConfigurationEndpoint configuration =
+                new ConfigurationEndpoint(
+                        new ConfigurationApplier(
+                                context.store(),
+                                context.reader(),
+                                context.configuration(),
+                                loop::state),
+                        access);
+        return List.of(
+                Route.open(Method.POST, ApiPaths.QUEUES, "/requests", requests(context)),
+                Route.exact(Method.GET, ApiPaths.CONFIG, access.protect(configuration::show)),
+                Route.exact(Method.PUT, ApiPaths.CONFIG, configuration::apply),
+                Route.exact(Method.GET, "/metrics", (e, v) -> metrics(e, context.metrics())),
+                Route.exact(Method.GET, "/healthz", (e, v) -> text(e, 200, "ok")),
+                Route.exact(Method.GET, "/readyz", (e, v) -> ready(e)));
+    }
+
+    private RequestEndpoint requests(DaemonContext context) {
+        return new RequestEndpoint(
+                RequestIds.of(context.id()),
+                context.registry(),
+                loop::state,
+                context.clock(),
+                loop,
+                context.random(),
+                settings.maxRequestBodyBytes(),
+                settings.maxAnswerBytes());
+    }
+
+    /**
+     * Starts an entry.
+     *
+     * @throws IOException if an address cannot be bound
+     */
+    public static Daemon start(DaemonSettings settings) throws IOException {
+        EntryId id = EntryId.of(settings.name(), System.currentTimeMillis());
+        Daemon daemon = new Daemon(DaemonContext.of(settings, id));
+        log.infof(
+                "event=started entry=%s http=%s peer=%s",
+                id, settings.httpAddress(), settings.peerAddress());
+        return daemon;
+    }
+
+    /**
+     * Hands over the shards, answers what was accepted and stops, within the drain time of the
+     * settings.
+     */
+    @Override
+    public void close() throws IOException, InterruptedException {
+        log.infof("event=stopping entry=%s", settings.name());
+        stopping = true;
+        Thread.sleep(LAME_DUCK_MILLIS);
+        loop.post(new DrainRequested(Clock.SYSTEM.millis()));
+        long deadline = Clock.SYSTEM.millis() + settings.drainTimeoutMillis();
+        while (!isDrained() && Clock.SYSTEM.millis() < deadline) {
+            Thread.sleep(DRAIN_POLL_MILLIS);
+        }
+        boolean drained = isDrained();
+        http.close();
+        vmList.close();
+        registration.close();
+        watcher.close();
+        loop.close();
+        peers.close();
+        transport.close();
+        log.infof("event=stopped entry=%s drained=%b", settings.name(), drained);
+    }
+
+    private boolean isDrained() {
+        State now = loop.state();
+        return now.draining()
+                && now.requests().active().isEmpty()
+                && now.shards().isEmpty()
+                && now.detached().isEmpty();
+    }
+
+    private void ready(Exchange exchange) throws IOException {
+        State now = loop.state();
+        boolean ready = !stopping && now.configuration().isPresent();
+        text(exchange, ready ? 200 : 503, ready ? "ready" : "not ready");
+    }
+
+    private static void metrics(Exchange exchange, DaemonMetrics metrics) throws IOException {
+        PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+        ByteArrayOutputStream page = new ByteArrayOutputStream();
+        writer.write(page, metrics.registry().scrape());
+        exchange.send(200, writer.getContentType(), page.toByteArray());
+    }
+
+    private static void text(Exchange exchange, int status, String text) throws IOException {
+        exchange.send(status, "text/plain", (text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/DaemonContext.java
@@ -0,0 +1,105 @@
+package org.jujubefork.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.jujubefork.client.http.Address;
+import org.jujubefork.client.http.Transport;
+import org.jujubefork.client.store.StoreClient;
+import org.jujubefork.config.cell.CellReader;
+import org.jujubefork.config.cell.PolicyNames;
+import org.jujubefork.config.settings.DaemonSettings;
+import org.jujubefork.config.settings.HostPort;
+import org.jujubefork.core.control.EntryIdentity;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Timing;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Location;
+import org.jujubefork.core.placement.PlacementPolicies;
+import org.jujubefork.core.placement.QueueOrders;
+import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.ControlLoop;
+import org.jujubefork.entry.platform.ConfigurationSource;
+import org.jujubefork.entry.telemetry.DaemonMetrics;
+
+/**
+ * What the parts of a daemon share.
+ *
+ * @param settings the settings of this entry
+ * @param id this run
+ * @param clock the clock of all events
+ * @param random for choices that should differ between entries
+ * @param metrics the metrics
+ * @param loop the control loop, not yet started
+ * @param transport the HTTP client
+ * @param store the client of the store
+ * @param reader reads configuration documents
+ * @param configuration the newest configuration document
+ * @param registry open requests
+ */
+record DaemonContext(
+        DaemonSettings settings,
+        EntryId id,
+        Clock clock,
+        RandomGenerator random,
+        DaemonMetrics metrics,
+        ControlLoop loop,
+        Transport transport,
+        StoreClient store,
+        CellReader reader,
+        ConfigurationSource configuration,
+        RequestRegistry registry) {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    static DaemonContext of(DaemonSettings settings, EntryId id) {
+        Clock clock = Clock.SYSTEM;
+        RandomGenerator random = RandomGenerator.getDefault();
+        State initial = State.initial(identity(settings, id), timing(settings), clock.millis());
+        ControlLoop loop = ControlLoop.of(initial, clock, random, settings.eventQueueCapacity());
+        DaemonMetrics metrics = DaemonMetrics.create();
+        metrics.observe(loop::state, loop::backlog);
+        Transport transport = Transport.create(CONNECT_TIMEOUT);
+        CellReader reader = CellReader.of(policyNames());
+        return new DaemonContext(
+                settings,
+                id,
+                clock,
+                random,
+                metrics,
+                loop,
+                transport,
+                new StoreClient(transport, address(settings.storeAddress())),
+                reader,
+                new ConfigurationSource(reader, settings.region(), clock, loop),
+                new RequestRegistry());
+    }
+
+    private static EntryIdentity identity(DaemonSettings settings, EntryId id) {
+        return new EntryIdentity(
+                id,
+                Location.of(settings.region(), settings.zone(), ""),
+                settings.httpAddress().toString(),
+                settings.peerAddress().toString());
+    }
+
+    private static Timing timing(DaemonSettings settings) {
+        return new Timing(
+                settings.gossipIntervalMillis(),
+                settings.suspectAfterMillis(),
+                settings.deadAfterMillis(),
+                settings.configurationFreshnessMillis(),
+                settings.probeValidityMillis(),
+                settings.leaseTtlMillis(),
+                settings.renewIntervalMillis());
+    }
+
+    private static PolicyNames policyNames() {
+        return PolicyNames.of(
+                List.copyOf(QueueOrders.names()), List.copyOf(PlacementPolicies.names()));
+    }
+
+    static Address address(HostPort address) {
+        return Address.of(address.host(), address.port());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/EntryMain.java
@@ -0,0 +1,100 @@
+package org.jujubefork.entry;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.jujubefork.config.settings.DaemonSettings;
+import org.jujubefork.config.settings.DaemonSettingsReader;
+import org.jujubefork.config.settings.InvalidSettingsException;
+
+/** The command {@code jujube-entry}. */
+public final class EntryMain {
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+    private static final int EXIT_SETTINGS = 3;
+    private static final int EXIT_ADDRESS = 4;
+
+    private EntryMain() {}
+
+    /** Runs an entry until it gets a termination signal. */
+    public static void main(String[] arguments) throws InterruptedException {
+        Options options =
+                new Options()
+                        .addOption(
+                                Option.builder("s")
+                                        .longOpt("settings")
+                                        .hasArg()
+                                        .argName("FILE")
+                                        .desc("settings of this entry, JSON with comments")
+                                        .get())
+                        .addOption("c", "check", false, "check the settings and exit")
+                        .addOption("h", "help", false, "print this help and exit");
+        try {
+            CommandLine line = new DefaultParser().parse(options, arguments);
+            if (line.hasOption("help")) {
+                help(options);
+                return;
+            }
+            if (!line.hasOption("settings")) {
+                exit(EXIT_USAGE, "error: --settings FILE is required; see --help");
+            }
+            DaemonSettings settings =
+                    DaemonSettingsReader.read(Path.of(line.getOptionValue("settings")));
+            if (line.hasOption("check")) {
+                System.out.println("settings are valid");
+                return;
+            }
+            run(settings);
+        } catch (ParseException e) {
+            exit(EXIT_USAGE, "error: " + e.getMessage() + "; see --help");
+        } catch (InvalidSettingsException e) {
+            exit(EXIT_SETTINGS, e.getMessage());
+        } catch (BindException e) {
+            exit(
+                    EXIT_ADDRESS,
+                    "error: an address is in use or not of this machine: " + e.getMessage());
+        } catch (IOException e) {
+            exit(EXIT_FAILED, "error: " + e.getMessage());
+        }
+    }
+
+    private static void run(DaemonSettings settings) throws IOException, InterruptedException {
+        Daemon daemon = Daemon.start(settings);
+        Thread stop = Thread.ofPlatform().name("stop").unstarted(() -> stop(daemon));
+        Runtime.getRuntime().addShutdownHook(stop);
+        System.out.println("ready entry=" + settings.name() + " http=" + settings.httpAddress());
+        Thread.currentThread().join();
+    }
+
+    private static void stop(Daemon daemon) {
+        try {
+            daemon.close();
+        } catch (IOException e) {
+            System.err.println("error: stopping failed: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void help(Options options) throws IOException {
+        HelpFormatter.builder()
+                .get()
+                .printHelp(
+                        "jujube-entry --settings FILE",
+                        "Runs one entry of a cell.",
+                        options,
+                        "",
+                        false);
+    }
+
+    private static void exit(int status, String message) {
+        System.err.println(message);
+        System.exit(status);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/control/EffectRouter.java
@@ -0,0 +1,36 @@
+package org.jujubefork.entry.control;
+
+import org.jujubefork.core.effect.Effect;
+import org.jujubefork.core.effect.GossipEffect;
+import org.jujubefork.core.effect.LogDecision;
+import org.jujubefork.core.effect.RequestEffect;
+import org.jujubefork.core.effect.StoreEffect;
+import org.jujubefork.core.effect.WorkerEffect;
+
+/**
+ * Hands each effect to the executor of its family.
+ *
+ * @param gossip messages to other entries about membership
+ * @param worker commands to workers
+ * @param request answers and forwarded requests
+ * @param store writes to the store
+ * @param decisions log lines and counters
+ */
+public record EffectRouter(
+        EffectExecutor<GossipEffect> gossip,
+        EffectExecutor<WorkerEffect> worker,
+        EffectExecutor<RequestEffect> request,
+        EffectExecutor<StoreEffect> store,
+        EffectExecutor<LogDecision> decisions)
+        implements EffectExecutor<Effect> {
+    @Override
+    public void execute(Effect effect) {
+        switch (effect) {
+            case GossipEffect e -> gossip.execute(e);
+            case WorkerEffect e -> worker.execute(e);
+            case RequestEffect e -> request.execute(e);
+            case StoreEffect e -> store.execute(e);
+            case LogDecision e -> decisions.execute(e);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/control/EventSink.java
@@ -0,0 +1,10 @@
+package org.jujubefork.entry.control;
+
+import org.jujubefork.core.event.Event;
+
+/** Takes events for the control thread. */
+@FunctionalInterface
+public interface EventSink {
+    /** Hands {@code event} to the control thread; waits while its queue is full. */
+    void post(Event event);
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
@@ -0,0 +1,126 @@
+package org.jujubefork.entry.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.Optional;
+import org.glassfish.grizzly.http.Method;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.jujubefork.client.api.ApiCodec;
+import org.jujubefork.client.api.ApiPaths;
+import org.jujubefork.client.api.ErrorView;
+
+/** One HTTP request and its response, handled on a virtual thread. */
+public final class Exchange {
+    private static final String JSON = "application/json";
+    private static final String BEARER = "Bearer ";
+
+    private final Request request;
+    private final Response response;
+
+    Exchange(Request request, Response response) {
+        this.request = request;
+        this.response = response;
+    }
+
+    /** Returns the method. */
+    public Method method() {
+        return request.getMethod();
+    }
+
+    /** Returns the decoded path. */
+    public String path() {
+        return request.getDecodedRequestURI() == null
+                ? request.getRequestURI()
+                : request.getDecodedRequestURI();
+    }
+
+    /** Returns the query parameter {@code name}. */
+    public Optional<String> parameter(String name) {
+        return Optional.ofNullable(request.getParameter(name));
+    }
+
+    /** Returns the header {@code name}. */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(request.getHeader(name));
+    }
+
+    /** Returns the access key that came with the request. */
+    public Optional<String> accessKey() {
+        return header("Authorization")
+                .filter(h -> h.startsWith(BEARER))
+                .map(h -> h.substring(BEARER.length()).trim());
+    }
+
+    /**
+     * Reads the whole body.
+     *
+     * @param maxBytes the longest body
+     * @throws BodyException if the body is longer, or ends before its announced length
+     */
+    public byte[] body(int maxBytes) throws IOException, BodyException {
+        long announced = request.getContentLengthLong();
+        if (announced > maxBytes) {
+            throw BodyException.tooLarge(maxBytes);
+        }
+        InputStream input = request.getInputStream();
+        byte[] body = input.readNBytes(maxBytes + 1);
+        if (body.length > maxBytes) {
+            throw BodyException.tooLarge(maxBytes);
+        }
+        if (announced >= 0 && body.length < announced) {
+            throw BodyException.truncated(body.length, announced);
+        }
+        return body;
+    }
+
+    /** Sets a response header. */
+    public void header(String name, String value) {
+        response.setHeader(name, value);
+    }
+
+    /** Sends {@code view} as JSON with {@code status}. */
+    public void json(int status, Object view) throws IOException {
+        send(status, JSON, ApiCodec.encode(view));
+    }
+
+    /** Sends {@code error} with {@code status} and its outcome in the header. */
+    public void error(int status, ErrorView error) throws IOException {
+        header(ApiPaths.OUTCOME_HEADER, error.outcome());
+        error.retryAfterMillis()
+                .ifPresent(m -> header("Retry-After", Long.toString(Math.max(1, m / 1_000))));
+        json(status, error);
+    }
+
+    /** Sends {@code body} with {@code status}. */
+    public void send(int status, String contentType, byte[] body) throws IOException {
+        response.setStatus(status);
+        response.setContentType(contentType);
+        response.setContentLength(body.length);
+        try (OutputStream output = response.getOutputStream()) {
+            output.write(body);
+        }
+    }
+
+    /**
+     * Starts a response whose body is written piece by piece.
+     *
+     * @param length its length, if known
+     */
+    public OutputStream start(int status, String contentType, Optional<Long> length) {
+        response.setStatus(status);
+        response.setContentType(contentType);
+        length.ifPresent(response::setContentLengthLong);
+        return response.getOutputStream();
+    }
+
+    /** Closes the connection, so that the caller sees that the response is not complete. */
+    public void abort() {
+        request.getRequest().getConnection().terminateSilently();
+    }
+
+    Response response() {
+        return response;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
@@ -0,0 +1,140 @@
+package org.jujubefork.entry.http;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.jboss.logging.Logger;
+import org.jujubefork.client.api.ErrorCodes;
+import org.jujubefork.client.api.ErrorView;
+import org.jujubefork.config.settings.HostPort;
+import org.jujubefork.core.model.Outcome;
+
+/** The HTTP server of an entry: Grizzly threads take requests, virtual threads handle them. */
+public final class HttpFrontEnd implements AutoCloseable {
+    private static final Logger log = Logger.getLogger(HttpFrontEnd.class);
+    private static final int SELECTOR_THREADS = 1;
+    private static final int WORKER_THREADS = 4;
+    private static final int GRACE_SECONDS = 5;
+
+    private final HttpServer server;
+    private final ExecutorService executor;
+
+    private HttpFrontEnd(HttpServer server, ExecutorService executor) {
+        this.server = server;
+        this.executor = executor;
+    }
+
+    /**
+     * Starts to serve {@code routes}.
+     *
+     * @throws IOException if the address cannot be bound
+     */
+    public static HttpFrontEnd start(HostPort address, List<Route> routes) throws IOException {
+        ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+        HttpServer server = new HttpServer();
+        NetworkListener listener = new NetworkListener("callers", address.host(), address.port());
+        listener.getTransport().setSelectorRunnersCount(SELECTOR_THREADS);
+        listener.getTransport()
+                .setWorkerThreadPoolConfig(
+                        ThreadPoolConfig.defaultConfig()
+                                .setPoolName("http")
+                                .setCorePoolSize(WORKER_THREADS)
+                                .setMaxPoolSize(WORKER_THREADS));
+        listener.getFileCache().setEnabled(false);
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(new Dispatcher(routes, executor), "/");
+        server.start();
+        return new HttpFrontEnd(server, executor);
+    }
+
+    /** Stops to accept connections, lets requests in progress end, and stops. */
+    @Override
+    public void close() {
+        try {
+            server.shutdown(GRACE_SECONDS, TimeUnit.SECONDS)
+                    .get(GRACE_SECONDS + 1, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException
+                | java.util.concurrent.TimeoutException e) {
+            log.warnf("event=http-stop-incomplete reason=\"%s\"", e);
+        }
+        executor.shutdownNow();
+    }
+
+    /** Finds the route of a request and handles it on a virtual thread. */
+    private static final class Dispatcher extends HttpHandler {
+        private final List<Route> routes;
+        private final ExecutorService executor;
+
+        Dispatcher(List<Route> routes, ExecutorService executor) {
+            this.routes = routes;
+            this.executor = executor;
+        }
+
+        @Override
+        public void service(Request request, Response response) {
+            response.suspend();
+            executor.execute(() -> handle(new Exchange(request, response)));
+        }
+
+        private void handle(Exchange exchange) {
+            try {
+                dispatch(exchange);
+            } catch (BodyException e) {
+                refuseBody(exchange, e);
+            } catch (IOException e) {
+                log.debugf("event=http-connection-lost reason=\"%s\"", e.getMessage());
+                exchange.abort();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                exchange.abort();
+            } catch (RuntimeException e) {
+                log.errorf(e, "event=http-failure path=%s", exchange.path());
+                exchange.abort();
+            } finally {
+                if (exchange.response().isSuspended()) {
+                    exchange.response().resume();
+                }
+            }
+        }
+
+        private void dispatch(Exchange exchange)
+                throws IOException, InterruptedException, BodyException {
+            for (Route route : routes) {
+                Optional<String> variable = route.match(exchange.path());
+                if (variable.isPresent() && route.method().equals(exchange.method())) {
+                    route.endpoint().handle(exchange, variable.get());
+                    return;
+                }
+            }
+            exchange.error(
+                    404,
+                    ErrorView.of(
+                            ErrorCodes.NOT_FOUND,
+                            "no such path: " + exchange.method() + " " + exchange.path(),
+                            Outcome.NOT_RUN));
+        }
+
+        private static void refuseBody(Exchange exchange, BodyException e) {
+            try {
+                String code = e.isTooLarge() ? ErrorCodes.TOO_LARGE : ErrorCodes.INVALID_REQUEST;
+                exchange.header("Connection", "close");
+                exchange.error(
+                        e.isTooLarge() ? 413 : 400,
+                        ErrorView.of(code, e.getMessage(), Outcome.NOT_RUN));
+            } catch (IOException lost) {
+                exchange.abort();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/RequestEndpoint.java
@@ -0,0 +1,142 @@
+package org.jujubefork.entry.http;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Optional;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.regex.Pattern;
+import org.jujubefork.client.api.ApiPaths;
+import org.jujubefork.client.api.OutcomeNames;
+import org.jujubefork.config.edit.AccessKeys;
+import org.jujubefork.core.configuration.Queue;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.QueueId;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.entry.answers.Answer;
+import org.jujubefork.entry.answers.AnswerChannel;
+import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.EventSink;
+
+/** Takes short requests and answers them. */
+public final class RequestEndpoint implements Endpoint {
+    /** Time by which the connection outlives the request's own deadline. */
+    private static final long MARGIN_MILLIS = 5_000;
+
+    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+    private static final Pattern KEY_FORM = Pattern.compile("[A-Za-z0-9._-]{1,100}");
+
+    private final RequestIds ids;
+    private final RequestRegistry registry;
+    private final Supplier<State> state;
+    private final Clock clock;
+    private final EventSink events;
+    private final RandomGenerator random;
+    private final int maxBodyBytes;
+    private final int maxAnswerBytes;
+
+    /** Creates an endpoint that gives each request an id of {@code ids}. */
+    public RequestEndpoint(
+            RequestIds ids,
+            RequestRegistry registry,
+            Supplier<State> state,
+            Clock clock,
+            EventSink events,
+            RandomGenerator random,
+            int maxBodyBytes,
+            int maxAnswerBytes) {
+        this.ids = ids;
+        this.registry = registry;
+        this.state = state;
+        this.clock = clock;
+        this.events = events;
+        this.random = random;
+        this.maxBodyBytes = maxBodyBytes;
+        this.maxAnswerBytes = maxAnswerBytes;
+    }
+
+    @Override
+    public void handle(Exchange exchange, String queueName)
+            throws IOException, InterruptedException, BodyException {
+        byte[] body = exchange.body(maxBodyBytes);
+        Optional<String> idempotencyKey = exchange.header(ApiPaths.IDEMPOTENCY_HEADER);
+        if (idempotencyKey.isPresent() && !KEY_FORM.matcher(idempotencyKey.get()).matches()) {
+            Refusals.invalid(
+                    exchange, ApiPaths.IDEMPOTENCY_HEADER + " must match " + KEY_FORM.pattern());
+            return;
+        }
+        QueueId queue;
+        try {
+            queue = QueueId.of(queueName);
+        } catch (IllegalArgumentException e) {
+            Refusals.invalid(exchange, e.getMessage());
+            return;
+        }
+        serve(exchange, queue, idempotencyKey, body);
+    }
+
+    private void serve(
+            Exchange exchange, QueueId queue, Optional<String> idempotencyKey, byte[] body)
+            throws IOException, InterruptedException {
+        Optional<Queue> known = state.get().configuration().flatMap(c -> c.queue(queue));
+        boolean command = known.map(q -> q.kind() == WorkKind.COMMAND).orElse(false);
+        long timeout = known.map(Queue::timeoutMillis).orElse(DEFAULT_TIMEOUT_MILLIS);
+        RequestId request = ids.next();
+        AnswerChannel channel = AnswerChannel.of(command, maxAnswerBytes);
+        registry.add(request, body, channel);
+        try {
+            events.post(
+                    new RequestEvent.RequestArrived(
+                            clock.millis(),
+                            request,
+                            queue,
+                            exchange.accessKey().map(AccessKeys::hash),
+                            idempotencyKey,
+                            random.nextLong()));
+            answer(exchange, channel, timeout + MARGIN_MILLIS);
+        } catch (IOException e) {
+            events.post(new RequestEvent.RequestCancelled(clock.millis(), request));
+            throw e;
+        } finally {
+            channel.abandon();
+            registry.remove(request);
+        }
+    }
+
+    private void answer(Exchange exchange, AnswerChannel channel, long timeout)
+            throws IOException, InterruptedException {
+        Optional<Answer> head = channel.await(timeout);
+        switch (head.orElse(
+                new Answer.Refused(AttemptResult.unknown(RefusalReason.DEADLINE_AFTER_START)))) {
+            case Answer.Refused refused -> Refusals.send(exchange, refused.result());
+            case Answer.Body body -> stream(exchange, channel, body, timeout);
+            case Answer.JobAccepted job ->
+                    throw new IllegalStateException("a request was answered as job " + job.job());
+        }
+    }
+
+    private static void stream(
+            Exchange exchange, AnswerChannel channel, Answer.Body head, long timeout)
+            throws IOException, InterruptedException {
+        exchange.header(ApiPaths.OUTCOME_HEADER, OutcomeNames.of(Outcome.DONE));
+        if (head.replayed()) {
+            exchange.header("Jujube-Replayed", "true");
+        }
+        try (OutputStream output = exchange.start(200, head.contentType(), head.length())) {
+            Optional<byte[]> chunk = channel.next(timeout);
+            while (chunk.isPresent()) {
+                output.write(chunk.get());
+                chunk = channel.next(timeout);
+            }
+        } catch (IOException e) {
+            exchange.abort();
+            throw e;
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/RequestIds.java
@@ -0,0 +1,26 @@
+package org.jujubefork.entry.http;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.RequestId;
+
+/** Gives out request ids that no other entry run gives out. */
+public final class RequestIds {
+    private final String prefix;
+    private final AtomicLong next = new AtomicLong();
+
+    private RequestIds(String prefix) {
+        this.prefix = prefix;
+    }
+
+    /** Returns ids of the entry run {@code entry}. */
+    public static RequestIds of(EntryId entry) {
+        return new RequestIds(
+                entry.name() + "-" + Long.toString(entry.incarnation(), Character.MAX_RADIX) + "-");
+    }
+
+    /** Returns the next id. */
+    public RequestId next() {
+        return RequestId.of(prefix + next.incrementAndGet());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP servers for callers and operators. */
+package org.jujubefork.entry.http;
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
@@ -0,0 +1,206 @@
+package org.jujubefork.entry.peer;
+
+import java.io.IOException;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.QueueId;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.requests.ForwardedRequest;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * The byte form of frames: protocol version (u8), type (u8), correlation id (u64), then the message
+ * as MessagePack values in a fixed order.
+ */
+public final class FrameCodec {
+    private FrameCodec() {}
+
+    /** Returns the bytes of {@code frame}, without the length field. */
+    public static byte[] encode(Frame frame) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            MessageType type = typeOf(frame.message());
+            packer.writePayload(header(type, frame.correlation()));
+            write(packer, frame.message());
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+    }
+
+    /**
+     * Returns the frame with the given bytes.
+     *
+     * @throws ProtocolException if they are of another protocol version, or not a frame
+     */
+    public static Frame decode(byte[] bytes) throws ProtocolException {
+        if (bytes.length < HEADER_BYTES) {
+            throw new ProtocolException("a frame of " + bytes.length + " bytes has no header");
+        }
+        int version = bytes[0] & 0xff;
+        if (version != Frame.VERSION) {
+            throw new ProtocolException(
+                    "protocol version "
+                            + version
+                            + " of the sender does not fit version "
+                            + Frame.VERSION);
+        }
+        MessageType type = MessageType.ofCode(bytes[1] & 0xff);
+        long correlation = java.nio.ByteBuffer.wrap(bytes, 2, Long.BYTES).getLong();
+        try (MessageUnpacker unpacker =
+                MessagePack.newDefaultUnpacker(bytes, HEADER_BYTES, bytes.length - HEADER_BYTES)) {
+            Frame frame = Frame.of(correlation, read(type, unpacker));
+            if (unpacker.hasNext()) {
+                throw new ProtocolException(type + " frame has bytes after its message");
+            }
+            return frame;
+        } catch (MessagePackException | IllegalArgumentException e) {
+            throw new ProtocolException(type + " frame is malformed: " + e.getMessage(), e);
+        } catch (ProtocolException e) {
+            throw e;
+        } catch (IOException e) {
+            throw new ProtocolException(type + " frame is truncated: " + e.getMessage(), e);
+        }
+    }
+
+    private static final int HEADER_BYTES = 2 + Long.BYTES;
+
+    private static byte[] header(MessageType type, long correlation) {
+        return java.nio.ByteBuffer.allocate(HEADER_BYTES)
+                .put((byte) Frame.VERSION)
+                .put((byte) type.code())
+                .putLong(correlation)
+                .array();
+    }
+
+    private static MessageType typeOf(PeerMessage message) {
+        return switch (message) {
+            case PeerMessage.Hello m -> MessageType.HELLO;
+            case PeerMessage.Gossip m -> MessageType.GOSSIP;
+            case PeerMessage.Probe m -> MessageType.PROBE;
+            case PeerMessage.ProbeReply m -> MessageType.PROBE_REPLY;
+            case PeerMessage.Forward m -> MessageType.FORWARD;
+            case PeerMessage.BodyChunk m -> MessageType.BODY_CHUNK;
+            case PeerMessage.ResponseChunk m -> MessageType.RESPONSE_CHUNK;
+            case PeerMessage.ResponseComplete m -> MessageType.RESPONSE_COMPLETE;
+            case PeerMessage.ResponseEnd m -> MessageType.RESPONSE_END;
+            case PeerMessage.Credit m -> MessageType.CREDIT;
+            case PeerMessage.Cancel m -> MessageType.CANCEL;
+            case PeerMessage.ConfigurationFetch m -> MessageType.CONFIGURATION_FETCH;
+            case PeerMessage.ConfigurationPart m -> MessageType.CONFIGURATION_PART;
+            case PeerMessage.ProtocolError m -> MessageType.PROTOCOL_ERROR;
+        };
+    }
+
+    private static void write(MessageBufferPacker out, PeerMessage message) throws IOException {
+        switch (message) {
+            case PeerMessage.Hello m ->
+                    out.packString(m.from().toString()).packString(m.peerAddress());
+            case PeerMessage.Gossip m -> RowCodec.writeAll(out, m.rows());
+            case PeerMessage.Probe m -> out.packLong(m.probeId());
+            case PeerMessage.ProbeReply m ->
+                    out.packLong(m.probeId()).packLong(m.configurationVersion());
+            case PeerMessage.Forward m -> writeForward(out, m);
+            case PeerMessage.BodyChunk m -> writeBytes(out, m.bytes());
+            case PeerMessage.ResponseChunk m -> writeBytes(out, m.bytes());
+            case PeerMessage.ResponseComplete m ->
+                    out.packString(m.contentType()).packLong(m.bytes());
+            case PeerMessage.ResponseEnd m -> writeResult(out, m.result());
+            case PeerMessage.Credit m -> out.packInt(m.chunks());
+            case PeerMessage.Cancel m -> out.packNil();
+            case PeerMessage.ConfigurationFetch m -> out.packNil();
+            case PeerMessage.ConfigurationPart m -> out.packString(m.text()).packBoolean(m.last());
+            case PeerMessage.ProtocolError m -> out.packString(m.text());
+        }
+    }
+
+    private static PeerMessage read(MessageType type, MessageUnpacker in) throws IOException {
+        return switch (type) {
+            case HELLO ->
+                    new PeerMessage.Hello(EntryId.parse(in.unpackString()), in.unpackString());
+            case GOSSIP -> new PeerMessage.Gossip(RowCodec.readAll(in));
+            case PROBE -> new PeerMessage.Probe(in.unpackLong());
+            case PROBE_REPLY -> new PeerMessage.ProbeReply(in.unpackLong(), in.unpackLong());
+            case FORWARD -> readForward(in);
+            case BODY_CHUNK -> new PeerMessage.BodyChunk(readBytes(in));
+            case RESPONSE_CHUNK -> new PeerMessage.ResponseChunk(readBytes(in));
+            case RESPONSE_COMPLETE ->
+                    new PeerMessage.ResponseComplete(in.unpackString(), in.unpackLong());
+            case RESPONSE_END -> new PeerMessage.ResponseEnd(readResult(in));
+            case CREDIT -> new PeerMessage.Credit(in.unpackInt());
+            case CANCEL -> nil(in, new PeerMessage.Cancel());
+            case CONFIGURATION_FETCH -> nil(in, new PeerMessage.ConfigurationFetch());
+            case CONFIGURATION_PART ->
+                    new PeerMessage.ConfigurationPart(in.unpackString(), in.unpackBoolean());
+            case PROTOCOL_ERROR -> new PeerMessage.ProtocolError(in.unpackString());
+        };
+    }
+
+    private static PeerMessage nil(MessageUnpacker in, PeerMessage message) throws IOException {
+        in.unpackNil();
+        return message;
+    }
+
+    private static void writeForward(MessageBufferPacker out, PeerMessage.Forward message)
+            throws IOException {
+        ForwardedRequest work = message.forwarded();
+        out.packString(message.request());
+        out.packString(work.shard().value());
+        out.packString(work.queue().value());
+        out.packString(work.team().value());
+        out.packString(work.kind().name());
+        RowCodec.writeResources(out, work.size());
+        out.packBoolean(work.urgent());
+        out.packLong(work.remainingMillis());
+        out.packInt(message.bodyBytes());
+    }
+
+    private static PeerMessage.Forward readForward(MessageUnpacker in) throws IOException {
+        String request = in.unpackString();
+        ForwardedRequest work =
+                new ForwardedRequest(
+                        ShardId.of(in.unpackString()),
+                        QueueId.of(in.unpackString()),
+                        TeamId.of(in.unpackString()),
+                        WorkKind.valueOf(in.unpackString()),
+                        RowCodec.readResources(in),
+                        in.unpackBoolean(),
+                        in.unpackLong());
+        return new PeerMessage.Forward(request, work, in.unpackInt());
+    }
+
+    private static void writeResult(MessageBufferPacker out, AttemptResult result)
+            throws IOException {
+        out.packString(result.outcome().name());
+        out.packString(result.reason().name());
+        out.packLong(result.retryAfterMillis());
+        out.packBoolean(result.retryElsewhere());
+    }
+
+    private static AttemptResult readResult(MessageUnpacker in) throws IOException {
+        return new AttemptResult(
+                Outcome.valueOf(in.unpackString()),
+                RefusalReason.valueOf(in.unpackString()),
+                in.unpackLong(),
+                in.unpackBoolean());
+    }
+
+    private static void writeBytes(MessageBufferPacker out, byte[] bytes) throws IOException {
+        out.packBinaryHeader(bytes.length);
+        out.writePayload(bytes);
+    }
+
+    private static byte[] readBytes(MessageUnpacker in) throws IOException {
+        int length = in.unpackBinaryHeader();
+        if (length > Frame.MAX_BYTES) {
+            throw new ProtocolException("a part of a body has " + length + " bytes");
+        }
+        return in.readPayload(length);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
@@ -0,0 +1,71 @@
+package org.jujubefork.entry.peer;
+
+import java.io.IOException;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.Buffers;
+import org.jboss.logging.Logger;
+
+/**
+ * Cuts the byte stream of a connection into frames. A connection that breaks the protocol is told
+ * why and closed.
+ */
+final class FrameFilter extends BaseFilter {
+    private static final Logger log = Logger.getLogger(FrameFilter.class);
+
+    @Override
+    public NextAction handleRead(FilterChainContext context) throws IOException {
+        Buffer input = context.getMessage();
+        if (input.remaining() < Integer.BYTES) {
+            return context.getStopAction(input);
+        }
+        int length = input.getInt(input.position());
+        if (length < 0 || length > Frame.MAX_BYTES) {
+            return refuse(
+                    context, "a frame of " + length + " bytes is longer than " + Frame.MAX_BYTES);
+        }
+        if (input.remaining() < Integer.BYTES + length) {
+            return context.getStopAction(input);
+        }
+        input.getInt();
+        byte[] bytes = new byte[length];
+        input.get(bytes);
+        Buffer rest = input.remaining() > 0 ? input.split(input.position()) : null;
+        input.tryDispose();
+        try {
+            context.setMessage(FrameCodec.decode(bytes));
+        } catch (ProtocolException e) {
+            return refuse(context, e.getMessage());
+        }
+        return rest == null ? context.getInvokeAction() : context.getInvokeAction(rest);
+    }
+
+    @Override
+    public NextAction handleWrite(FilterChainContext context) {
+        byte[] bytes = FrameCodec.encode((Frame) context.getMessage());
+        Buffer output = context.getMemoryManager().allocate(Integer.BYTES + bytes.length);
+        output.putInt(bytes.length);
+        output.put(bytes);
+        output.flip();
+        output.allowBufferDispose(true);
+        context.setMessage(output);
+        return context.getInvokeAction();
+    }
+
+    private static NextAction refuse(FilterChainContext context, String reason) {
+        log.warnf("event=peer-refused from=%s reason=\"%s\"", context.getAddress(), reason);
+        byte[] bytes = FrameCodec.encode(Frame.of(new PeerMessage.ProtocolError(reason)));
+        Buffer output =
+                Buffers.wrap(
+                        context.getMemoryManager(),
+                        java.nio.ByteBuffer.allocate(Integer.BYTES + bytes.length)
+                                .putInt(bytes.length)
+                                .put(bytes)
+                                .flip());
+        context.getConnection().write(output);
+        context.getConnection().terminateSilently();
+        return context.getStopAction();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
@@ -0,0 +1,355 @@
+package org.jujubefork.entry.peer;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.jboss.logging.Logger;
+import org.jujubefork.config.cell.ConfigurationDocument;
+import org.jujubefork.config.cell.ConfigurationDocumentCodec;
+import org.jujubefork.core.effect.GossipEffect;
+import org.jujubefork.core.effect.RequestEffect;
+import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.entry.answers.AnswerChannel;
+import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.EventSink;
+import org.jujubefork.entry.platform.ConfigurationSource;
+
+/** Carries out effects towards other entries, and turns their messages into events. */
+public final class PeerExecutor implements PeerTransport.Receiver {
+    private static final Logger log = Logger.getLogger(PeerExecutor.class);
+    private static final PeerLink.Failure IGNORED = sent -> {};
+    private static final int CONFIGURATION_PART_CHARS = 32 * 1024;
+
+    private final Clock clock;
+    private final EventSink events;
+    private final RequestRegistry registry;
+    private final ConfigurationSource configuration;
+    private final Supplier<Optional<ConfigurationDocument>> document;
+    private final int maxBodyBytes;
+    private final OutgoingForwards outgoing = new OutgoingForwards();
+    private final IncomingForwards incoming = new IncomingForwards();
+    private final ConcurrentHashMap<EntryId, StringBuilder> configurationTexts =
+            new ConcurrentHashMap<>();
+    private PeerTransport transport;
+
+    /**
+     * Creates an executor; {@link #attach} must follow before effects are carried out.
+     *
+     * @param configuration takes configuration documents of other entries
+     * @param document gives the newest configuration document of this entry
+     * @param maxBodyBytes the longest request body
+     */
+    public PeerExecutor(
+            Clock clock,
+            EventSink events,
+            RequestRegistry registry,
+            ConfigurationSource configuration,
+            Supplier<Optional<ConfigurationDocument>> document,
+            int maxBodyBytes) {
+        this.clock = clock;
+        this.events = events;
+        this.registry = registry;
+        this.configuration = configuration;
+        this.document = document;
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /** Sets the transport over which messages are sent. */
+    public void attach(PeerTransport peers) {
+        transport = peers;
+    }
+
+    /** Carries out messages about membership and configuration. */
+    public void execute(GossipEffect effect) {
+        switch (effect) {
+            case GossipEffect.SendGossip e ->
+                    send(e.peerAddress(), new PeerMessage.Gossip(e.rows()));
+            case GossipEffect.SendProbe e ->
+                    send(e.peerAddress(), new PeerMessage.Probe(e.probeId()));
+            case GossipEffect.SendProbeReply e ->
+                    send(
+                            e.peerAddress(),
+                            new PeerMessage.ProbeReply(e.probeId(), e.configurationVersion()));
+            case GossipEffect.FetchConfiguration e ->
+                    send(e.peerAddress(), new PeerMessage.ConfigurationFetch());
+        }
+    }
+
+    private void send(String peerAddress, PeerMessage message) {
+        transport.link(peerAddress).offer(new PeerLink.Parcel(List.of(Frame.of(message)), IGNORED));
+    }
+
+    /** Sends a request with its body to the owner of a shard. */
+    public void forward(RequestEffect.Forward effect) {
+        Optional<byte[]> body = registry.body(effect.request());
+        Optional<AnswerChannel> channel = registry.channel(effect.request());
+        if (body.isEmpty() || channel.isEmpty()) {
+            return;
+        }
+        OutgoingForwards.Attempt attempt =
+                outgoing.start(effect.request(), effect.to(), effect.peerAddress(), channel.get());
+        List<Frame> frames = new ArrayList<>();
+        frames.add(
+                Frame.of(
+                        attempt.correlation(),
+                        new PeerMessage.Forward(
+                                effect.request().value(), effect.forwarded(), body.get().length)));
+        for (int from = 0; from < body.get().length; from += Frame.CHUNK_BYTES) {
+            int to = Math.min(body.get().length, from + Frame.CHUNK_BYTES);
+            frames.add(
+                    Frame.of(
+                            attempt.correlation(),
+                            new PeerMessage.BodyChunk(Arrays.copyOfRange(body.get(), from, to))));
+        }
+        transport
+                .link(effect.peerAddress())
+                .offer(
+                        new PeerLink.Parcel(
+                                frames, sent -> forwardFailed(attempt.correlation(), sent)));
+    }
+
+    /** Tells the owner of a shard that an answer is no longer wanted. */
+    public void cancel(RequestEffect.CancelForward effect) {
+        outgoing.of(effect.request())
+                .ifPresent(
+                        a ->
+                                transport
+                                        .link(effect.peerAddress())
+                                        .offer(
+                                                new PeerLink.Parcel(
+                                                        List.of(
+                                                                Frame.of(
+                                                                        a.correlation(),
+                                                                        new PeerMessage.Cancel())),
+                                                        IGNORED)));
+    }
+
+    /** Tells another entry what became of the request that it forwarded. */
+    public void answer(RequestEffect.AnswerForward effect) {
+        registry.remove(effect.request());
+        incoming.remove(effect.request())
+                .ifPresent(
+                        i ->
+                                transport
+                                        .link(i.peerAddress())
+                                        .offer(
+                                                new PeerLink.Parcel(
+                                                        List.of(
+                                                                Frame.of(
+                                                                        i.correlation(),
+                                                                        new PeerMessage.ResponseEnd(
+                                                                                effect.result()))),
+                                                        IGNORED)));
+    }
+
+    /** Reports requests that were forwarded to an entry whose connection was closed. */
+    public void connectionLost(String peerAddress) {
+        Thread.startVirtualThread(
+                () ->
+                        outgoing.endAll(peerAddress)
+                                .forEach(
+                                        a ->
+                                                events.post(
+                                                        new RequestEvent.ForwardFailed(
+                                                                clock.millis(),
+                                                                a.request(),
+                                                                a.to(),
+                                                                true))));
+    }
+
+    private void forwardFailed(long correlation, boolean sent) {
+        outgoing.end(correlation)
+                .ifPresent(
+                        a ->
+                                Thread.startVirtualThread(
+                                        () ->
+                                                events.post(
+                                                        new RequestEvent.ForwardFailed(
+                                                                clock.millis(),
+                                                                a.request(),
+                                                                a.to(),
+                                                                sent))));
+    }
+
+    @Override
+    public void receive(PeerMessage.Hello sender, Frame frame) {
+        long now = clock.millis();
+        switch (frame.message()) {
+            case PeerMessage.Gossip m ->
+                    events.post(new MembershipEvent.GossipReceived(now, sender.from(), m.rows()));
+            case PeerMessage.Probe m ->
+                    events.post(
+                            new MembershipEvent.ProbeReceived(
+                                    now, sender.from(), sender.peerAddress(), m.probeId()));
+            case PeerMessage.ProbeReply m ->
+                    events.post(
+                            new MembershipEvent.ProbeReplied(
+                                    now, sender.from(), m.probeId(), m.configurationVersion()));
+            case PeerMessage.Forward m -> receiveForward(sender, frame.correlation(), m);
+            case PeerMessage.BodyChunk m -> receiveBody(sender, frame.correlation(), m.bytes());
+            case PeerMessage.ResponseChunk m -> receiveChunk(frame.correlation(), m.bytes());
+            case PeerMessage.ResponseComplete m -> receiveComplete(frame.correlation(), m);
+            case PeerMessage.ResponseEnd m -> receiveEnd(sender, frame.correlation(), m.result());
+            case PeerMessage.Credit m ->
+                    incoming.of(sender.from(), frame.correlation())
+                            .ifPresent(i -> i.window().release(m.chunks()));
+            case PeerMessage.Cancel m ->
+                    incoming.of(sender.from(), frame.correlation())
+                            .ifPresent(
+                                    i ->
+                                            events.post(
+                                                    new RequestEvent.RequestCancelled(
+                                                            now, i.id())));
+            case PeerMessage.ConfigurationFetch m -> sendConfiguration(sender.peerAddress());
+            case PeerMessage.ConfigurationPart m -> receiveConfiguration(sender, m);
+            case PeerMessage.Hello m -> log.debugf("event=peer-hello from=%s", m.from());
+            case PeerMessage.ProtocolError m ->
+                    log.warnf("event=peer-protocol-error reason=\"%s\"", m.text());
+        }
+    }
+
+    private void receiveForward(
+            PeerMessage.Hello sender, long correlation, PeerMessage.Forward message) {
+        if (message.bodyBytes() < 0 || message.bodyBytes() > maxBodyBytes) {
+            log.warnf(
+                    "event=forward-refused from=%s body_bytes=%d",
+                    sender.from(), message.bodyBytes());
+            return;
+        }
+        IncomingForwards.Incoming added = incoming.add(sender, correlation, message);
+        if (message.bodyBytes() == 0) {
+            accept(added);
+        }
+    }
+
+    private void receiveBody(PeerMessage.Hello sender, long correlation, byte[] bytes) {
+        incoming.of(sender.from(), correlation)
+                .ifPresent(
+                        i -> {
+                            i.body().writeBytes(bytes);
+                            if (i.body().size() >= i.message().bodyBytes()) {
+                                accept(i);
+                            }
+                        });
+    }
+
+    private void accept(IncomingForwards.Incoming request) {
+        registry.add(request.id(), request.body().toByteArray(), relayTo(request));
+        events.post(
+                new RequestEvent.RequestForwarded(
+                        clock.millis(),
+                        request.id(),
+                        request.from(),
+                        request.message().forwarded()));
+    }
+
+    /** Returns a sink that sends an answer to the entry that forwarded the request. */
+    private RequestRegistry.Sink relayTo(IncomingForwards.Incoming request) {
+        return new RequestRegistry.Sink() {
+            @Override
+            public void chunk(byte[] chunk) throws IOException {
+                try {
+                    request.window().acquire();
+                    request.answered().addAndGet(chunk.length);
+                    relay(new PeerMessage.ResponseChunk(chunk));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    throw new IOException("interrupted while relaying an answer", e);
+                }
+            }
+
+            @Override
+            public void finish(String contentType) {
+                try {
+                    relay(new PeerMessage.ResponseComplete(contentType, request.answered().get()));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+
+            private void relay(PeerMessage message) throws InterruptedException {
+                transport
+                        .link(request.peerAddress())
+                        .put(
+                                new PeerLink.Parcel(
+                                        List.of(Frame.of(request.correlation(), message)),
+                                        IGNORED));
+            }
+        };
+    }
+
+    private void receiveChunk(long correlation, byte[] bytes) {
+        outgoing.attempt(correlation).ifPresent(a -> a.channel().offer(bytes, () -> credit(a)));
+    }
+
+    private void credit(OutgoingForwards.Attempt attempt) {
+        transport
+                .link(attempt.peerAddress())
+                .offer(
+                        new PeerLink.Parcel(
+                                List.of(Frame.of(attempt.correlation(), new PeerMessage.Credit(1))),
+                                IGNORED));
+    }
+
+    private void receiveComplete(long correlation, PeerMessage.ResponseComplete message) {
+        outgoing.attempt(correlation)
+                .filter(a -> a.channel().received() == message.bytes())
+                .ifPresent(a -> a.channel().finish(message.contentType()));
+    }
+
+    private void receiveEnd(PeerMessage.Hello sender, long correlation, AttemptResult result) {
+        Optional<OutgoingForwards.Attempt> attempt = outgoing.end(correlation);
+        if (attempt.isEmpty()) {
+            return;
+        }
+        RequestId request = attempt.get().request();
+        boolean incomplete =
+                result.outcome() == Outcome.DONE && !attempt.get().channel().isFinished();
+        events.post(
+                incomplete
+                        ? new RequestEvent.ForwardFailed(
+                                clock.millis(), request, attempt.get().to(), true)
+                        : new RequestEvent.ForwardAnswered(
+                                clock.millis(), request, sender.from(), result));
+    }
+
+    private void sendConfiguration(String peerAddress) {
+        Optional<ConfigurationDocument> newest = document.get();
+        if (newest.isEmpty()) {
+            return;
+        }
+        String text = ConfigurationDocumentCodec.encode(newest.get());
+        List<Frame> frames = new ArrayList<>();
+        for (int from = 0; from < text.length(); from += CONFIGURATION_PART_CHARS) {
+            int to = Math.min(text.length(), from + CONFIGURATION_PART_CHARS);
+            frames.add(
+                    Frame.of(
+                            new PeerMessage.ConfigurationPart(
+                                    text.substring(from, to), to == text.length())));
+        }
+        transport.link(peerAddress).offer(new PeerLink.Parcel(frames, IGNORED));
+    }
+
+    private void receiveConfiguration(
+            PeerMessage.Hello sender, PeerMessage.ConfigurationPart message) {
+        // Parts of one sender arrive in order on its connection; parts of several senders may mix.
+        StringBuilder text =
+                configurationTexts.computeIfAbsent(sender.from(), from -> new StringBuilder());
+        text.append(message.text());
+        if (message.last()) {
+            configurationTexts.remove(sender.from());
+            Thread.startVirtualThread(
+                    () -> configuration.offer(text.toString(), Optional.of(sender.from())));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -0,0 +1,146 @@
+package org.jujubefork.entry.peer;
+
+import java.io.IOException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.jboss.logging.Logger;
+import org.jujubefork.config.settings.HostPort;
+
+/** Accepts connections of other entries and opens connections to them. */
+public final class PeerTransport implements AutoCloseable {
+    private static final int SELECTOR_THREADS = 1;
+    private static final int CONNECT_TIMEOUT_SECONDS = 1;
+    private static final Attribute<PeerMessage.Hello> SENDER =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("jujubefork.sender");
+    private static final Logger log = Logger.getLogger(PeerTransport.class);
+
+    /** Receives messages of other entries. */
+    @FunctionalInterface
+    public interface Receiver {
+        /** Handles {@code frame}, which arrived on a connection that {@code sender} opened. */
+        void receive(PeerMessage.Hello sender, Frame frame);
+    }
+
+    private final TCPNIOTransport transport;
+    private final Frame hello;
+    private final ConcurrentHashMap<String, PeerLink> links = new ConcurrentHashMap<>();
+    private final Consumer<String> connectionLost;
+
+    private PeerTransport(Frame hello, Receiver receiver, Consumer<String> connectionLost) {
+        this.hello = hello;
+        this.connectionLost = connectionLost;
+        this.transport =
+                TCPNIOTransportBuilder.newInstance()
+                        .setIOStrategy(SameThreadIOStrategy.getInstance())
+                        .setSelectorRunnersCount(SELECTOR_THREADS)
+                        .setTcpNoDelay(true)
+                        .setReuseAddress(true)
+                        .build();
+        transport.setProcessor(
+                FilterChainBuilder.stateless()
+                        .add(new TransportFilter())
+                        .add(new FrameFilter())
+                        .add(new ReceiveFilter(receiver))
+                        .build());
+    }
+
+    /**
+     * Starts to accept connections.
+     *
+     * @param listen where to accept them
+     * @param hello introduces this entry on each connection that it opens
+     * @param receiver gets the messages; must not block
+     * @param connectionLost gets the address of an entry to which a connection was closed
+     * @throws IOException if the address cannot be bound
+     */
+    public static PeerTransport start(
+            HostPort listen,
+            PeerMessage.Hello hello,
+            Receiver receiver,
+            Consumer<String> connectionLost)
+            throws IOException {
+        PeerTransport peers = new PeerTransport(Frame.of(hello), receiver, connectionLost);
+        peers.transport.bind(listen.host(), listen.port());
+        peers.transport.start();
+        return peers;
+    }
+
+    /** Returns the link to the entry at {@code peerAddress}. */
+    PeerLink link(String peerAddress) {
+        return links.computeIfAbsent(
+                peerAddress, address -> PeerLink.open(address, this::connect, hello));
+    }
+
+    private Connection<?> connect(String peerAddress) throws IOException {
+        HostPort target = HostPort.parse(peerAddress);
+        try {
+            Connection<?> connection =
+                    transport
+                            .connect(target.host(), target.port())
+                            .get(CONNECT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            connection.addCloseListener((closeable, type) -> connectionLost.accept(peerAddress));
+            return connection;
+        } catch (ExecutionException e) {
+            throw new IOException("connect failed: " + e.getCause().getMessage(), e);
+        } catch (TimeoutException e) {
+            throw new IOException("no connection within " + CONNECT_TIMEOUT_SECONDS + " s", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while connecting", e);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        links.values().forEach(PeerLink::close);
+        transport.shutdownNow();
+    }
+
+    /** Hands decoded frames to the receiver, after the sender has introduced itself. */
+    private static final class ReceiveFilter extends BaseFilter {
+        private final Receiver receiver;
+
+        ReceiveFilter(Receiver receiver) {
+            this.receiver = receiver;
+        }
+
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            Frame frame = context.getMessage();
+            Connection<?> connection = context.getConnection();
+            if (frame.message() instanceof PeerMessage.Hello introduced) {
+                SENDER.set(connection, introduced);
+            } else if (frame.message() instanceof PeerMessage.ProtocolError error) {
+                log.warnf(
+                        "event=peer-protocol-error from=%s reason=\"%s\"",
+                        context.getAddress(), error.text());
+                connection.terminateSilently();
+            } else if (SENDER.get(connection) == null) {
+                log.warnf("event=peer-refused from=%s reason=\"no HELLO\"", context.getAddress());
+                connection.terminateSilently();
+            } else {
+                receiver.receive(SENDER.get(connection), frame);
+            }
+            return context.getStopAction();
+        }
+
+        @Override
+        public void exceptionOccurred(FilterChainContext context, Throwable error) {
+            log.debugf("event=peer-connection-failed reason=\"%s\"", error);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/peer/RowCodec.java
@@ -0,0 +1,148 @@
+package org.jujubefork.entry.peer;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.jujubefork.core.membership.MemberRow;
+import org.jujubefork.core.membership.ShardSummary;
+import org.jujubefork.core.membership.TeamLoad;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.Location;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.pcollections.PSortedMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePVector;
+
+/** The MessagePack form of gossip rows. */
+final class RowCodec {
+    /** More rows than this are refused, so that a malformed frame cannot take much memory. */
+    private static final int MAX_ELEMENTS = 10_000;
+
+    private RowCodec() {}
+
+    static void writeAll(MessagePacker out, PVector<MemberRow> rows) throws IOException {
+        out.packArrayHeader(rows.size());
+        for (MemberRow row : rows) {
+            write(out, row);
+        }
+    }
+
+    static PVector<MemberRow> readAll(MessageUnpacker in) throws IOException {
+        int count = count(in.unpackArrayHeader());
+        PVector<MemberRow> rows = TreePVector.empty();
+        for (int i = 0; i < count; i++) {
+            rows = rows.plus(read(in));
+        }
+        return rows;
+    }
+
+    private static int count(int elements) throws ProtocolException {
+        if (elements > MAX_ELEMENTS) {
+            throw new ProtocolException("a list has " + elements + " elements");
+        }
+        return elements;
+    }
+
+    private static void write(MessagePacker out, MemberRow row) throws IOException {
+        out.packString(row.id().toString());
+        out.packString(row.location().region());
+        out.packString(row.location().zone());
+        out.packString(row.httpAddress());
+        out.packString(row.peerAddress());
+        out.packLong(row.heartbeat());
+        out.packLong(row.configurationVersion());
+        out.packBoolean(row.storeReachable());
+        out.packBoolean(row.leaving());
+        out.packMapHeader(row.shards().size());
+        for (var entry : row.shards().entrySet()) {
+            out.packString(entry.getKey().value());
+            writeSummary(out, entry.getValue());
+        }
+    }
+
+    private static MemberRow read(MessageUnpacker in) throws IOException {
+        EntryId id = EntryId.parse(in.unpackString());
+        Location location = Location.of(in.unpackString(), in.unpackString(), "");
+        return new MemberRow(
+                id,
+                location,
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackLong(),
+                in.unpackLong(),
+                in.unpackBoolean(),
+                in.unpackBoolean(),
+                readSummaries(in));
+    }
+
+    private static PSortedMap<ShardId, ShardSummary> readSummaries(MessageUnpacker in)
+            throws IOException {
+        int count = count(in.unpackMapHeader());
+        PSortedMap<ShardId, ShardSummary> shards = TreePMap.empty();
+        for (int i = 0; i < count; i++) {
+            shards = shards.plus(ShardId.of(in.unpackString()), readSummary(in));
+        }
+        return shards;
+    }
+
+    private static void writeSummary(MessagePacker out, ShardSummary summary) throws IOException {
+        out.packLong(summary.epoch().number());
+        out.packString(summary.epoch().holder().toString());
+        out.packInt(summary.workers());
+        out.packInt(summary.freeSlots());
+        out.packInt(summary.queuedRequests());
+        writeResources(out, summary.capacity());
+        writeResources(out, summary.free());
+        writeResources(out, summary.largestFree());
+        out.packMapHeader(summary.teams().size());
+        for (var entry : summary.teams().entrySet()) {
+            out.packString(entry.getKey().value());
+            writeResources(out, entry.getValue().running());
+            writeResources(out, entry.getValue().waiting());
+            out.packInt(entry.getValue().queued());
+        }
+        out.packString(summary.handoverTo().orElse(""));
+    }
+
+    private static ShardSummary readSummary(MessageUnpacker in) throws IOException {
+        Epoch epoch = Epoch.of(in.unpackLong(), EntryId.parse(in.unpackString()));
+        return new ShardSummary(
+                epoch,
+                in.unpackInt(),
+                in.unpackInt(),
+                in.unpackInt(),
+                readResources(in),
+                readResources(in),
+                readResources(in),
+                readTeams(in),
+                Optional.of(in.unpackString()).filter(name -> !name.isEmpty()));
+    }
+
+    private static PSortedMap<TeamId, TeamLoad> readTeams(MessageUnpacker in) throws IOException {
+        int count = count(in.unpackMapHeader());
+        PSortedMap<TeamId, TeamLoad> teams = TreePMap.empty();
+        for (int i = 0; i < count; i++) {
+            TeamId team = TeamId.of(in.unpackString());
+            teams =
+                    teams.plus(
+                            team,
+                            new TeamLoad(readResources(in), readResources(in), in.unpackInt()));
+        }
+        return teams;
+    }
+
+    static void writeResources(MessagePacker out, Resources amount) throws IOException {
+        out.packLong(amount.cpuMillis());
+        out.packLong(amount.memoryMb());
+        out.packLong(amount.accelerators());
+    }
+
+    static Resources readResources(MessageUnpacker in) throws IOException {
+        return Resources.of(in.unpackLong(), in.unpackLong(), in.unpackLong());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/ConfigurationSource.java
@@ -0,0 +1,73 @@
+package org.jujubefork.entry.platform;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jboss.logging.Logger;
+import org.jujubefork.config.cell.CellReader;
+import org.jujubefork.config.cell.CellReading;
+import org.jujubefork.config.cell.ConfigurationDocument;
+import org.jujubefork.config.cell.ConfigurationDocumentCodec;
+import org.jujubefork.config.cell.InvalidDocumentException;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.event.ConfigurationLoaded;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.EventSink;
+
+/**
+ * Reads configuration documents from the store and from other entries, and keeps the newest one
+ * that is usable.
+ */
+public final class ConfigurationSource {
+    private static final Logger log = Logger.getLogger(ConfigurationSource.class);
+
+    private final CellReader reader;
+    private final String site;
+    private final Clock clock;
+    private final EventSink events;
+    private final AtomicReference<Optional<ConfigurationDocument>> newest =
+            new AtomicReference<>(Optional.empty());
+
+    /** Creates a source for the entry's {@code site}. */
+    public ConfigurationSource(CellReader reader, String site, Clock clock, EventSink events) {
+        this.reader = reader;
+        this.site = site;
+        this.clock = clock;
+        this.events = events;
+    }
+
+    /** Returns the newest usable document. */
+    public Optional<ConfigurationDocument> newest() {
+        return newest.get();
+    }
+
+    /**
+     * Takes a document in its stored form and has its configuration put into force if it is newer.
+     *
+     * @param text the stored form
+     * @param peer the entry that sent it; empty if it was read from the store
+     */
+    public void offer(String text, Optional<EntryId> peer) {
+        try {
+            ConfigurationDocument document = ConfigurationDocumentCodec.decode(text);
+            CellReading reading = reader.read(document);
+            Optional<Configuration> configuration = reading.configuration(site);
+            if (configuration.isEmpty()) {
+                log.errorf(
+                        "event=configuration-unusable version=%d site=%s findings=%d",
+                        document.version(), site, reading.findings().size());
+                return;
+            }
+            newest.accumulateAndGet(Optional.of(document), ConfigurationSource::newer);
+            events.post(new ConfigurationLoaded(clock.millis(), configuration.get(), peer));
+        } catch (InvalidDocumentException e) {
+            log.errorf("event=configuration-unreadable reason=\"%s\"", e.getMessage());
+        }
+    }
+
+    private static Optional<ConfigurationDocument> newer(
+            Optional<ConfigurationDocument> known, Optional<ConfigurationDocument> offered) {
+        boolean keep = known.isPresent() && known.get().version() >= offered.get().version();
+        return keep ? known : offered;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/EntryRegistration.java
@@ -0,0 +1,79 @@
+package org.jujubefork.entry.platform;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jboss.logging.Logger;
+import org.jujubefork.client.store.StoreClient;
+import org.jujubefork.client.store.StoreException;
+import org.jujubefork.client.store.StoreLease;
+import org.jujubefork.entry.telemetry.DaemonMetrics;
+
+/** Keeps the address of this entry in the store, under a lease, so that new entries find it. */
+public final class EntryRegistration implements AutoCloseable {
+    private static final Logger log = Logger.getLogger(EntryRegistration.class);
+    private static final Duration TTL = Duration.ofSeconds(15);
+    private static final Duration INTERVAL = Duration.ofSeconds(5);
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final StoreClient store;
+    private final String key;
+    private final String peerAddress;
+    private final DaemonMetrics metrics;
+    private final Thread thread;
+
+    private EntryRegistration(
+            StoreClient store, String name, String peerAddress, DaemonMetrics metrics) {
+        this.store = store;
+        this.key = StoreKeys.ENTRIES + name;
+        this.peerAddress = peerAddress;
+        this.metrics = metrics;
+        this.thread = Thread.ofVirtual().name("registration").unstarted(this::run);
+    }
+
+    /** Starts to keep the address of the entry {@code name} in the store. */
+    public static EntryRegistration start(
+            StoreClient store, String name, String peerAddress, DaemonMetrics metrics) {
+        EntryRegistration registration = new EntryRegistration(store, name, peerAddress, metrics);
+        registration.thread.start();
+        return registration;
+    }
+
+    private void run() {
+        Optional<StoreLease> lease = Optional.empty();
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                try {
+                    lease = Optional.of(refresh(lease));
+                } catch (StoreException e) {
+                    log.debugf("event=registration-failed reason=\"%s\"", e.getMessage());
+                }
+                Thread.sleep(INTERVAL);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private StoreLease refresh(Optional<StoreLease> lease) throws StoreException {
+        metrics.countStoreCall("lease");
+        if (lease.isPresent() && store.keepAlive(lease.get(), TIMEOUT)) {
+            return lease.get();
+        }
+        StoreLease granted = store.grantLease(TTL, TIMEOUT);
+        metrics.countStoreCall("put");
+        store.put(
+                key,
+                StoreText.encode(peerAddress),
+                OptionalLong.empty(),
+                Optional.of(granted),
+                TIMEOUT);
+        return granted;
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        thread.interrupt();
+        thread.join();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
@@ -0,0 +1,91 @@
+package org.jujubefork.entry.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jujubefork.core.jobs.JobPart;
+import org.jujubefork.core.jobs.JobRecord;
+import org.jujubefork.core.jobs.JobState;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.QueueId;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+import org.pcollections.PSortedMap;
+import org.pcollections.PSortedSet;
+import org.pcollections.PVector;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePSet;
+import org.pcollections.TreePVector;
+
+/** The JSON form of job records. */
+final class JobCodec {
+    private JobCodec() {}
+
+    static String encode(JobRecord job) {
+        ObjectNode node =
+                RecordJson.object()
+                        .put("id", job.id().value())
+                        .put("team", job.team().value())
+                        .put("queue", job.queue().value())
+                        .put("kind", job.kind().name())
+                        .put("name", job.name())
+                        .put("tasks", job.tasks())
+                        .put("payload", job.payload())
+                        .put("submittedAt", job.submittedAtEpochMillis())
+                        .put("state", job.state().name())
+                        .put("reason", job.reason());
+        node.set("size", RecordJson.resources(job.size()));
+        ArrayNode parts = node.putArray("parts");
+        for (JobPart part : job.parts()) {
+            parts.addObject()
+                    .put("shard", part.shard().value())
+                    .put("from", part.from())
+                    .put("to", part.to());
+        }
+        ArrayNode succeeded = node.putArray("succeeded");
+        job.succeeded().forEach(succeeded::add);
+        ObjectNode attempts = node.putObject("attempts");
+        job.attempts().forEach((index, count) -> attempts.put(Integer.toString(index), count));
+        return node.toString();
+    }
+
+    static JobRecord decode(String text) throws MalformedRecordException {
+        return RecordJson.decode("job record", text, JobCodec::read);
+    }
+
+    private static JobRecord read(JsonNode node) {
+        PVector<JobPart> parts = TreePVector.empty();
+        for (JsonNode part : node.required("parts")) {
+            parts =
+                    parts.plus(
+                            new JobPart(
+                                    ShardId.of(RecordJson.text(part, "shard")),
+                                    part.required("from").asInt(),
+                                    part.required("to").asInt()));
+        }
+        PSortedSet<Integer> succeeded = TreePSet.empty();
+        for (JsonNode index : node.required("succeeded")) {
+            succeeded = succeeded.plus(index.asInt());
+        }
+        PSortedMap<Integer, Integer> attempts = TreePMap.empty();
+        for (var entry : node.required("attempts").properties()) {
+            attempts = attempts.plus(Integer.parseInt(entry.getKey()), entry.getValue().asInt());
+        }
+        return new JobRecord(
+                JobId.of(RecordJson.text(node, "id")),
+                TeamId.of(RecordJson.text(node, "team")),
+                QueueId.of(RecordJson.text(node, "queue")),
+                WorkKind.valueOf(RecordJson.text(node, "kind")),
+                RecordJson.text(node, "name"),
+                node.required("tasks").asInt(),
+                RecordJson.resources(node.required("size")),
+                RecordJson.text(node, "payload"),
+                node.required("submittedAt").asLong(),
+                JobState.valueOf(RecordJson.text(node, "state")),
+                RecordJson.text(node, "reason"),
+                parts,
+                succeeded,
+                attempts);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/LedgerCodec.java
@@ -0,0 +1,55 @@
+package org.jujubefork.entry.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jujubefork.core.limits.BudgetRow;
+import org.jujubefork.core.limits.Ledger;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
+
+/** The JSON form of the ledger. */
+final class LedgerCodec {
+    private LedgerCodec() {}
+
+    static String encode(Ledger ledger) {
+        ObjectNode teams = RecordJson.object();
+        ledger.rows()
+                .forEach(
+                        (team, shards) -> {
+                            ObjectNode rows = teams.putObject(team.value());
+                            shards.forEach(
+                                    (shard, row) -> {
+                                        ObjectNode node = RecordJson.resources(row.budget());
+                                        node.put("epoch", row.epoch().number());
+                                        node.put("holder", row.epoch().holder().toString());
+                                        rows.set(shard.value(), node);
+                                    });
+                        });
+        return teams.toString();
+    }
+
+    static Ledger decode(String text) throws MalformedRecordException {
+        return RecordJson.decode("ledger", text, LedgerCodec::read);
+    }
+
+    private static Ledger read(JsonNode node) {
+        Ledger ledger = Ledger.EMPTY;
+        for (var team : node.properties()) {
+            for (var shard : team.getValue().properties()) {
+                JsonNode row = shard.getValue();
+                Epoch epoch =
+                        Epoch.of(
+                                row.required("epoch").asLong(),
+                                EntryId.parse(RecordJson.text(row, "holder")));
+                ledger =
+                        ledger.with(
+                                TeamId.of(team.getKey()),
+                                ShardId.of(shard.getKey()),
+                                new BudgetRow(epoch, RecordJson.resources(row)));
+            }
+        }
+        return ledger;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
@@ -0,0 +1,258 @@
+package org.jujubefork.entry.platform;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jboss.logging.Logger;
+import org.jujubefork.client.store.KeyValue;
+import org.jujubefork.client.store.StoreClient;
+import org.jujubefork.client.store.StoreException;
+import org.jujubefork.client.store.WriteResult;
+import org.jujubefork.core.effect.StoreEffect;
+import org.jujubefork.core.event.ClaimEvent;
+import org.jujubefork.core.event.JobEvent;
+import org.jujubefork.core.event.LimitEvent;
+import org.jujubefork.core.jobs.StoredJob;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.requests.ClaimRecord;
+import org.jujubefork.core.requests.ClaimState;
+import org.jujubefork.entry.answers.AnswerChannel;
+import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.EffectExecutor;
+import org.jujubefork.entry.control.EventSink;
+import org.jujubefork.entry.telemetry.DaemonMetrics;
+
+/** Carries out writes to the store on virtual threads and reports what became of them. */
+public final class StoreExecutor implements EffectExecutor<StoreEffect> {
+    private static final Logger log = Logger.getLogger(StoreExecutor.class);
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    /** Longest answer that is kept in a claim, in bytes. */
+    private static final int MAX_KEPT_BODY_BYTES = 512 * 1024;
+
+    private final StoreClient store;
+    private final RequestRegistry registry;
+    private final Clock clock;
+    private final EventSink events;
+    private final DaemonMetrics metrics;
+    private final ConcurrentHashMap<RequestId, Long> claimRevisions = new ConcurrentHashMap<>();
+
+    /** Creates an executor that takes the answers to be kept from {@code registry}. */
+    public StoreExecutor(
+            StoreClient store,
+            RequestRegistry registry,
+            Clock clock,
+            EventSink events,
+            DaemonMetrics metrics) {
+        this.store = store;
+        this.registry = registry;
+        this.clock = clock;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void execute(StoreEffect effect) {
+        Thread.startVirtualThread(() -> carryOut(effect));
+    }
+
+    private void carryOut(StoreEffect effect) {
+        switch (effect) {
+            case StoreEffect.CreateClaim e -> createClaim(e);
+            case StoreEffect.SettleClaim e -> settleClaim(e);
+            case StoreEffect.ReleaseClaim e -> releaseClaim(e);
+            case StoreEffect.WriteJob e -> writeJob(e);
+            case StoreEffect.WriteLedger e -> writeLedger(e);
+            case StoreEffect.ReadLedger e -> readLedger();
+        }
+    }
+
+    private WriteResult put(String key, String text, long ifRevision) {
+        metrics.countStoreCall("put");
+        return store.put(
+                key,
+                StoreText.encode(text),
+                OptionalLong.of(ifRevision),
+                Optional.empty(),
+                TIMEOUT);
+    }
+
+    private Optional<KeyValue> get(String key) throws StoreException {
+        metrics.countStoreCall("get");
+        return store.get(key, TIMEOUT);
+    }
+
+    private void createClaim(StoreEffect.CreateClaim effect) {
+        String text =
+                ClaimCodec.encode(new ClaimCodec.StoredClaim(effect.claim(), "", Optional.empty()));
+        RequestId request = effect.request();
+        switch (put(effect.claimKey(), text, StoreClient.ABSENT)) {
+            case WriteResult.Written written -> created(request, written.revision());
+            case WriteResult.Conflict conflict -> readBack(effect, false);
+            case WriteResult.Unknown unknown -> readBack(effect, true);
+            case WriteResult.NotSent notSent ->
+                    events.post(new ClaimEvent.ClaimFailed(clock.millis(), request, false));
+            case WriteResult.Throttled throttled ->
+                    events.post(new ClaimEvent.ClaimFailed(clock.millis(), request, false));
+        }
+    }
+
+    private void created(RequestId request, long revision) {
+        claimRevisions.put(request, revision);
+        events.post(new ClaimEvent.ClaimCreated(clock.millis(), request, revision));
+    }
+
+    /**
+     * Finds out whether a write whose answer was lost took effect, by the request id in the claim.
+     */
+    private void readBack(StoreEffect.CreateClaim effect, boolean maybeWritten) {
+        RequestId request = effect.request();
+        try {
+            Optional<KeyValue> found = get(effect.claimKey());
+            if (found.isEmpty()) {
+                events.post(new ClaimEvent.ClaimFailed(clock.millis(), request, maybeWritten));
+                return;
+            }
+            ClaimRecord existing =
+                    ClaimCodec.decode(StoreText.decode(found.get().value())).record();
+            if (existing.request().equals(request)) {
+                created(request, found.get().revision());
+            } else {
+                events.post(new ClaimEvent.ClaimExists(clock.millis(), request, existing));
+            }
+        } catch (StoreException | MalformedRecordException e) {
+            log.warnf("event=claim-unreadable request=%s reason=\"%s\"", request, e.getMessage());
+            events.post(new ClaimEvent.ClaimFailed(clock.millis(), request, maybeWritten));
+        }
+    }
+
+    private void settleClaim(StoreEffect.SettleClaim effect) {
+        Optional<AnswerChannel> channel = registry.channel(effect.request());
+        Optional<byte[]> body =
+                channel.filter(c -> effect.claim().state() == ClaimState.DONE)
+                        .filter(c -> c.received() <= MAX_KEPT_BODY_BYTES)
+                        .map(AnswerChannel::content);
+        String type = channel.map(AnswerChannel::contentType).orElse("");
+        String text = ClaimCodec.encode(new ClaimCodec.StoredClaim(effect.claim(), type, body));
+        Long revision = claimRevisions.remove(effect.request());
+        boolean durable =
+                revision != null
+                        && put(effect.claimKey(), text, revision) instanceof WriteResult.Written;
+        if (!durable) {
+            log.warnf("event=claim-not-settled request=%s", effect.request());
+        }
+        events.post(new ClaimEvent.ClaimSettled(clock.millis(), effect.request(), durable));
+    }
+
+    private void releaseClaim(StoreEffect.ReleaseClaim effect) {
+        try {
+            Optional<KeyValue> found = get(effect.claimKey());
+            if (found.isPresent() && isOwn(effect, found.get())) {
+                metrics.countStoreCall("delete");
+                store.delete(effect.claimKey(), OptionalLong.of(found.get().revision()), TIMEOUT);
+            }
+        } catch (StoreException | MalformedRecordException e) {
+            log.warnf(
+                    "event=claim-not-released request=%s reason=\"%s\"",
+                    effect.request(), e.getMessage());
+        }
+        claimRevisions.remove(effect.request());
+    }
+
+    private static boolean isOwn(StoreEffect.ReleaseClaim effect, KeyValue found)
+            throws MalformedRecordException {
+        return ClaimCodec.decode(StoreText.decode(found.value()))
+                .record()
+                .request()
+                .equals(effect.request());
+    }
+
+    private void writeJob(StoreEffect.WriteJob effect) {
+        String key = StoreKeys.JOBS + effect.record().id();
+        WriteResult result = put(key, JobCodec.encode(effect.record()), effect.expectedRevision());
+        events.post(
+                switch (result) {
+                    case WriteResult.Written written ->
+                            new JobEvent.JobWritten(
+                                    clock.millis(),
+                                    new StoredJob(written.revision(), effect.record()));
+                    case WriteResult.Conflict conflict -> jobFailed(effect, false, true);
+                    case WriteResult.Unknown unknown -> jobFailed(effect, true, false);
+                    case WriteResult.NotSent notSent -> jobFailed(effect, false, false);
+                    case WriteResult.Throttled throttled -> jobFailed(effect, false, false);
+                });
+    }
+
+    private JobEvent jobFailed(
+            StoreEffect.WriteJob effect, boolean maybeWritten, boolean conflict) {
+        return new JobEvent.JobWriteFailed(
+                clock.millis(), effect.record().id(), maybeWritten, conflict);
+    }
+
+    private void writeLedger(StoreEffect.WriteLedger effect) {
+        String text = LedgerCodec.encode(effect.ledger());
+        switch (put(StoreKeys.LEDGER, text, effect.expectedRevision())) {
+            case WriteResult.Written written ->
+                    events.post(
+                            new LimitEvent.LedgerLoaded(
+                                    clock.millis(), written.revision(), effect.ledger()));
+            case WriteResult.Unknown unknown ->
+                    events.post(new LimitEvent.LedgerWriteFailed(clock.millis(), true));
+            case WriteResult.Conflict conflict ->
+                    events.post(new LimitEvent.LedgerWriteFailed(clock.millis(), false));
+            case WriteResult.NotSent notSent ->
+                    events.post(new LimitEvent.LedgerWriteFailed(clock.millis(), false));
+            case WriteResult.Throttled throttled ->
+                    events.post(new LimitEvent.LedgerWriteFailed(clock.millis(), false));
+        }
+    }
+
+    private void readLedger() {
+        try {
+            Optional<KeyValue> found = get(StoreKeys.LEDGER);
+            long revision = found.map(KeyValue::revision).orElse(StoreClient.ABSENT);
+            events.post(
+                    new LimitEvent.LedgerLoaded(
+                            clock.millis(),
+                            revision,
+                            found.isPresent()
+                                    ? LedgerCodec.decode(StoreText.decode(found.get().value()))
+                                    : org.jujubefork.core.limits.Ledger.EMPTY));
+        } catch (StoreException | MalformedRecordException e) {
+            log.warnf("event=ledger-unreadable reason=\"%s\"", e.getMessage());
+            events.post(new LimitEvent.LedgerWriteFailed(clock.millis(), false));
+        }
+    }
+
+    /** Gives the caller the answer that is kept in the claim {@code claimKey}. */
+    public void replay(RequestId request, String claimKey) {
+        Thread.startVirtualThread(() -> replayNow(request, claimKey));
+    }
+
+    private void replayNow(RequestId request, String claimKey) {
+        Optional<AnswerChannel> channel = registry.channel(request);
+        try {
+            Optional<KeyValue> found = get(claimKey);
+            ClaimCodec.StoredClaim claim =
+                    ClaimCodec.decode(
+                            StoreText.decode(
+                                    found.orElseThrow(
+                                                    () ->
+                                                            new StoreException(
+                                                                    StoreException.Kind.MALFORMED,
+                                                                    "the claim is gone"))
+                                            .value()));
+            channel.ifPresent(c -> c.replay(claim.body().orElse(new byte[0]), claim.contentType()));
+        } catch (StoreException | MalformedRecordException e) {
+            log.warnf("event=claim-unreadable request=%s reason=\"%s\"", request, e.getMessage());
+            channel.ifPresent(
+                    c ->
+                            c.refuse(
+                                    org.jujubefork.core.model.AttemptResult.unknown(
+                                            org.jujubefork.core.model.RefusalReason
+                                                    .EARLIER_OUTCOME_UNKNOWN)));
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreWatcher.java
@@ -0,0 +1,197 @@
+package org.jujubefork.entry.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.jboss.logging.Logger;
+import org.jujubefork.client.store.Change;
+import org.jujubefork.client.store.KeyValue;
+import org.jujubefork.client.store.RangeResult;
+import org.jujubefork.client.store.StoreClient;
+import org.jujubefork.client.store.StoreException;
+import org.jujubefork.client.store.WatchResult;
+import org.jujubefork.core.event.JobEvent;
+import org.jujubefork.core.event.LimitEvent;
+import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.event.StoreEvent;
+import org.jujubefork.core.jobs.StoredJob;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.EventSink;
+import org.jujubefork.entry.telemetry.DaemonMetrics;
+import org.pcollections.TreePVector;
+
+/**
+ * Follows the shared keys of the store with one watch and turns changes into events.
+ *
+ * <p>A store contact is reported only after the events of its changes, so that whoever sees the
+ * contact has seen the changes.
+ */
+public final class StoreWatcher implements AutoCloseable {
+    private static final Logger log = Logger.getLogger(StoreWatcher.class);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(2);
+    private static final Duration RANGE_TIMEOUT = Duration.ofSeconds(5);
+
+    /** Least time between two watch calls, which bounds the calls when keys change all the time. */
+    private static final long MIN_INTERVAL_MILLIS = 200;
+
+    private static final long FIRST_BACKOFF_MILLIS = 250;
+    private static final long MAX_BACKOFF_MILLIS = 2_000;
+
+    private final StoreClient store;
+    private final ConfigurationSource configuration;
+    private final Clock clock;
+    private final EventSink events;
+    private final RandomGenerator random;
+    private final DaemonMetrics metrics;
+    private final Map<String, String> entryAddresses = new TreeMap<>();
+    private final Thread thread;
+
+    private StoreWatcher(
+            StoreClient store,
+            ConfigurationSource configuration,
+            Clock clock,
+            EventSink events,
+            RandomGenerator random,
+            DaemonMetrics metrics) {
+        this.store = store;
+        this.configuration = configuration;
+        this.clock = clock;
+        this.events = events;
+        this.random = random;
+        this.metrics = metrics;
+        this.thread = Thread.ofVirtual().name("store-watch").unstarted(this::run);
+    }
+
+    /** Starts to follow the store. */
+    public static StoreWatcher start(
+            StoreClient store,
+            ConfigurationSource configuration,
+            Clock clock,
+            EventSink events,
+            RandomGenerator random,
+            DaemonMetrics metrics) {
+        StoreWatcher watcher =
+                new StoreWatcher(store, configuration, clock, events, random, metrics);
+        watcher.thread.start();
+        return watcher;
+    }
+
+    private void run() {
+        Optional<Long> revision = Optional.empty();
+        long backoff = FIRST_BACKOFF_MILLIS;
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                long sent = clock.millis();
+                try {
+                    revision = Optional.of(follow(revision));
+                    events.post(new StoreEvent.StoreContacted(clock.millis(), sent));
+                    backoff = FIRST_BACKOFF_MILLIS;
+                    Thread.sleep(Math.max(0, MIN_INTERVAL_MILLIS - (clock.millis() - sent)));
+                } catch (StoreException e) {
+                    log.warnf("event=store-failed reason=\"%s\"", e.getMessage());
+                    events.post(new StoreEvent.StoreFailed(clock.millis()));
+                    // Jitter keeps entries from calling a store that comes back all at once.
+                    Thread.sleep(backoff / 2 + random.nextLong(backoff));
+                    backoff = Math.min(MAX_BACKOFF_MILLIS, backoff * 2);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private long follow(Optional<Long> revision) throws StoreException {
+        if (revision.isEmpty()) {
+            return readAll();
+        }
+        metrics.countStoreCall("watch");
+        return switch (store.watch(StoreKeys.SHARED, revision.get(), WATCH_WAIT)) {
+            case WatchResult.Trimmed trimmed -> readAll();
+            case WatchResult.Changes changes -> {
+                apply(changes.changes());
+                yield changes.revision();
+            }
+        };
+    }
+
+    private long readAll() throws StoreException {
+        metrics.countStoreCall("range");
+        RangeResult range = store.range(StoreKeys.SHARED, RANGE_TIMEOUT);
+        List<Change> changes = new ArrayList<>();
+        for (KeyValue item : range.items()) {
+            changes.add(new Change(item.key(), item.revision(), Optional.of(item.value())));
+        }
+        apply(changes);
+        return range.revision();
+    }
+
+    private void apply(List<Change> changes) {
+        TreePVector<StoredJob> jobs = TreePVector.empty();
+        TreePVector<JobId> removed = TreePVector.empty();
+        boolean entriesChanged = false;
+        for (Change change : changes) {
+            String key = change.key();
+            if (key.equals(StoreKeys.CONFIGURATION)) {
+                change.value()
+                        .ifPresent(v -> configuration.offer(StoreText.decode(v), Optional.empty()));
+            } else if (key.equals(StoreKeys.LEDGER)) {
+                change.value().ifPresent(v -> ledger(change.revision(), v));
+            } else if (key.startsWith(StoreKeys.ENTRIES)) {
+                entriesChanged = entry(change) || entriesChanged;
+            } else if (key.startsWith(StoreKeys.JOBS)) {
+                Optional<StoredJob> job = change.value().flatMap(v -> job(change.revision(), v));
+                if (job.isPresent()) {
+                    jobs = jobs.plus(job.get());
+                } else if (change.isDeletion()) {
+                    removed = removed.plus(JobId.of(key.substring(StoreKeys.JOBS.length())));
+                }
+            }
+        }
+        if (!jobs.isEmpty() || !removed.isEmpty()) {
+            events.post(new JobEvent.JobRecordsChanged(clock.millis(), jobs, removed));
+        }
+        if (entriesChanged) {
+            events.post(
+                    new MembershipEvent.PeersDiscovered(
+                            clock.millis(), TreePVector.from(entryAddresses.values())));
+        }
+    }
+
+    private void ledger(long revision, byte[] value) {
+        try {
+            events.post(
+                    new LimitEvent.LedgerLoaded(
+                            clock.millis(), revision, LedgerCodec.decode(StoreText.decode(value))));
+        } catch (MalformedRecordException e) {
+            log.errorf("event=ledger-unreadable reason=\"%s\"", e.getMessage());
+        }
+    }
+
+    private Optional<StoredJob> job(long revision, byte[] value) {
+        try {
+            return Optional.of(new StoredJob(revision, JobCodec.decode(StoreText.decode(value))));
+        } catch (MalformedRecordException e) {
+            log.errorf("event=job-record-unreadable reason=\"%s\"", e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private boolean entry(Change change) {
+        if (change.isDeletion()) {
+            return entryAddresses.remove(change.key()) != null;
+        }
+        String address = StoreText.decode(change.value().get());
+        return !address.equals(entryAddresses.put(change.key(), address));
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        thread.interrupt();
+        thread.join();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/VmListPoller.java
@@ -0,0 +1,83 @@
+package org.jujubefork.entry.platform;
+
+import java.time.Duration;
+import java.util.List;
+import org.jboss.logging.Logger;
+import org.jujubefork.client.vms.VmListClient;
+import org.jujubefork.client.vms.VmListException;
+import org.jujubefork.client.vms.VmListing;
+import org.jujubefork.client.vms.VmRole;
+import org.jujubefork.client.vms.VmState;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.core.model.WorkerListing;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.EventSink;
+import org.pcollections.TreePVector;
+
+/** Reads the VM list at an interval. */
+public final class VmListPoller implements AutoCloseable {
+    private static final Logger log = Logger.getLogger(VmListPoller.class);
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final VmListClient list;
+    private final Duration interval;
+    private final Clock clock;
+    private final EventSink events;
+    private final Thread thread;
+
+    private VmListPoller(VmListClient list, Duration interval, Clock clock, EventSink events) {
+        this.list = list;
+        this.interval = interval;
+        this.clock = clock;
+        this.events = events;
+        this.thread = Thread.ofVirtual().name("vm-list").unstarted(this::run);
+    }
+
+    /** Starts to read the list every {@code interval}. */
+    public static VmListPoller start(
+            VmListClient list, Duration interval, Clock clock, EventSink events) {
+        VmListPoller poller = new VmListPoller(list, interval, clock, events);
+        poller.thread.start();
+        return poller;
+    }
+
+    private void run() {
+        try {
+            while (!Thread.currentThread().isInterrupted()) {
+                try {
+                    events.post(
+                            new FleetEvent.WorkersListed(
+                                    clock.millis(), workers(list.list(TIMEOUT))));
+                } catch (VmListException e) {
+                    log.warnf("event=vm-list-failed reason=\"%s\"", e.getMessage());
+                }
+                Thread.sleep(interval);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static TreePVector<WorkerListing> workers(List<VmListing> listings) {
+        return TreePVector.from(
+                listings.stream()
+                        .filter(l -> l.role() == VmRole.WORKER)
+                        .map(
+                                l ->
+                                        new WorkerListing(
+                                                WorkerId.of(l.id()),
+                                                l.address().toString(),
+                                                l.location(),
+                                                l.capacity(),
+                                                l.slots(),
+                                                l.state() == VmState.LEAVING))
+                        .toList());
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        thread.interrupt();
+        thread.join();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
@@ -0,0 +1,193 @@
+package org.jujubefork.entry.platform;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.jujubefork.client.http.Address;
+import org.jujubefork.client.worker.CommandResult;
+import org.jujubefork.client.worker.LeaseResult;
+import org.jujubefork.client.worker.RenewResult;
+import org.jujubefork.client.worker.StartResult;
+import org.jujubefork.client.worker.WorkerClient;
+import org.jujubefork.core.effect.StopMode;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.Event;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.event.TaskEvent;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.StartRefusal;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.EffectExecutor;
+import org.jujubefork.entry.control.EventSink;
+
+/** Sends commands to workers on virtual threads and reports what became of them. */
+public final class WorkerExecutor implements EffectExecutor<WorkerEffect> {
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(60);
+
+    private final WorkerClient workers;
+    private final RequestRegistry registry;
+    private final Clock clock;
+    private final EventSink events;
+
+    /**
+     * Creates an executor that takes request bodies from {@code registry} and gives answers to it.
+     */
+    public WorkerExecutor(
+            WorkerClient workers, RequestRegistry registry, Clock clock, EventSink events) {
+        this.workers = workers;
+        this.registry = registry;
+        this.clock = clock;
+        this.events = events;
+    }
+
+    @Override
+    public void execute(WorkerEffect effect) {
+        Thread.startVirtualThread(() -> events.post(carryOut(effect)));
+    }
+
+    private Event carryOut(WorkerEffect effect) {
+        return switch (effect) {
+            case WorkerEffect.AcquireLease e -> acquire(e);
+            case WorkerEffect.RenewLease e -> renew(e);
+            case WorkerEffect.StartTask e -> e.request().isPresent() ? request(e) : start(e);
+            case WorkerEffect.StopTask e -> stop(e);
+        };
+    }
+
+    private Event acquire(WorkerEffect.AcquireLease effect) {
+        long sent = clock.millis();
+        LeaseResult result =
+                workers.lease(
+                        Address.parse(effect.address()),
+                        effect.epoch(),
+                        Duration.ofMillis(effect.ttlMillis()),
+                        CONTROL_TIMEOUT);
+        WorkerId worker = effect.worker();
+        Epoch epoch = effect.epoch();
+        long now = clock.millis();
+        return switch (result) {
+            case LeaseResult.Granted g ->
+                    new FleetEvent.LeaseGranted(now, worker, epoch, sent, WorkerReports.of(g));
+            case LeaseResult.Refused r ->
+                    new FleetEvent.LeaseRefused(now, worker, epoch, Optional.of(r.current()));
+            case LeaseResult.NotConnected n -> new FleetEvent.LeaseFailed(now, worker, epoch);
+            case LeaseResult.Unknown u -> new FleetEvent.LeaseFailed(now, worker, epoch);
+        };
+    }
+
+    private Event renew(WorkerEffect.RenewLease effect) {
+        long sent = clock.millis();
+        RenewResult result =
+                workers.renew(
+                        Address.parse(effect.address()),
+                        effect.epoch(),
+                        Duration.ofMillis(effect.ttlMillis()),
+                        effect.acknowledged(),
+                        CONTROL_TIMEOUT);
+        WorkerId worker = effect.worker();
+        Epoch epoch = effect.epoch();
+        long now = clock.millis();
+        return switch (result) {
+            case RenewResult.Renewed r ->
+                    new FleetEvent.LeaseGranted(now, worker, epoch, sent, WorkerReports.of(r));
+            case RenewResult.Refused r ->
+                    new FleetEvent.LeaseRefused(now, worker, epoch, Optional.of(r.current()));
+            case RenewResult.NoLease n ->
+                    new FleetEvent.LeaseRefused(now, worker, epoch, Optional.empty());
+            case RenewResult.NotConnected n -> new FleetEvent.LeaseFailed(now, worker, epoch);
+            case RenewResult.Unknown u -> new FleetEvent.LeaseFailed(now, worker, epoch);
+        };
+    }
+
+    private Event start(WorkerEffect.StartTask effect) {
+        StartResult result =
+                workers.start(
+                        Address.parse(effect.address()),
+                        effect.epoch(),
+                        effect.incarnation(),
+                        effect.task(),
+                        START_TIMEOUT);
+        return startEvent(effect, result);
+    }
+
+    private Event request(WorkerEffect.StartTask effect) {
+        RequestId request = effect.request().orElseThrow();
+        Optional<byte[]> body = registry.body(request);
+        Optional<RequestRegistry.Sink> sink = registry.sink(request);
+        if (body.isEmpty() || sink.isEmpty()) {
+            return new TaskEvent.StartNotSent(clock.millis(), effect.worker(), effect.task().id());
+        }
+        StartResult result =
+                workers.request(
+                        Address.parse(effect.address()),
+                        effect.epoch(),
+                        effect.incarnation(),
+                        effect.task(),
+                        body.get(),
+                        sink.get(),
+                        REQUEST_TIMEOUT);
+        if (result instanceof StartResult.Answered answered) {
+            sink.get().finish(answered.contentType());
+        }
+        return startEvent(effect, result);
+    }
+
+    private Event startEvent(WorkerEffect.StartTask effect, StartResult result) {
+        WorkerId worker = effect.worker();
+        TaskId task = effect.task().id();
+        long now = clock.millis();
+        return switch (result) {
+            case StartResult.Started s -> new TaskEvent.StartAccepted(now, worker, task);
+            case StartResult.Answered a ->
+                    new TaskEvent.RequestFinished(now, worker, task, true, a.bytes());
+            case StartResult.Ended e -> new TaskEvent.StartUnknown(now, worker, task, e.message());
+            case StartResult.Refused r ->
+                    new TaskEvent.StartRefused(
+                            now,
+                            worker,
+                            task,
+                            StartRefusal.valueOf(r.reason().name()),
+                            r.current());
+            case StartResult.NotConnected n -> new TaskEvent.StartNotSent(now, worker, task);
+            case StartResult.Unknown u -> new TaskEvent.StartUnknown(now, worker, task, u.reason());
+        };
+    }
+
+    private Event stop(WorkerEffect.StopTask effect) {
+        Address address = Address.parse(effect.address());
+        TaskId task = effect.task();
+        CommandResult result =
+                switch (effect.mode()) {
+                    case STOP -> workers.stop(address, effect.epoch(), task, CONTROL_TIMEOUT);
+                    case CHECKPOINT ->
+                            workers.checkpoint(address, effect.epoch(), task, CONTROL_TIMEOUT);
+                    case THROTTLE ->
+                            workers.throttle(
+                                    address,
+                                    effect.epoch(),
+                                    task,
+                                    THROTTLED_CPU_MILLIS,
+                                    CONTROL_TIMEOUT);
+                };
+        long now = clock.millis();
+        boolean ended = effect.mode() != StopMode.THROTTLE;
+        return switch (result) {
+            case CommandResult.Accepted a when ended ->
+                    new TaskEvent.StopConfirmed(now, effect.worker(), task);
+            case CommandResult.NoSuchTask n ->
+                    new TaskEvent.StopConfirmed(now, effect.worker(), task);
+            case CommandResult.Refused r ->
+                    new FleetEvent.LeaseRefused(
+                            now, effect.worker(), effect.epoch(), Optional.of(r.current()));
+            default -> new TaskEvent.StopFailed(now, effect.worker(), task);
+        };
+    }
+
+    /** What a throttled task may use, in thousandths of a processor core. */
+    private static final long THROTTLED_CPU_MILLIS = 100;
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerReports.java
@@ -0,0 +1,55 @@
+package org.jujubefork.entry.platform;
+
+import java.util.List;
+import org.jujubefork.client.worker.EndedTask;
+import org.jujubefork.client.worker.LeaseResult;
+import org.jujubefork.client.worker.RenewResult;
+import org.jujubefork.client.worker.RunningTask;
+import org.jujubefork.core.model.EndReason;
+import org.jujubefork.core.model.ReportedTask;
+import org.jujubefork.core.model.WorkerReport;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/** Turns answers of workers into reports for the control thread. */
+final class WorkerReports {
+    private WorkerReports() {}
+
+    static WorkerReport of(LeaseResult.Granted granted) {
+        return new WorkerReport(
+                granted.incarnation(),
+                granted.leaving(),
+                granted.capacity(),
+                granted.slots(),
+                running(granted.running()),
+                ended(granted.ended()));
+    }
+
+    static WorkerReport of(RenewResult.Renewed renewed) {
+        return new WorkerReport(
+                renewed.incarnation(),
+                renewed.leaving(),
+                renewed.capacity(),
+                renewed.slots(),
+                running(renewed.running()),
+                ended(renewed.ended()));
+    }
+
+    private static PVector<ReportedTask> running(List<RunningTask> tasks) {
+        return TreePVector.from(
+                tasks.stream().map(t -> new ReportedTask(t.spec(), t.usage(), 0)).toList());
+    }
+
+    private static PVector<org.jujubefork.core.model.EndedTask> ended(List<EndedTask> tasks) {
+        return TreePVector.from(
+                tasks.stream()
+                        .map(
+                                t ->
+                                        new org.jujubefork.core.model.EndedTask(
+                                                t.spec(),
+                                                EndReason.valueOf(t.reason().name()),
+                                                t.message(),
+                                                t.progressMillis()))
+                        .toList());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines and metrics. */
+package org.jujubefork.entry.telemetry;
