--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/client/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the client module that need a server. */
+package org.jujubefork.standins.client;
