--- a/client/src/main/java/org/jujubefork/client/worker/RenewResult.java
+++ b/client/src/main/java/org/jujubefork/client/worker/RenewResult.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.Resources;
 
 /** What is known after the renewal of a worker's lease. */
 public sealed interface RenewResult {
@@ -9,12 +10,19 @@
      * The lease runs for another time to live, counted from when the renewal was sent.
      *
      * @param incarnation changes with each restart of the worker
+     * @param capacity what tasks may use
+     * @param slots how many requests run at once
      * @param leaving whether the worker is about to be removed
      * @param running tasks that run now, with their lagging usage
      * @param ended tasks that ended and are not acknowledged
      */
     record Renewed(
-            long incarnation, boolean leaving, List<RunningTask> running, List<EndedTask> ended)
+            long incarnation,
+            Resources capacity,
+            int slots,
+            boolean leaving,
+            List<RunningTask> running,
+            List<EndedTask> ended)
             implements RenewResult {
         /** Copies the lists. */
         public Renewed {
--- a/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
@@ -70,6 +70,8 @@
             JsonFields f = fields(reply);
             return new RenewResult.Renewed(
                     f.number("incarnation"),
+                    f.resources("capacity"),
+                    f.smallNumber("slots"),
                     f.flag("leaving"),
                     f.list("running", TaskJson::running),
                     f.list("ended", TaskJson::ended));
--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -182,16 +182,10 @@
      * settings.
      */
     @Override
-    public void close() throws IOException, InterruptedException {
+    public void close() throws IOException {
         log.infof("event=stopping entry=%s", settings.name());
         stopping = true;
-        Thread.sleep(LAME_DUCK_MILLIS);
-        loop.post(new DrainRequested(Clock.SYSTEM.millis()));
-        long deadline = Clock.SYSTEM.millis() + settings.drainTimeoutMillis();
-        while (!isDrained() && Clock.SYSTEM.millis() < deadline) {
-            Thread.sleep(DRAIN_POLL_MILLIS);
-        }
-        boolean drained = isDrained();
+        boolean drained = drain();
         http.close();
         vmList.close();
         registration.close();
@@ -202,6 +196,20 @@
         log.infof("event=stopped entry=%s drained=%b", settings.name(), drained);
     }
 
+    private boolean drain() {
+        try {
+            Thread.sleep(LAME_DUCK_MILLIS);
+            loop.post(new DrainRequested(Clock.SYSTEM.millis()));
+            long deadline = Clock.SYSTEM.millis() + settings.drainTimeoutMillis();
+            while (!isDrained() && Clock.SYSTEM.millis() < deadline) {
+                Thread.sleep(DRAIN_POLL_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return isDrained();
+    }
+
     private boolean isDrained() {
         State now = loop.state();
         return now.draining()
--- a/entry/src/main/java/org/jujubefork/entry/EntryMain.java
+++ b/entry/src/main/java/org/jujubefork/entry/EntryMain.java
@@ -77,8 +77,6 @@
             daemon.close();
         } catch (IOException e) {
             System.err.println("error: stopping failed: " + e.getMessage());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
--- a/entry/src/main/java/org/jujubefork/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/jujubefork/entry/control/ControlLoop.java
@@ -109,9 +109,8 @@
 
     /** Stops the control thread after the event that it handles now. */
     @Override
-    public void close() throws InterruptedException {
+    public void close() {
         open = false;
-        thread.interrupt();
-        thread.join();
+        Threads.stop(thread);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.glassfish.grizzly.http.Method;
 import org.glassfish.grizzly.http.server.Request;
@@ -31,9 +33,7 @@
 
     /** Returns the decoded path. */
     public String path() {
-        return request.getDecodedRequestURI() == null
-                ? request.getRequestURI()
-                : request.getDecodedRequestURI();
+        return URLDecoder.decode(request.getRequestURI(), StandardCharsets.UTF_8);
     }
 
     /** Returns the query parameter {@code name}. */
--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
@@ -2,16 +2,18 @@
 
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
-import org.glassfish.grizzly.memory.Buffers;
 import org.jboss.logging.Logger;
 
 /**
  * Cuts the byte stream of a connection into frames. A connection that breaks the protocol is told
  * why and closed.
  */
+@SuppressWarnings("rawtypes") // FilterChainContext.write takes a handler of the raw WriteResult
 final class FrameFilter extends BaseFilter {
     private static final Logger log = Logger.getLogger(FrameFilter.class);
 
@@ -56,16 +58,19 @@
 
     private static NextAction refuse(FilterChainContext context, String reason) {
         log.warnf("event=peer-refused from=%s reason=\"%s\"", context.getAddress(), reason);
-        byte[] bytes = FrameCodec.encode(Frame.of(new PeerMessage.ProtocolError(reason)));
-        Buffer output =
-                Buffers.wrap(
-                        context.getMemoryManager(),
-                        java.nio.ByteBuffer.allocate(Integer.BYTES + bytes.length)
-                                .putInt(bytes.length)
-                                .put(bytes)
-                                .flip());
-        context.getConnection().write(output);
-        context.getConnection().terminateSilently();
+        context.write(
+                Frame.of(new PeerMessage.ProtocolError(reason)),
+                new EmptyCompletionHandler<WriteResult>() {
+                    @Override
+                    public void completed(WriteResult result) {
+                        context.getConnection().closeSilently();
+                    }
+
+                    @Override
+                    public void failed(Throwable error) {
+                        context.getConnection().terminateSilently();
+                    }
+                });
         return context.getStopAction();
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -6,7 +6,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
+import org.glassfish.grizzly.CloseReason;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -92,7 +94,7 @@
                     transport
                             .connect(target.host(), target.port())
                             .get(CONNECT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-            connection.addCloseListener((closeable, type) -> connectionLost.accept(peerAddress));
+            connection.closeFuture().addCompletionHandler(onClose(peerAddress));
             return connection;
         } catch (ExecutionException e) {
             throw new IOException("connect failed: " + e.getCause().getMessage(), e);
@@ -104,6 +106,15 @@
         }
     }
 
+    private EmptyCompletionHandler<CloseReason> onClose(String peerAddress) {
+        return new EmptyCompletionHandler<>() {
+            @Override
+            public void completed(CloseReason reason) {
+                connectionLost.accept(peerAddress);
+            }
+        };
+    }
+
     @Override
     public void close() throws IOException {
         links.values().forEach(PeerLink::close);
--- a/entry/src/main/java/org/jujubefork/entry/platform/EntryRegistration.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/EntryRegistration.java
@@ -7,6 +7,7 @@
 import org.jujubefork.client.store.StoreClient;
 import org.jujubefork.client.store.StoreException;
 import org.jujubefork.client.store.StoreLease;
+import org.jujubefork.entry.control.Threads;
 import org.jujubefork.entry.telemetry.DaemonMetrics;
 
 /** Keeps the address of this entry in the store, under a lease, so that new entries find it. */
@@ -72,8 +73,7 @@
     }
 
     @Override
-    public void close() throws InterruptedException {
-        thread.interrupt();
-        thread.join();
+    public void close() {
+        Threads.stop(thread);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreWatcher.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreWatcher.java
@@ -22,6 +22,7 @@
 import org.jujubefork.core.model.JobId;
 import org.jujubefork.entry.control.Clock;
 import org.jujubefork.entry.control.EventSink;
+import org.jujubefork.entry.control.Threads;
 import org.jujubefork.entry.telemetry.DaemonMetrics;
 import org.pcollections.TreePVector;
 
@@ -190,8 +191,7 @@
     }
 
     @Override
-    public void close() throws InterruptedException {
-        thread.interrupt();
-        thread.join();
+    public void close() {
+        Threads.stop(thread);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/platform/VmListPoller.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/VmListPoller.java
@@ -13,6 +13,7 @@
 import org.jujubefork.core.model.WorkerListing;
 import org.jujubefork.entry.control.Clock;
 import org.jujubefork.entry.control.EventSink;
+import org.jujubefork.entry.control.Threads;
 import org.pcollections.TreePVector;
 
 /** Reads the VM list at an interval. */
@@ -76,8 +77,7 @@
     }
 
     @Override
-    public void close() throws InterruptedException {
-        thread.interrupt();
-        thread.join();
+    public void close() {
+        Threads.stop(thread);
     }
 }
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerHttp.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerHttp.java
@@ -173,8 +173,7 @@
     private ObjectNode lease(SimulatedWorker.Applied applied) {
         WorkerState state = applied.state();
         ObjectNode answer = report(applied);
-        answer.put("workerId", state.spec().id()).put("slots", state.spec().slots());
-        TaskJson.writeResources(answer.putObject("capacity"), state.spec().capacity());
+        answer.put("workerId", state.spec().id());
         return answer;
     }
 
@@ -183,7 +182,9 @@
         ObjectNode answer =
                 Reply.object()
                         .put("incarnation", state.incarnation())
-                        .put("leaving", state.leaving());
+                        .put("leaving", state.leaving())
+                        .put("slots", state.spec().slots());
+        TaskJson.writeResources(answer.putObject("capacity"), state.spec().capacity());
         ArrayNode running = answer.putArray("running");
         for (SimulatedTask task : state.running().values()) {
             ObjectNode node = running.addObject();
