--- a/client/src/main/java/org/jujubefork/client/api/JobView.java
+++ b/client/src/main/java/org/jujubefork/client/api/JobView.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
+import java.util.Locale;
 
 /**
  * A job, the answer to {@code POST /v1/jobs}, {@code GET} and {@code DELETE /v1/jobs/ID} and {@code
@@ -43,6 +44,11 @@
         @JsonProperty("cancelled")
         CANCELLED;
 
+        /** Returns the name of the state in messages. */
+        public String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+
         /** Returns whether the state is final. */
         public boolean isFinal() {
             return this != QUEUED && this != RUNNING;
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/caller/RunCommands.java
@@ -0,0 +1,219 @@
+package org.jujubefork.ctl.caller;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.jujubefork.client.api.ApiClient;
+import org.jujubefork.client.api.ApiException;
+import org.jujubefork.client.api.InvalidMessageException;
+import org.jujubefork.client.api.JobRequest;
+import org.jujubefork.client.api.JobView;
+import org.jujubefork.client.api.NotReachableException;
+import org.jujubefork.client.api.OutcomeNames;
+import org.jujubefork.client.api.RequestAnswer;
+import org.jujubefork.client.api.ResourcesView;
+import org.jujubefork.ctl.command.CommandException;
+import org.jujubefork.ctl.command.CommandSpec;
+import org.jujubefork.ctl.command.Console;
+import org.jujubefork.ctl.command.ExitCode;
+import org.jujubefork.ctl.command.Invocation;
+import org.jujubefork.ctl.command.OptionSpecs;
+
+/** The commands of callers. */
+final class RunCommands {
+    private static final String BODY = "body";
+    private static final String BODY_FILE = "body-file";
+    private static final String KEY = "idempotency-key";
+    private static final String TASKS = "tasks";
+    private static final String NAME = "name";
+    private static final String PAYLOAD = "payload";
+    private static final String CPU = "cpu-millis";
+    private static final String MEMORY = "memory-mb";
+    private static final String ACCELERATORS = "accelerators";
+    private static final String WAIT = "wait-seconds";
+    private static final long DEFAULT_WAIT_SECONDS = 60;
+    private static final long LONGEST_WAIT_SECONDS = 86_400;
+    private static final long MAX_TASKS = 1_000_000;
+    private static final long MAX_AMOUNT = 10_000_000_000L;
+
+    private RunCommands() {}
+
+    static List<CommandSpec> specs() {
+        return List.of(
+                CommandSpec.of(
+                        "request",
+                        List.of("QUEUE"),
+                        "Sends a request and prints its answer.",
+                        RunCommands::request,
+                        OptionSpecs.value(BODY, "JSON", "the input (default: {})"),
+                        OptionSpecs.value(BODY_FILE, "FILE", "file with the input"),
+                        OptionSpecs.value(
+                                KEY,
+                                "KEY",
+                                "runs at most once under this key; needed by queues"
+                                        + " of the kind command")),
+                CommandSpec.of(
+                        "submit",
+                        List.of("QUEUE"),
+                        "Submits a job and prints its id.",
+                        RunCommands::submit,
+                        OptionSpecs.value(TASKS, "N", "number of tasks or replicas (default: 1)"),
+                        OptionSpecs.value(NAME, "NAME", "a name for people"),
+                        OptionSpecs.value(PAYLOAD, "JSON", "the input of each task (default: {})"),
+                        OptionSpecs.value(CPU, "N", "thousandths of a core per task"),
+                        OptionSpecs.value(MEMORY, "N", "memory per task in MiB"),
+                        OptionSpecs.value(ACCELERATORS, "N", "accelerators per task (default: 0)"),
+                        OptionSpecs.value(
+                                KEY,
+                                "KEY",
+                                "a second submission with this key returns the first" + " job")),
+                CommandSpec.of("query", List.of("JOB"), "Shows a job.", RunCommands::query),
+                CommandSpec.of(
+                        "wait",
+                        List.of("JOB"),
+                        "Waits for the end of a job. Exits with 0 only if it succeeded.",
+                        RunCommands::await,
+                        OptionSpecs.value(WAIT, "N", "longest waiting time (default: 60)")),
+                CommandSpec.of("cancel", List.of("JOB"), "Cancels a job.", RunCommands::cancel));
+    }
+
+    private static ExitCode request(Invocation invocation)
+            throws CommandException, ApiException, NotReachableException, InterruptedException {
+        String queue = invocation.arguments().getFirst();
+        String body = body(invocation);
+        Optional<String> key = invocation.option(KEY);
+        RequestAnswer answer;
+        try (ApiClient client = invocation.connect()) {
+            answer =
+                    key.isPresent()
+                            ? client.command(queue, body, key.get())
+                            : client.lookup(queue, body);
+        }
+        Console console = invocation.console();
+        String outcome = OutcomeNames.of(answer.outcome());
+        console.print(new PrintedAnswer(outcome, answer.text()), () -> console.line(answer.text()));
+        return ExitCode.OK;
+    }
+
+    /**
+     * The JSON output of {@code request}.
+     *
+     * @param outcome the outcome
+     * @param body the answer's body
+     */
+    private record PrintedAnswer(String outcome, String body) {}
+
+    private static String body(Invocation invocation) throws CommandException {
+        Optional<String> file = invocation.option(BODY_FILE);
+        if (file.isPresent() && invocation.has(BODY)) {
+            throw CommandException.usage("give either --body or --body-file");
+        }
+        return file.isPresent()
+                ? Invocation.readFile(Path.of(file.get()))
+                : invocation.option(BODY).orElse("{}");
+    }
+
+    private static ExitCode submit(Invocation invocation)
+            throws CommandException,
+                    ApiException,
+                    NotReachableException,
+                    InvalidMessageException,
+                    InterruptedException {
+        JobRequest job =
+                new JobRequest(
+                        invocation.arguments().getFirst(),
+                        invocation.option(NAME).orElse(""),
+                        Math.toIntExact(invocation.number(TASKS, 1, MAX_TASKS).orElse(1L)),
+                        size(invocation),
+                        invocation.option(PAYLOAD).orElse("{}"),
+                        invocation.option(KEY));
+        try (ApiClient client = invocation.connect()) {
+            JobView view = client.submit(job);
+            Console console = invocation.console();
+            console.print(view, () -> console.line(view.id()));
+        }
+        return ExitCode.OK;
+    }
+
+    private static Optional<ResourcesView> size(Invocation invocation) throws CommandException {
+        Optional<Long> cpu = invocation.number(CPU, 1, MAX_AMOUNT);
+        Optional<Long> memory = invocation.number(MEMORY, 1, MAX_AMOUNT);
+        Optional<Long> accelerators = invocation.number(ACCELERATORS, 0, MAX_AMOUNT);
+        if (cpu.isEmpty() && memory.isEmpty() && accelerators.isEmpty()) {
+            return Optional.empty();
+        }
+        if (cpu.isEmpty() || memory.isEmpty()) {
+            throw CommandException.usage("a size needs both --cpu-millis and --memory-mb");
+        }
+        return Optional.of(new ResourcesView(cpu.get(), memory.get(), accelerators.orElse(0L)));
+    }
+
+    private static ExitCode query(Invocation invocation)
+            throws CommandException,
+                    ApiException,
+                    NotReachableException,
+                    InvalidMessageException,
+                    InterruptedException {
+        try (ApiClient client = invocation.connect()) {
+            print(invocation.console(), client.job(invocation.arguments().getFirst()));
+        }
+        return ExitCode.OK;
+    }
+
+    private static ExitCode await(Invocation invocation)
+            throws CommandException,
+                    ApiException,
+                    NotReachableException,
+                    InvalidMessageException,
+                    InterruptedException {
+        Duration atMost =
+                Duration.ofSeconds(
+                        invocation
+                                .number(WAIT, 1, LONGEST_WAIT_SECONDS)
+                                .orElse(DEFAULT_WAIT_SECONDS));
+        JobView job;
+        try (ApiClient client = invocation.connect()) {
+            job = client.await(invocation.arguments().getFirst(), atMost);
+        }
+        print(invocation.console(), job);
+        return job.state() == JobView.State.SUCCEEDED ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    private static ExitCode cancel(Invocation invocation)
+            throws CommandException,
+                    ApiException,
+                    NotReachableException,
+                    InvalidMessageException,
+                    InterruptedException {
+        try (ApiClient client = invocation.connect()) {
+            print(invocation.console(), client.cancel(invocation.arguments().getFirst()));
+        }
+        return ExitCode.OK;
+    }
+
+    private static void print(Console console, JobView job) {
+        console.print(
+                job,
+                () -> {
+                    console.line(
+                            String.format(
+                                    "job %s of team %s on queue %s (%s) is %s",
+                                    job.id(),
+                                    job.team(),
+                                    job.queue(),
+                                    job.kind(),
+                                    job.state().label()));
+                    console.line(
+                            String.format(
+                                    "tasks %d, started %d, succeeded %d, failed %d",
+                                    job.tasks().total(),
+                                    job.tasks().started(),
+                                    job.tasks().succeeded(),
+                                    job.tasks().failed()));
+                    if (!job.reason().isEmpty()) {
+                        console.line("reason: " + job.reason());
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of callers. */
+package org.jujubefork.ctl.caller;
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/command/Invocation.java
@@ -0,0 +1,155 @@
+package org.jujubefork.ctl.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.apache.commons.cli.CommandLine;
+import org.jujubefork.client.api.ApiClient;
+import org.jujubefork.client.api.ApiClientSettings;
+
+/**
+ * One run of a command.
+ *
+ * @param line the parsed command line
+ * @param arguments the positional arguments, as many as the command declares
+ * @param console where the output goes
+ * @param environment the environment variables
+ * @param random the source of new access keys
+ */
+public record Invocation(
+        CommandLine line,
+        List<String> arguments,
+        Console console,
+        Map<String, String> environment,
+        RandomGenerator random) {
+    private static final int LONGEST_TIMEOUT_SECONDS = 86_400;
+
+    /** Returns the value of the option {@code name}, if it is given. */
+    public Optional<String> option(String name) {
+        return Optional.ofNullable(line.getOptionValue(name));
+    }
+
+    /** Returns all values of the option {@code name}. */
+    public List<String> options(String name) {
+        String[] values = line.getOptionValues(name);
+        return values == null ? List.of() : List.of(values);
+    }
+
+    /** Returns whether the option {@code name} is given. */
+    public boolean has(String name) {
+        return line.hasOption(name);
+    }
+
+    /**
+     * Returns the value of the option {@code name}.
+     *
+     * @throws CommandException if it is not given
+     */
+    public String required(String name) throws CommandException {
+        return option(name)
+                .orElseThrow(() -> CommandException.usage("the option --" + name + " is needed"));
+    }
+
+    /**
+     * Returns the whole number of the option {@code name}, if it is given.
+     *
+     * @throws CommandException if it is no number from {@code min} to {@code max}
+     */
+    public Optional<Long> number(String name, long min, long max) throws CommandException {
+        Optional<String> text = option(name);
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            long value = Long.parseLong(text.get());
+            if (value >= min && value <= max) {
+                return Optional.of(value);
+            }
+        } catch (NumberFormatException _) {
+            // Reported below together with numbers out of bounds.
+        }
+        throw CommandException.usage(
+                "--"
+                        + name
+                        + " must be a whole number from "
+                        + min
+                        + " to "
+                        + max
+                        + ": "
+                        + text.get());
+    }
+
+    /**
+     * Returns a client for the entries of {@code --entries} or {@code JUJUBE_ENTRIES}.
+     *
+     * @throws CommandException if no entry is named or the key file cannot be read
+     */
+    public ApiClient connect() throws CommandException {
+        Optional<String> entries =
+                option(OptionSpecs.ENTRIES)
+                        .or(() -> Optional.ofNullable(environment.get("JUJUBE_ENTRIES")));
+        if (entries.isEmpty() || entries.get().isBlank()) {
+            throw CommandException.usage("give --entries HOST:PORT,... or set JUJUBE_ENTRIES");
+        }
+        return connect(List.of(entries.get().split("[,\\s]+")));
+    }
+
+    /**
+     * Returns a client for {@code entries}.
+     *
+     * @throws CommandException if an address is wrong or the key file cannot be read
+     */
+    public ApiClient connect(List<String> entries) throws CommandException {
+        for (String entry : entries) {
+            if (!entry.matches("[A-Za-z0-9.:\\[\\]-]+:\\d{1,5}")) {
+                throw CommandException.usage("not an address of the form HOST:PORT: " + entry);
+            }
+        }
+        long seconds =
+                number(OptionSpecs.TIMEOUT, 1, LONGEST_TIMEOUT_SECONDS)
+                        .orElse(ApiClientSettings.DEFAULT_TIMEOUT.toSeconds());
+        return ApiClient.of(
+                ApiClientSettings.of(entries, key()).withTimeout(Duration.ofSeconds(seconds)));
+    }
+
+    private Optional<String> key() throws CommandException {
+        Optional<String> file = option(OptionSpecs.KEY_FILE);
+        if (file.isPresent()) {
+            return Optional.of(readFile(Path.of(file.get())).strip());
+        }
+        return Optional.ofNullable(environment.get("JUJUBE_KEY"));
+    }
+
+    /**
+     * Returns the text of a file.
+     *
+     * @throws CommandException if it cannot be read
+     */
+    public static String readFile(Path path) throws CommandException {
+        try {
+            return Files.readString(path);
+        } catch (IOException e) {
+            throw CommandException.usage("cannot read " + path + ": " + e);
+        }
+    }
+
+    /**
+     * Writes a text file and the folders above it.
+     *
+     * @throws CommandException if it cannot be written
+     */
+    public static void writeFile(Path path, String text) throws CommandException {
+        try {
+            Path folder = path.toAbsolutePath().getParent();
+            Files.createDirectories(folder);
+            Files.writeString(path, text);
+        } catch (IOException e) {
+            throw new CommandException(ExitCode.FAILED, "cannot write " + path + ": " + e);
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/command/Program.java
@@ -0,0 +1,188 @@
+package org.jujubefork.ctl.command;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.jujubefork.client.api.ApiException;
+import org.jujubefork.client.api.ErrorCodes;
+import org.jujubefork.client.api.InvalidMessageException;
+import org.jujubefork.client.api.NotReachableException;
+
+/**
+ * A command line with subcommands.
+ *
+ * @param name the name of the program
+ * @param summary what it is for, one sentence
+ * @param commands the table of commands
+ */
+public record Program(String name, String summary, List<CommandSpec> commands) {
+    /** Copies the table. */
+    public Program {
+        commands = List.copyOf(commands);
+    }
+
+    /**
+     * Runs the command that {@code args} name.
+     *
+     * @param environment the environment variables
+     * @param random the source of new access keys
+     */
+    public ExitCode run(
+            String[] args,
+            Console console,
+            Map<String, String> environment,
+            RandomGenerator random) {
+        if (args.length == 0 || "--help".equals(args[0])) {
+            overview(console);
+            return args.length == 0 ? ExitCode.USAGE : ExitCode.OK;
+        }
+        Optional<CommandSpec> spec = find(args);
+        if (spec.isEmpty()) {
+            console.error("unknown command \"" + args[0] + "\"; see " + name + " --help");
+            return ExitCode.USAGE;
+        }
+        int words = spec.get().name().split(" ", -1).length;
+        String[] rest = Arrays.copyOfRange(args, words, args.length);
+        try {
+            CommandLine line = new DefaultParser().parse(optionsOf(spec.get()), rest);
+            if (line.hasOption(OptionSpecs.HELP)) {
+                help(spec.get(), console);
+                return ExitCode.OK;
+            }
+            return runCommand(spec.get(), line, console, environment, random);
+        } catch (ParseException e) {
+            console.error(e.getMessage() + "; see " + name + " " + spec.get().name() + " --help");
+            return ExitCode.USAGE;
+        }
+    }
+
+    private static ExitCode runCommand(
+            CommandSpec spec,
+            CommandLine line,
+            Console console,
+            Map<String, String> environment,
+            RandomGenerator random) {
+        Console formatted = console;
+        try {
+            formatted = console.withFormat(format(line));
+            checkArguments(spec, line);
+            return spec.command()
+                    .run(new Invocation(line, line.getArgList(), formatted, environment, random));
+        } catch (CommandException e) {
+            formatted.error(e.getMessage());
+            return e.exitCode();
+        } catch (ApiException e) {
+            return refused(formatted, e);
+        } catch (NotReachableException e) {
+            formatted.error(e.getMessage());
+            return ExitCode.NOT_REACHABLE;
+        } catch (InvalidMessageException e) {
+            formatted.error("the answer cannot be read: " + e.getMessage());
+            return ExitCode.FAILED;
+        } catch (InterruptedException _) {
+            Thread.currentThread().interrupt();
+            formatted.error("interrupted");
+            return ExitCode.FAILED;
+        }
+    }
+
+    private static Console.Format format(CommandLine line) throws CommandException {
+        String text = line.getOptionValue(OptionSpecs.OUTPUT, "text");
+        return switch (text) {
+            case "text" -> Console.Format.TEXT;
+            case "json" -> Console.Format.JSON;
+            default -> throw CommandException.usage("--output must be text or json: " + text);
+        };
+    }
+
+    private static void checkArguments(CommandSpec spec, CommandLine line) throws CommandException {
+        if (line.getArgList().size() != spec.arguments().size()) {
+            throw CommandException.usage(
+                    "expected "
+                            + (spec.arguments().isEmpty()
+                                    ? "no arguments"
+                                    : String.join(" ", spec.arguments()))
+                            + ", found "
+                            + line.getArgList());
+        }
+    }
+
+    /** Prints everything that the entry said about a refusal. */
+    private static ExitCode refused(Console console, ApiException e) {
+        console.error(e.getMessage() + ", outcome " + e.error().outcome());
+        e.error().retryAfterMillis().ifPresent(t -> console.note("retry after " + t + " ms"));
+        e.error().findings().forEach(finding -> console.note(finding.toString()));
+        e.error()
+                .changes()
+                .forEach(
+                        change ->
+                                console.note(
+                                        "changed meanwhile: "
+                                                + change.path()
+                                                + ": "
+                                                + change.before().orElse("absent")
+                                                + " -> "
+                                                + change.after().orElse("absent")));
+        return switch (e.error().code()) {
+            case ErrorCodes.VERSION_CONFLICT -> ExitCode.CONFLICT;
+            case ErrorCodes.INVALID_CONFIGURATION -> ExitCode.FINDINGS;
+            default -> ExitCode.FAILED;
+        };
+    }
+
+    private Optional<CommandSpec> find(String[] args) {
+        String two = args.length > 1 ? args[0] + " " + args[1] : args[0];
+        return commands.stream()
+                .filter(spec -> spec.name().equals(two) || spec.name().equals(args[0]))
+                .findFirst();
+    }
+
+    private static Options optionsOf(CommandSpec spec) {
+        Options options = new Options();
+        OptionSpecs.common().forEach(options::addOption);
+        spec.options().forEach(options::addOption);
+        return options;
+    }
+
+    private void overview(Console console) {
+        console.line("usage: " + name + " COMMAND [ARGUMENTS] [OPTIONS]");
+        console.line(summary);
+        console.line("");
+        console.table(
+                List.of("command", "effect"),
+                commands.stream().map(spec -> List.of(title(spec), spec.summary())).toList());
+        console.line("");
+        console.line(name + " COMMAND --help lists the options of a command. Exit codes:");
+        for (ExitCode code : ExitCode.values()) {
+            console.line("  " + code.code() + "  " + code.meaning());
+        }
+    }
+
+    private void help(CommandSpec spec, Console console) {
+        console.line("usage: " + name + " " + title(spec) + " [OPTIONS]");
+        console.line(spec.summary());
+        console.line("");
+        List<List<String>> rows =
+                optionsOf(spec).getOptions().stream()
+                        .map(option -> List.of(form(option), option.getDescription()))
+                        .toList();
+        console.table(List.of("option", "meaning"), rows);
+    }
+
+    private static String title(CommandSpec spec) {
+        return String.join(" ", spec.name(), String.join(" ", spec.arguments())).strip();
+    }
+
+    private static String form(Option option) {
+        String name = "--" + option.getLongOpt().toLowerCase(Locale.ROOT);
+        return option.hasArg() ? name + " " + option.getArgName() : name;
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/ConfigFiles.java
@@ -0,0 +1,121 @@
+package org.jujubefork.ctl.operator;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.apache.commons.cli.Option;
+import org.jujubefork.client.api.ConfigView;
+import org.jujubefork.config.cell.CellReader;
+import org.jujubefork.config.cell.CellReading;
+import org.jujubefork.config.cell.NamedText;
+import org.jujubefork.config.cell.PolicyNames;
+import org.jujubefork.ctl.command.CommandException;
+import org.jujubefork.ctl.command.ExitCode;
+import org.jujubefork.ctl.command.Invocation;
+import org.jujubefork.ctl.command.OptionSpecs;
+
+/**
+ * Configuration files of operators: {@code base.jsonc}, {@code overlays/SITE.jsonc} and, if the
+ * files came from a cell, {@code .version}.
+ */
+final class ConfigFiles {
+    static final Option DIR =
+            OptionSpecs.value(
+                    "dir", "DIR", "folder with base.jsonc and overlays/*.jsonc (default: none)");
+    static final Option BASE = OptionSpecs.value("base", "FILE", "base file instead of --dir");
+    static final Option OVERLAY =
+            OptionSpecs.values("overlay", "FILE", "overlay beside --base, may be repeated");
+
+    private static final String BASE_FILE = "base.jsonc";
+    private static final String OVERLAYS = "overlays";
+    private static final String VERSION_FILE = ".version";
+    private static final String SUFFIX = ".jsonc";
+
+    private ConfigFiles() {}
+
+    /** Reads and checks the files that the options name. */
+    static CellReading read(Invocation invocation) throws CommandException {
+        Optional<String> dir = invocation.option(DIR.getLongOpt());
+        if (dir.isPresent() == invocation.has(BASE.getLongOpt())) {
+            throw CommandException.usage("give either --dir or --base");
+        }
+        List<Path> overlays = new ArrayList<>();
+        Path base;
+        if (dir.isPresent()) {
+            base = Path.of(dir.get(), BASE_FILE);
+            overlays.addAll(overlaysBelow(Path.of(dir.get(), OVERLAYS)));
+        } else {
+            base = Path.of(invocation.required(BASE.getLongOpt()));
+            invocation.options(OVERLAY.getLongOpt()).forEach(file -> overlays.add(Path.of(file)));
+        }
+        List<NamedText> texts = new ArrayList<>();
+        for (Path overlay : overlays) {
+            texts.add(named(overlay));
+        }
+        return CellReader.of(PolicyNames.BUILT_IN)
+                .read(version(invocation).orElse(0L), named(base), texts);
+    }
+
+    /** Returns whether the options name files. */
+    static boolean areNamed(Invocation invocation) {
+        return invocation.has(DIR.getLongOpt()) || invocation.has(BASE.getLongOpt());
+    }
+
+    /** Returns the version that the files are based on, if it is known. */
+    static Optional<Long> version(Invocation invocation) throws CommandException {
+        Optional<Long> given = invocation.number("if-version", 0, Long.MAX_VALUE);
+        Optional<String> dir = invocation.option(DIR.getLongOpt());
+        if (given.isPresent() || dir.isEmpty()) {
+            return given;
+        }
+        Path file = Path.of(dir.get(), VERSION_FILE);
+        if (!Files.exists(file)) {
+            return Optional.empty();
+        }
+        String text = Invocation.readFile(file).strip();
+        try {
+            return Optional.of(Long.parseLong(text));
+        } catch (NumberFormatException _) {
+            throw new CommandException(ExitCode.FAILED, file + " holds no version: " + text);
+        }
+    }
+
+    /** Writes the texts of a cell to the folder {@code dir}. */
+    static void write(Path dir, ConfigView view) throws CommandException {
+        Invocation.writeFile(dir.resolve(BASE_FILE), view.base());
+        for (Map.Entry<String, String> overlay : view.overlays().entrySet()) {
+            if (!overlay.getKey().matches("[A-Za-z0-9._-]+")) {
+                throw new CommandException(
+                        ExitCode.FAILED, "site name is no file name: " + overlay.getKey());
+            }
+            Invocation.writeFile(
+                    dir.resolve(OVERLAYS).resolve(overlay.getKey() + SUFFIX), overlay.getValue());
+        }
+        writeVersion(dir, view.version());
+    }
+
+    /** Records the version that the files in {@code dir} are based on. */
+    static void writeVersion(Path dir, long version) throws CommandException {
+        Invocation.writeFile(dir.resolve(VERSION_FILE), version + "\n");
+    }
+
+    private static NamedText named(Path path) throws CommandException {
+        return NamedText.of(path.toString(), Invocation.readFile(path));
+    }
+
+    private static List<Path> overlaysBelow(Path folder) throws CommandException {
+        if (!Files.isDirectory(folder)) {
+            return List.of();
+        }
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(file -> file.toString().endsWith(SUFFIX)).sorted().toList();
+        } catch (IOException e) {
+            throw CommandException.usage("cannot list " + folder + ": " + e);
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/Jujubectl.java
@@ -0,0 +1,39 @@
+package org.jujubefork.ctl.operator;
+
+import java.io.OutputStreamWriter;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.stream.Stream;
+import org.jujubefork.ctl.command.CommandSpec;
+import org.jujubefork.ctl.command.Console;
+import org.jujubefork.ctl.command.Program;
+
+/** The command line of operators. */
+public final class Jujubectl {
+    private static final List<CommandSpec> COMMANDS =
+            Stream.of(ConfigCommands.specs(), GrantCommands.specs(), ViewCommands.specs())
+                    .flatMap(List::stream)
+                    .toList();
+
+    private Jujubectl() {}
+
+    /** Returns the program. */
+    public static Program program() {
+        return new Program(
+                "jujubectl",
+                "Configures and inspects a cell. Needs an operator's key, except for checks of files.",
+                COMMANDS);
+    }
+
+    /** Runs the command line and exits with the code of its command. */
+    public static void main(String[] args) {
+        PrintWriter out =
+                new PrintWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8));
+        PrintWriter err =
+                new PrintWriter(new OutputStreamWriter(System.err, StandardCharsets.UTF_8));
+        Console console = Console.of(out, err, Console.Format.TEXT);
+        System.exit(program().run(args, console, System.getenv(), new SecureRandom()).code());
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/Reports.java
@@ -0,0 +1,71 @@
+package org.jujubefork.ctl.operator;
+
+import java.util.List;
+import java.util.Locale;
+import org.jujubefork.client.api.ChangeView;
+import org.jujubefork.client.api.ConfigView;
+import org.jujubefork.client.api.FindingView;
+import org.jujubefork.config.cell.CellReading;
+import org.jujubefork.config.cell.ConfigurationChange;
+import org.jujubefork.config.cell.ConfigurationDocument;
+import org.jujubefork.config.source.Finding;
+import org.jujubefork.ctl.command.CommandException;
+import org.jujubefork.ctl.command.Console;
+import org.jujubefork.ctl.command.ExitCode;
+
+/** Writes findings and changes. */
+final class Reports {
+    private Reports() {}
+
+    /** Writes findings as the result of a command. */
+    static void printFindings(Console console, List<Finding> findings) {
+        List<FindingView> views = findings.stream().map(Reports::view).toList();
+        console.print(views, () -> views.forEach(view -> console.line(view.toString())));
+    }
+
+    /**
+     * Writes findings beside the result of a command.
+     *
+     * @throws CommandException if any is an error
+     */
+    static void requireUsable(Console console, CellReading reading) throws CommandException {
+        reading.findings().forEach(finding -> console.note(finding.toString()));
+        if (!reading.isUsable()) {
+            throw new CommandException(ExitCode.FINDINGS, "the configuration has errors");
+        }
+    }
+
+    /** Writes changes as the result of a command. */
+    static void printChanges(Console console, List<ConfigurationChange> changes) {
+        List<ChangeView> views =
+                changes.stream()
+                        .map(
+                                change ->
+                                        new ChangeView(
+                                                change.path(), change.before(), change.after()))
+                        .toList();
+        console.print(
+                views,
+                () -> {
+                    changes.forEach(change -> console.line(change.toString()));
+                    if (changes.isEmpty()) {
+                        console.line("no changes");
+                    }
+                });
+    }
+
+    /** Returns the document that an entry answered with. */
+    static ConfigurationDocument document(ConfigView view) {
+        return ConfigurationDocument.of(view.version(), view.base(), view.overlays());
+    }
+
+    private static FindingView view(Finding finding) {
+        return new FindingView(
+                finding.severity().name().toLowerCase(Locale.ROOT),
+                finding.file(),
+                finding.line(),
+                finding.column(),
+                finding.path(),
+                finding.message());
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The commands of operators. */
+package org.jujubefork.ctl.operator;
--- a/ctl/src/main/java/org/jujubefork/ctl/package-info.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** The command lines {@code jujubectl} for operators and {@code jujube-run} for callers. */
 package org.jujubefork.ctl;
