--- /dev/null
+++ b/config/src/test/java/org/jujubefork/config/examples/RecordedRequests.java
@@ -0,0 +1,169 @@
+package org.jujubefork.config.examples;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.jujubefork.config.cell.CellReader;
+import org.jujubefork.config.cell.CellReading;
+import org.jujubefork.config.cell.NamedText;
+import org.jujubefork.config.cell.PolicyNames;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.configuration.Queue;
+import org.jujubefork.core.model.WorkKind;
+
+/**
+ * Generates the recorded requests of an example from the queues of its base file. The main method
+ * writes them.
+ */
+public final class RecordedRequests {
+    /** Seeds of the examples, by folder. */
+    static final Map<String, Long> SEEDS = Map.of("plotshare", 21_000L, "alpenquell", 22_000L);
+
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final int LENGTH_MILLIS = 20_000;
+    private static final int ARRIVALS = 640;
+
+    /** Of 1,000 arrivals, how many are of each kind. */
+    private static final Map<WorkKind, Integer> MIX =
+            Map.of(
+                    WorkKind.LOOKUP, 780,
+                    WorkKind.COMMAND, 150,
+                    WorkKind.BATCH, 48,
+                    WorkKind.SERVICE, 6,
+                    WorkKind.GANG, 16);
+
+    private final List<Queue> queues;
+    private final Random random;
+    private int commands;
+
+    private RecordedRequests(List<Queue> queues, long seed) {
+        this.queues = queues;
+        this.random = new Random(seed);
+    }
+
+    /** Returns the lines for the example in {@code folder}. */
+    static String generate(Path folder) throws IOException {
+        CellReading reading =
+                CellReader.of(PolicyNames.BUILT_IN)
+                        .read(
+                                1,
+                                NamedText.of(
+                                        "base", Files.readString(folder.resolve("base.jsonc"))),
+                                List.of());
+        Configuration configuration = reading.configurations().values().iterator().next();
+        List<Queue> queues =
+                configuration.queues().values().stream()
+                        .sorted(
+                                Comparator.comparingDouble(
+                                                (Queue queue) -> -weight(configuration, queue))
+                                        .thenComparing(queue -> !queue.urgent())
+                                        .thenComparing(Queue::id))
+                        .toList();
+        long seed = SEEDS.get(folder.getFileName().toString());
+        return new RecordedRequests(queues, seed).lines();
+    }
+
+    private static double weight(Configuration configuration, Queue queue) {
+        return configuration.team(queue.team()).orElseThrow().weight();
+    }
+
+    private String lines() {
+        List<ObjectNode> lines = new ArrayList<>();
+        for (int i = 0; i < ARRIVALS; i++) {
+            WorkKind kind = kind();
+            List<Queue> candidates = queues.stream().filter(queue -> queue.kind() == kind).toList();
+            // The queues come by weight of their team, and the first get the most.
+            int pick =
+                    Math.min(random.nextInt(candidates.size()), random.nextInt(candidates.size()));
+            ObjectNode line = line(candidates.get(pick), i);
+            lines.add(line);
+            boolean callerRepeats = kind == WorkKind.COMMAND && random.nextInt(10) == 0;
+            if (callerRepeats) {
+                int later = line.get("atMillis").intValue() + 50 + random.nextInt(2_000);
+                lines.add(line.deepCopy().put("atMillis", later));
+            }
+        }
+        lines.sort(Comparator.comparingInt(line -> line.get("atMillis").intValue()));
+        StringBuilder text = new StringBuilder();
+        lines.forEach(line -> text.append(line).append('\n'));
+        return text.toString();
+    }
+
+    private WorkKind kind() {
+        int left = random.nextInt(1_000);
+        for (WorkKind kind : WorkKind.values()) {
+            left -= MIX.get(kind);
+            if (left < 0) {
+                return kind;
+            }
+        }
+        throw new IllegalStateException("the mix does not add up to 1000: " + MIX);
+    }
+
+    private ObjectNode line(Queue queue, int number) {
+        ObjectNode line = MAPPER.createObjectNode();
+        line.put("atMillis", random.nextInt(LENGTH_MILLIS));
+        line.put("team", queue.open() ? "" : queue.team().value());
+        line.put("queue", queue.id().value());
+        line.put("type", queue.kind().isRequest() ? "request" : "job");
+        ObjectNode body = body(queue.kind(), queue.id() + "-" + number);
+        line.set("body", body);
+        if (queue.kind() == WorkKind.COMMAND) {
+            String key = queue.id() + "-key-" + commands++;
+            line.put("idempotencyKey", key);
+            // Simulated workers record the key, so that a checker can count executions.
+            body.put("idempotencyKey", key);
+        } else if (!queue.kind().isRequest()) {
+            line.put("tasks", tasks(queue.kind()));
+            line.put("idempotencyKey", queue.id() + "-job-" + number);
+        }
+        return line;
+    }
+
+    private ObjectNode body(WorkKind kind, String echo) {
+        ObjectNode body = MAPPER.createObjectNode();
+        switch (kind) {
+            case LOOKUP -> body.put("runMillis", between(1, 25)).put("answerBytes", answerBytes());
+            case COMMAND -> body.put("runMillis", between(5, 60)).put("answerBytes", 200);
+            case BATCH -> body.put("runMillis", between(300, 3_000)).put("answerBytes", 0);
+            case GANG -> body.put("runMillis", between(800, 3_000)).put("answerBytes", 0);
+            // A service without a run time runs until it is cancelled.
+            default -> body.put("answerBytes", 0);
+        }
+        boolean fail = kind == WorkKind.BATCH && random.nextInt(20) == 0;
+        return body.put("echo", echo).put("fail", fail);
+    }
+
+    private int answerBytes() {
+        boolean large = random.nextInt(50) == 0;
+        return large ? between(100_000, 1_000_000) : between(100, 4_000);
+    }
+
+    private int tasks(WorkKind kind) {
+        return switch (kind) {
+            case BATCH -> between(4, 40);
+            case GANG -> between(2, 8);
+            case SERVICE -> between(1, 4);
+            case LOOKUP, COMMAND -> throw new IllegalArgumentException("no job: " + kind);
+        };
+    }
+
+    private int between(int low, int high) {
+        return low + random.nextInt(high - low + 1);
+    }
+
+    /** Writes the recorded requests of all examples; {@code args[0]} is the project's root. */
+    public static void main(String[] args) throws IOException {
+        for (String example : SEEDS.keySet()) {
+            Path folder = Path.of(args[0], "examples", example);
+            Files.writeString(folder.resolve("recorded.jsonl"), generate(folder));
+        }
+    }
+}
