--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/process/TcpRelayTest.java
@@ -0,0 +1,121 @@
+package org.jujubefork.standins.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.SplittableRandom;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against a relay that disturbs more or less than a test asked for. */
+public final class TcpRelayTest {
+    private static final int READ_LIMIT_MILLIS = 30_000;
+
+    private ServerSocket echo;
+    private TcpRelay relay;
+
+    @BeforeMethod
+    public void open() throws IOException {
+        echo = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(this::echoAll);
+        relay = TcpRelay.start(0, echo.getLocalPort());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void close() throws IOException {
+        relay.close();
+        echo.close();
+    }
+
+    private void echoAll() {
+        while (!echo.isClosed()) {
+            try {
+                Socket socket = echo.accept();
+                Thread.ofVirtual()
+                        .start(
+                                () -> {
+                                    try (socket) {
+                                        InputStream in = socket.getInputStream();
+                                        in.transferTo(socket.getOutputStream());
+                                    } catch (IOException e) {
+                                        // The relay cut the connection.
+                                    }
+                                });
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), relay.port());
+        socket.setSoTimeout(READ_LIMIT_MILLIS);
+        return socket;
+    }
+
+    private static int roundTrip(Socket socket, int value) throws IOException {
+        socket.getOutputStream().write(value);
+        return socket.getInputStream().read();
+    }
+
+    @Test
+    public void bytesPassUnchanged() throws Exception {
+        byte[] sent = new byte[1_000_000];
+        new SplittableRandom(5).nextBytes(sent);
+        try (Socket socket = connect()) {
+            Thread writer =
+                    Thread.ofVirtual()
+                            .start(
+                                    () -> {
+                                        try {
+                                            OutputStream out = socket.getOutputStream();
+                                            out.write(sent);
+                                            socket.shutdownOutput();
+                                        } catch (IOException e) {
+                                            // The reader reports what is missing.
+                                        }
+                                    });
+            assertEquals(socket.getInputStream().readAllBytes(), sent);
+            writer.join();
+        }
+    }
+
+    @Test
+    public void cutResetsConnectionsAndAcceptsNewOnes() throws Exception {
+        try (Socket socket = connect()) {
+            assertEquals(roundTrip(socket, 7), 7);
+            relay.cut();
+            assertThrows(IOException.class, () -> expectReset(socket));
+        }
+        try (Socket socket = connect()) {
+            assertEquals(roundTrip(socket, 8), 8);
+        }
+    }
+
+    /** The first read after a reset throws; end of stream would be a normal close. */
+    private static void expectReset(Socket socket) throws IOException {
+        int first = socket.getInputStream().read();
+        throw new AssertionError("read " + first + " after a reset");
+    }
+
+    @Test
+    public void refuseKeepsConnectionsAndRefusesNewOnes() throws Exception {
+        try (Socket socket = connect()) {
+            assertEquals(roundTrip(socket, 1), 1);
+            relay.refuse();
+            assertThrows(IOException.class, () -> connect().close());
+            assertEquals(roundTrip(socket, 2), 2);
+        }
+        relay.restore();
+        try (Socket socket = connect()) {
+            assertEquals(roundTrip(socket, 3), 3);
+        }
+    }
+}
