--- a/client/src/main/java/org/jujubefork/client/http/Transport.java
+++ b/client/src/main/java/org/jujubefork/client/http/Transport.java
@@ -72,10 +72,12 @@
     }
 
     /**
-     * Sends a request and reads the whole response body into memory.
+     * Sends a request and reads the whole response body into memory. An interrupt of the calling
+     * thread ends the call with an unknown outcome and stays set.
      *
      * @param request URI, method, headers and body; its timeout is overwritten
-     * @param timeout limit for the whole call, including the response body
+     * @param timeout limit for the whole call, including the response body; the call returns at
+     *     most 50 ms later
      */
     public CallResult call(HttpRequest.Builder request, Duration timeout) {
         HttpRequest limited = request.timeout(timeout).build();
@@ -92,7 +94,8 @@
      * Sends a request and passes the body of a response with status 200 to {@code sink}; the body
      * of any other response is read into memory.
      *
-     * <p>The sink may have received a part of the body when the result is {@code Unknown}.
+     * <p>The sink may have received a part of the body when the result is {@code Unknown}, and may
+     * still be in its last call. An interrupt acts as on {@link #call}.
      *
      * @param request URI, method, headers and body; its timeout is overwritten
      * @param sink receives the body
--- a/client/src/main/java/org/jujubefork/client/worker/CommandResult.java
+++ b/client/src/main/java/org/jujubefork/client/worker/CommandResult.java
@@ -11,7 +11,7 @@
     record NoSuchTask() implements CommandResult {}
 
     /**
-     * The worker obeys another epoch, or the lease under this one has lapsed.
+     * The worker obeys another epoch.
      *
      * @param current the epoch that the worker obeys
      */
--- a/standins/src/test/java/org/jujubefork/standins/fleet/Notes.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/Notes.java
@@ -41,6 +41,16 @@
         return new WorkerStep.Note(EventType.END, fields);
     }
 
+    /**
+     * Adds the time at which a task was due to end; the event itself comes later if the process of
+     * the worker was paused.
+     */
+    static WorkerStep.Note due(WorkerStep.Note end, long dueNanos) {
+        Map<String, Object> fields = new LinkedHashMap<>(end.fields());
+        fields.put("dueNanos", dueNanos);
+        return new WorkerStep.Note(end.type(), fields);
+    }
+
     static WorkerStep.Note refusal(
             WorkerState state, String command, String task, Epoch epoch, String reason) {
         Map<String, Object> fields = base(state);
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
@@ -62,6 +62,19 @@
                 LENIENT.apply(state, new WorkerCommand.Lease(lower, SECOND), 2), "STALE_EPOCH");
     }
 
+    /** An owner that must learn of a restart would step down if it were told of a stale epoch. */
+    @Test
+    public void workerThatLostItsEpochReportsItsIncarnation() {
+        WorkerState fresh = WorkerState.initial(Fleets.worker("w1"), 2);
+        assertRefused(LENIENT.apply(fresh, start("t", WorkKind.BATCH, ""), 0), "WRONG_INCARNATION");
+        assertRefused(
+                LENIENT.apply(fresh, new WorkerCommand.Renew(FIRST, SECOND, List.of()), 0),
+                "NO_LEASE");
+        assertRefused(
+                LENIENT.apply(fresh, new WorkerCommand.Stop(FIRST, TaskId.of("t")), 0),
+                "NO_SUCH_TASK");
+    }
+
     @Test
     public void usageLags() {
         WorkerState state = leased(0);
--- a/standins/src/test/java/org/jujubefork/standins/history/EventType.java
+++ b/standins/src/test/java/org/jujubefork/standins/history/EventType.java
@@ -4,6 +4,11 @@
 public enum EventType {
     /** A worker begins an incarnation without tasks; carries its capacity. */
     WORKER,
+    /**
+     * A worker's process was killed, which ends its tasks; written by the test that kills it,
+     * because a killed process records no ends.
+     */
+    WORKER_DOWN,
     /** A worker takes an epoch. */
     LEASE,
     /** A task starts. */
--- a/standins/src/test/java/org/jujubefork/standins/history/check/CheckersTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/history/check/CheckersTest.java
@@ -120,6 +120,18 @@
         assertEquals(new TeamLimitChecker(List.of(limit("t", 0, 10))).check(events), List.of());
     }
 
+    @Test
+    public void killedWorkerRunsNothing() {
+        List<HistoryEvent> events =
+                new Script()
+                        .start("w1", "a", "t", 10, job(0))
+                        .add(EventType.WORKER_DOWN, Map.of("worker", "w1"))
+                        .start("w2", "b", "t", 10, job(0))
+                        .events();
+        assertEquals(places.check(events), List.of());
+        assertEquals(new TeamLimitChecker(List.of(limit("t", 0, 10))).check(events), List.of());
+    }
+
     private static Map<String, Object> job(long index) {
         return Map.of("job", "j", "index", index, "attempt", 1L);
     }
