Make closing and opening a port again deterministic in the stand-ins

A restarted worker could fail to open its port, because the closed socket was still listening. Tests that follow a cut no longer depend on connections kept from before.

--- a/standins/src/test/java/org/jujubefork/standins/client/TransportTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/client/TransportTest.java
@@ -208,9 +208,11 @@
                                 RawServer.write(
                                         socket,
                                         "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart"))) {
+            long start = System.nanoTime();
             CallResult result =
                     transport.stream(post(server.address()), chunk -> {}, Duration.ofMillis(500));
             assertTrue(result instanceof CallResult.Unknown u && u.timeout(), result.toString());
+            assertTrue(System.nanoTime() - start < LONG.toNanos(), "the limit was not kept");
         }
     }
 
--- a/standins/src/test/java/org/jujubefork/standins/client/WorkerFaultsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/client/WorkerFaultsTest.java
@@ -69,6 +69,16 @@
         fleet.close();
     }
 
+    /**
+     * Opens a new transport. A call over a kept connection that the worker is closing has an
+     * unknown outcome, whatever else the worker would answer.
+     */
+    private void dropKeptConnections() {
+        transport.close();
+        transport = Transport.create(Duration.ofSeconds(10));
+        client = new WorkerClient(transport);
+    }
+
     @Test
     public void lostAnswerIsUnknownAndTheTaskRan() {
         fleet.loseAnswers("w1", 2);
@@ -81,6 +91,7 @@
     @Test
     public void cutWorkerIsNotConnectedUntilItIsRestored() throws Exception {
         fleet.cut("w1");
+        dropKeptConnections();
         StartResult result = start("t1");
         assertTrue(result instanceof StartResult.NotConnected, result.toString());
         assertTrue(
@@ -93,6 +104,17 @@
         assertEquals(start("t1"), new StartResult.Started());
     }
 
+    /** A port that was closed a moment ago can still be in use by the closed socket. */
+    @Test
+    public void workerCanBeRestartedManyTimes() throws Exception {
+        for (int i = 0; i < 50; i++) {
+            fleet.restart("w1");
+            dropKeptConnections();
+            LeaseResult result = client.lease(worker, FIRST, TTL, LONG);
+            assertTrue(result instanceof LeaseResult.Granted, result.toString());
+        }
+    }
+
     @Test
     public void cutDuringARequestIsUnknown() throws Exception {
         CompletableFuture<StartResult> call =
@@ -121,6 +143,7 @@
     public void restartLosesTasksAndChangesTheIncarnation() throws Exception {
         client.start(worker, FIRST, incarnation, task("s", WorkKind.SERVICE, ""), LONG);
         fleet.restart("w1");
+        dropKeptConnections();
         RenewResult renewed = client.renew(worker, FIRST, TTL, List.of(), LONG);
         long now = ((RenewResult.NoLease) renewed).incarnation();
         assertNotEquals(now, incarnation);
@@ -247,6 +270,7 @@
         assertEquals(control("/control/workers/w1/fail-starts?on=true"), 200);
         assertTrue(request("r1", "{}") instanceof StartResult.Ended);
         assertEquals(control("/control/workers/w1/cut"), 200);
+        dropKeptConnections();
         assertTrue(start("t3") instanceof StartResult.NotConnected);
         assertEquals(control("/control/workers/w1/restore"), 200);
         assertEquals(control("/control/workers/w1/restart"), 200);
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleet.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleet.java
@@ -69,7 +69,7 @@
     }
 
     /** Closes the worker's port and its connections; its tasks go on. */
-    public void cut(String worker) {
+    public void cut(String worker) throws IOException {
         worker(worker);
         server.cut(ports.get(worker));
     }
--- a/standins/src/test/java/org/jujubefork/standins/http/StandinServer.java
+++ b/standins/src/test/java/org/jujubefork/standins/http/StandinServer.java
@@ -15,6 +15,7 @@
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.jujubefork.standins.Ports;
 
 /**
  * An HTTP server with one primary port and any number of further ports, which share its selector
@@ -69,11 +70,12 @@
         return actual;
     }
 
-    /** Closes a further port and all connections to it. */
-    public void cut(int port) {
+    /** Closes a further port and all connections to it; returns when connects are refused. */
+    public void cut(int port) throws IOException {
         Connection<?> connection = bound.remove(port);
         if (connection != null) {
             listener.getTransport().unbind(connection);
+            Ports.awaitRefused(port);
         }
         connections.forEach(
                 (c, p) -> {
@@ -86,7 +88,7 @@
     /** Opens a port again after {@link #cut}. */
     public void restore(int port) throws IOException {
         if (!bound.containsKey(port)) {
-            bind(port, connectionLimits.get(port));
+            Ports.bindAgain(() -> bind(port, connectionLimits.get(port)));
         }
     }
 
--- a/standins/src/test/java/org/jujubefork/standins/process/TcpRelay.java
+++ b/standins/src/test/java/org/jujubefork/standins/process/TcpRelay.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import org.jujubefork.standins.Ports;
 
 /** Forwards connections from one loopback port to another and can disturb them. */
 public final class TcpRelay implements AutoCloseable {
@@ -43,18 +44,19 @@
         }
     }
 
-    /** Refuses new connections from now on; existing ones go on. */
+    /** Refuses new connections when this method returns; existing ones go on. */
     public synchronized void refuse() throws IOException {
         if (listener != null) {
             listener.close();
             listener = null;
+            Ports.awaitRefused(port);
         }
     }
 
     /** Accepts new connections again after {@link #refuse}. */
     public synchronized void restore() throws IOException {
         if (listener == null) {
-            listener = listen(port);
+            Ports.bindAgain(() -> listener = listen(port));
             accept(listener);
         }
     }
@@ -67,9 +69,14 @@
 
     private static ServerSocket listen(int port) throws IOException {
         ServerSocket socket = new ServerSocket();
-        socket.setReuseAddress(true);
-        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
-        return socket;
+        try {
+            socket.setReuseAddress(true);
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+            return socket;
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
     }
 
     private void accept(ServerSocket from) {
