Report unknown outcomes of repeated calls and check positions in large texts

A refusal after a broken connection was reported as not run, although the first attempt may have run. Documents larger than a value of the store are findings.

--- a/client/src/main/java/org/jujubefork/client/api/ApiClient.java
+++ b/client/src/main/java/org/jujubefork/client/api/ApiClient.java
@@ -84,7 +84,10 @@
         return call(ApiCall.get(ApiPaths.job(id)), JobView.class);
     }
 
-    /** Returns the job {@code id} at its end, or as it stands after {@code atMost}. */
+    /**
+     * Returns the job {@code id} at its end, or as it stands after {@code atMost}. An entry that
+     * leaves answers earlier with the job as it stands.
+     */
     public JobView await(String id, Duration atMost)
             throws ApiException,
                     NotReachableException,
--- a/client/src/main/java/org/jujubefork/client/api/ApiTransport.java
+++ b/client/src/main/java/org/jujubefork/client/api/ApiTransport.java
@@ -41,6 +41,9 @@
     /**
      * Sends {@code call} until an entry answers.
      *
+     * <p>A refusal with the outcome "not run" speaks of its own attempt only. If the outcome of an
+     * earlier attempt is unknown, that of the call is unknown too.
+     *
      * <p>The next entry is tried when no connection can be made. After a connection was made, the
      * call is sent again only if it is repeatable and the retry budget allows it; the same holds
      * for answers that say "not run" and name a time for a retry.
@@ -64,13 +67,12 @@
                 }
                 ApiException refused = new ApiException(response.statusCode(), error(response));
                 if (!mayRetry(call, refused) || !budget.tryRetry()) {
-                    throw refused;
+                    throw afterAttempts(sent, refused);
                 }
                 pauseMillis = Math.max(pauseMillis, refused.error().retryAfterMillis().orElse(0L));
                 if (remaining(deadline).toMillis() <= pauseMillis) {
-                    throw refused;
+                    throw afterAttempts(sent, refused);
                 }
-                sent = true;
                 TimeUnit.MILLISECONDS.sleep(pauseMillis);
                 continue;
             } catch (ConnectException | HttpConnectTimeoutException e) {
@@ -125,6 +127,13 @@
         return Duration.ofNanos(Math.max(1, deadline - System.nanoTime()));
     }
 
+    private static ApiException afterAttempts(boolean unknownBefore, ApiException refused) {
+        boolean notRun = OutcomeNames.parse(refused.error().outcome()) == Outcome.NOT_RUN;
+        return unknownBefore && notRun
+                ? new ApiException(refused.status(), refused.error().withOutcome(Outcome.UNKNOWN))
+                : refused;
+    }
+
     private static boolean mayRetry(ApiCall call, ApiException refused) {
         boolean temporary =
                 refused.status() == STATUS_TOO_MANY || refused.status() == STATUS_UNAVAILABLE;
--- a/client/src/main/java/org/jujubefork/client/api/ErrorView.java
+++ b/client/src/main/java/org/jujubefork/client/api/ErrorView.java
@@ -41,6 +41,12 @@
         return new ErrorView(code, message, outcome, Optional.of(millis), findings, changes);
     }
 
+    /** Returns this error with another outcome. */
+    public ErrorView withOutcome(Outcome newOutcome) {
+        return new ErrorView(
+                code, message, OutcomeNames.of(newOutcome), retryAfterMillis, findings, changes);
+    }
+
     /** Returns this error with findings. */
     public ErrorView withFindings(List<FindingView> newFindings) {
         return new ErrorView(code, message, outcome, retryAfterMillis, newFindings, changes);
--- a/client/src/main/java/org/jujubefork/client/api/OptionalModule.java
+++ b/client/src/main/java/org/jujubefork/client/api/OptionalModule.java
@@ -23,7 +23,8 @@
         addDeserializer(Optional.class, new Reader(null));
     }
 
-    @SuppressWarnings("rawtypes")
+    // Jackson hands over optionals of all types through the raw class.
+    @SuppressWarnings({"rawtypes", "unchecked"})
     private static final class Writer extends JsonSerializer<Optional> {
         @Override
         public void serialize(Optional value, JsonGenerator generator, SerializerProvider provider)
--- a/client/src/test/java/org/jujubefork/client/api/ApiClientTest.java
+++ b/client/src/test/java/org/jujubefork/client/api/ApiClientTest.java
@@ -148,6 +148,31 @@
         assertEquals(calls.get(), 3);
     }
 
+    /** A caller that took this refusal for "not run" would send the command a second time. */
+    @Test
+    public void aRefusalAfterABrokenConnectionLeavesTheOutcomeUnknown() throws Exception {
+        answer =
+                (exchange, call) -> {
+                    if (call == 1) {
+                        exchange.close();
+                    } else {
+                        ErrorView error = ErrorView.of(ErrorCodes.FORBIDDEN, "no", Outcome.NOT_RUN);
+                        reply(
+                                exchange,
+                                403,
+                                new String(ApiCodec.encode(error), StandardCharsets.UTF_8));
+                    }
+                };
+        try (ApiClient client = client(entry)) {
+            ApiException refused =
+                    expectThrows(ApiException.class, () -> client.command("q", "{}", "k1"));
+            assertEquals(refused.error().outcome(), "unknown");
+            ApiException first =
+                    expectThrows(ApiException.class, () -> client.command("q", "{}", "k2"));
+            assertEquals(first.error().outcome(), "not-run");
+        }
+    }
+
     /** Without the budget, 30 calls would be sent many times each to an overloaded cell. */
     @Test
     public void retriesStayWithinTheBudget() throws Exception {
--- a/config/src/main/java/org/jujubefork/config/cell/CellReader.java
+++ b/config/src/main/java/org/jujubefork/config/cell/CellReader.java
@@ -1,5 +1,6 @@
 package org.jujubefork.config.cell;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.jujubefork.config.source.Finding;
 import org.jujubefork.config.source.SourceMember;
 import org.jujubefork.config.source.SourceParser;
+import org.jujubefork.config.source.SourcePlace;
 import org.jujubefork.config.source.SourceText;
 import org.jujubefork.config.source.SourceValue;
 import org.jujubefork.core.configuration.Configuration;
@@ -112,6 +114,7 @@
             findings.addAll(overlay.findings());
             overlay.root().ifPresent(root -> checkOverlay(root, base.root(), findings::add));
         }
+        checkSize(document, base.file(), findings::add);
         findings.sort(
                 Comparator.comparing((Finding finding) -> !finding.file().equals(base.file()))
                         .thenComparing(Finding::file)
@@ -128,6 +131,22 @@
         return new CellReading(document, configurations, findings);
     }
 
+    private static void checkSize(
+            ConfigurationDocument document, String file, Consumer<Finding> findings) {
+        int size =
+                ConfigurationDocumentCodec.encode(document).getBytes(StandardCharsets.UTF_8).length;
+        if (size > ConfigurationDocumentCodec.MAX_BYTES) {
+            findings.accept(
+                    Finding.error(
+                            new SourcePlace(file, 1, 1, 0),
+                            "$",
+                            "base and overlays take "
+                                    + size
+                                    + " bytes in the store, more than "
+                                    + ConfigurationDocumentCodec.MAX_BYTES));
+        }
+    }
+
     private static Optional<SourceValue> siteOf(SourceText overlay) {
         return overlay.root()
                 .flatMap(root -> root.member("site"))
--- a/config/src/main/java/org/jujubefork/config/cell/ConfigurationDocumentCodec.java
+++ b/config/src/main/java/org/jujubefork/config/cell/ConfigurationDocumentCodec.java
@@ -7,6 +7,9 @@
 
 /** The JSON form of {@link ConfigurationDocument}. Equal documents have equal forms. */
 public final class ConfigurationDocumentCodec {
+    /** Largest JSON form in bytes; the store takes values of up to 1 MB. */
+    public static final int MAX_BYTES = 1_000_000;
+
     private static final JsonMapper MAPPER =
             JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
--- a/config/src/main/java/org/jujubefork/config/edit/BaseEditor.java
+++ b/config/src/main/java/org/jujubefork/config/edit/BaseEditor.java
@@ -77,7 +77,7 @@
     /**
      * Returns {@code base} with a new or changed team.
      *
-     * @throws EditException if the syntax is wrong or a new team lacks weight or limit
+     * @throws EditException if the syntax is wrong, or if the team lacks weight or limit
      */
     public static String setTeam(String base, TeamEdit edit) throws EditException {
         BaseEditor editor = parse(base);
@@ -145,12 +145,21 @@
 
     private void changeTeam(SourceValue team, TeamEdit edit) throws EditException {
         if (edit.weight().isPresent()) {
+            if (team.member("weight").isEmpty()) {
+                throw new EditException("the team \"" + edit.name() + "\" has no weight");
+            }
             set(team, "weight", number(edit.weight().getAsDouble()));
         }
         Optional<SourceValue> limit = team.member("limit");
         if (limit.isEmpty()) {
             throw new EditException("the team \"" + edit.name() + "\" has no limit to change");
         }
+        for (String resource : List.of("cpuMillis", "memoryMb")) {
+            if (limit.get().member(resource).isEmpty()) {
+                throw new EditException(
+                        "the limit of the team \"" + edit.name() + "\" has no " + resource);
+            }
+        }
         setIfPresent(limit.get(), "cpuMillis", edit.cpuMillis());
         setIfPresent(limit.get(), "memoryMb", edit.memoryMb());
         setIfPresent(limit.get(), "accelerators", edit.accelerators());
--- a/config/src/main/java/org/jujubefork/config/package-info.java
+++ b/config/src/main/java/org/jujubefork/config/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder. */
+/** Settings files: read with all findings, merged, compared, edited in place and documented. */
 package org.jujubefork.config;
--- a/config/src/main/java/org/jujubefork/config/source/SourceParser.java
+++ b/config/src/main/java/org/jujubefork/config/source/SourceParser.java
@@ -55,24 +55,32 @@
     private SourceText parse() {
         Optional<SourceValue> root = Optional.empty();
         try (JsonParser parser = FACTORY.createParser(text)) {
-            if (parser.nextToken() == null) {
-                addError(new SourcePlace(file, 1, 1, 0), "the text is empty");
-            } else {
-                SourceValue value = value(parser, "$");
-                if (parser.nextToken() == null) {
-                    root = Optional.of(value);
-                } else {
-                    addError(tokenPlace(parser), "text follows after the end of the document");
-                }
+            try {
+                root = root(parser);
+            } catch (JsonProcessingException e) {
+                // A text that is nested too deeply is reported without a location.
+                JsonLocation location = e.getLocation();
+                addError(place(location == null ? parser.currentLocation() : location), message(e));
             }
-        } catch (JsonProcessingException e) {
-            addError(place(e.getLocation()), message(e));
         } catch (IOException e) {
             throw new UncheckedIOException("reading a string failed", e);
         }
         return new SourceText(file, text, root, findings);
     }
 
+    private Optional<SourceValue> root(JsonParser parser) throws IOException {
+        if (parser.nextToken() == null) {
+            addError(new SourcePlace(file, 1, 1, 0), "the text is empty");
+            return Optional.empty();
+        }
+        SourceValue value = value(parser, "$");
+        if (parser.nextToken() != null) {
+            addError(tokenPlace(parser), "text follows after the end of the document");
+            return Optional.empty();
+        }
+        return Optional.of(value);
+    }
+
     private void addError(SourcePlace place, String message) {
         findings.add(Finding.error(place, "$", message));
     }
@@ -80,7 +88,9 @@
     private String message(JsonProcessingException e) {
         boolean atEnd =
                 e instanceof JsonEOFException
-                        || e.getLocation().getCharOffset() >= text.stripTrailing().length();
+                        || (e.getLocation() != null
+                                && e.getLocation().getCharOffset()
+                                        >= text.stripTrailing().length());
         if (atEnd && !open.isEmpty()) {
             SourcePlace start = open.peek();
             return "the text ends inside the object or array that starts at line "
--- a/config/src/test/java/org/jujubefork/config/cell/CellReaderTest.java
+++ b/config/src/test/java/org/jujubefork/config/cell/CellReaderTest.java
@@ -169,6 +169,13 @@
         assertEquals(reading.findings().size(), 5, reading.findings().toString());
     }
 
+    /** The store would refuse the value, after operators were told that the texts are right. */
+    @Test
+    public void textsThatTheStoreCannotHoldAreFound() {
+        CellReading reading = read(BASE + "// " + "x".repeat(1_000_000));
+        assertFinding(reading, "base.jsonc:1:1: error: $: base and overlays take 100");
+    }
+
     /** A text that an editor or a full disk cut off must never be taken for a whole one. */
     @Test
     public void everyTruncationIsFound() {
--- a/config/src/test/java/org/jujubefork/config/edit/BaseEditorTest.java
+++ b/config/src/test/java/org/jujubefork/config/edit/BaseEditorTest.java
@@ -86,6 +86,12 @@
                         .replace("\"memoryMb\": 6", "\"memoryMb\": 60"));
     }
 
+    @Test
+    public void anIncompleteTeamIsNotEdited() {
+        String base = "{\"teams\": [{\"name\": \"a\", \"weight\": 1, \"limit\": {}}]}";
+        expectThrows(EditException.class, () -> BaseEditor.setTeam(base, team("a", 1, 2, 3)));
+    }
+
     @Test
     public void aTakenIdIsRefused() {
         expectThrows(EditException.class, () -> BaseEditor.addKey(BASE, "k1", "b", "9"));
--- a/ctl/src/main/java/org/jujubefork/ctl/caller/RunCommands.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/caller/RunCommands.java
@@ -34,6 +34,10 @@
     private static final String WAIT = "wait-seconds";
     private static final long DEFAULT_WAIT_SECONDS = 60;
     private static final long LONGEST_WAIT_SECONDS = 86_400;
+
+    /** Time before the next entry is asked after one that left ended the wait early. */
+    private static final Duration PAUSE = Duration.ofMillis(500);
+
     private static final long MAX_TASKS = 1_000_000;
     private static final long MAX_AMOUNT = 10_000_000_000L;
 
@@ -172,9 +176,16 @@
                         invocation
                                 .number(WAIT, 1, LONGEST_WAIT_SECONDS)
                                 .orElse(DEFAULT_WAIT_SECONDS));
+        long deadline = System.nanoTime() + atMost.toNanos();
         JobView job;
         try (ApiClient client = invocation.connect()) {
             job = client.await(invocation.arguments().getFirst(), atMost);
+            Duration left = Duration.ofNanos(deadline - System.nanoTime());
+            while (!job.state().isFinal() && left.compareTo(PAUSE) > 0) {
+                Thread.sleep(PAUSE);
+                job = client.await(job.id(), left.minus(PAUSE));
+                left = Duration.ofNanos(deadline - System.nanoTime());
+            }
         }
         print(invocation.console(), job);
         return job.state() == JobView.State.SUCCEEDED ? ExitCode.OK : ExitCode.FAILED;
--- a/ctl/src/test/java/org/jujubefork/ctl/caller/JujubeRunTest.java
+++ b/ctl/src/test/java/org/jujubefork/ctl/caller/JujubeRunTest.java
@@ -63,6 +63,16 @@
         assertTrue(result.err().contains("retry after 60000 ms"), result.err());
     }
 
+    /** An entry that leaves ends the wait early; the job is then still running. */
+    @Test
+    public void waitingGoesOnAfterAnEarlyAnswer() {
+        cell.answer(
+                Map.of("GET /v1/jobs/j1/wait?timeoutMillis=2000", job(JobView.State.RUNNING, "")));
+        SimulatedCell.Result result = run("wait", "j1", "--wait-seconds", "2");
+        assertEquals(result.code(), ExitCode.FAILED);
+        assertEquals(cell.calls().size(), 2, cell.calls().toString());
+    }
+
     @Test
     public void jobsAreSubmittedQueriedAwaitedAndCancelled() {
         cell.answer(
