--- a/config/src/main/java/org/jujubefork/config/cell/ConfigurationDocument.java
+++ b/config/src/main/java/org/jujubefork/config/cell/ConfigurationDocument.java
@@ -1,7 +1,6 @@
 package org.jujubefork.config.cell;
 
 import java.util.Collections;
-import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -43,16 +42,4 @@
     public ConfigurationDocument withBase(String newBase) {
         return new ConfigurationDocument(version, newBase, overlays);
     }
-
-    /** Returns the base text under the name that findings use, {@code base.jsonc}. */
-    public NamedText namedBase() {
-        return NamedText.of("base.jsonc", base);
-    }
-
-    /** Returns the overlay texts under the names that findings use, {@code SITE.jsonc}. */
-    public List<NamedText> namedOverlays() {
-        return overlays.entrySet().stream()
-                .map(entry -> NamedText.of(entry.getKey() + ".jsonc", entry.getValue()))
-                .toList();
-    }
 }
