--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -24,6 +24,7 @@
 import org.jujubefork.entry.http.ConfigurationEndpoint;
 import org.jujubefork.entry.http.Exchange;
 import org.jujubefork.entry.http.HttpFrontEnd;
+import org.jujubefork.entry.http.JobEndpoint;
 import org.jujubefork.entry.http.OperatorAccess;
 import org.jujubefork.entry.http.RequestEndpoint;
 import org.jujubefork.entry.http.RequestIds;
@@ -142,8 +143,15 @@
                                 context.configuration(),
                                 loop::state),
                         access);
+        RequestIds ids = RequestIds.of(context.id());
+        JobEndpoint jobs =
+                new JobEndpoint(ids, context.registry(), loop::state, context.clock(), loop);
         return List.of(
-                Route.open(Method.POST, ApiPaths.QUEUES, "/requests", requests(context)),
+                Route.open(Method.POST, ApiPaths.QUEUES, "/requests", requests(context, ids)),
+                Route.exact(Method.POST, ApiPaths.JOBS, jobs::submit),
+                Route.open(Method.GET, ApiPaths.JOBS + "/", "/wait", jobs::await),
+                Route.open(Method.GET, ApiPaths.JOBS + "/", "", jobs::show),
+                Route.open(Method.DELETE, ApiPaths.JOBS + "/", "", jobs::cancel),
                 Route.exact(Method.GET, ApiPaths.CONFIG, access.protect(configuration::show)),
                 Route.exact(Method.PUT, ApiPaths.CONFIG, configuration::apply),
                 Route.exact(Method.GET, "/metrics", (e, v) -> metrics(e, context.metrics())),
@@ -151,9 +159,9 @@
                 Route.exact(Method.GET, "/readyz", (e, v) -> ready(e)));
     }
 
-    private RequestEndpoint requests(DaemonContext context) {
+    private RequestEndpoint requests(DaemonContext context, RequestIds ids) {
         return new RequestEndpoint(
-                RequestIds.of(context.id()),
+                ids,
                 context.registry(),
                 loop::state,
                 context.clock(),
--- a/entry/src/main/java/org/jujubefork/entry/answers/AnswerChannel.java
+++ b/entry/src/main/java/org/jujubefork/entry/answers/AnswerChannel.java
@@ -34,7 +34,9 @@
     @SuppressWarnings("ArrayRecordComponent") // bodies are not copied
     private record Part(byte[] bytes, Runnable taken) {}
 
-    private static final Runnable NOTHING = () -> {};
+    private static void ignore() {}
+
+    private static final Runnable NOTHING = AnswerChannel::ignore;
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition changed = lock.newCondition();
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/CallerAccess.java
@@ -0,0 +1,36 @@
+package org.jujubefork.entry.http;
+
+import java.util.Optional;
+import org.jujubefork.config.edit.AccessKeys;
+import org.jujubefork.core.configuration.KeyGrant;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.membership.Freshness;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.TeamId;
+
+/** Checks the key of a caller who asks about work of a team. */
+final class CallerAccess {
+    private CallerAccess() {}
+
+    /**
+     * Returns why the caller may not see work of {@code team}, or {@link RefusalReason#NONE}.
+     * Operators see all work.
+     */
+    static RefusalReason check(State state, Optional<String> accessKey, TeamId team) {
+        if (!Freshness.isFresh(state)) {
+            return RefusalReason.CONFIGURATION_NOT_FRESH;
+        }
+        if (accessKey.isEmpty()) {
+            return RefusalReason.KEY_MISSING;
+        }
+        Optional<KeyGrant> grant =
+                accessKey
+                        .map(AccessKeys::hash)
+                        .flatMap(h -> state.configuration().flatMap(c -> c.key(h)));
+        if (grant.isEmpty()) {
+            return RefusalReason.KEY_UNKNOWN;
+        }
+        boolean allowed = grant.get().isOperator() || grant.get().team().equals(Optional.of(team));
+        return allowed ? RefusalReason.NONE : RefusalReason.WRONG_TEAM;
+    }
+}
