--- /dev/null
+++ b/bench/src/main/java/org/jujubefork/bench/Bench.java
@@ -0,0 +1,37 @@
+package org.jujubefork.bench;
+
+import java.util.Arrays;
+
+/** Runs benchmarks and reports; started by {@code bin/jujube-bench}. */
+public final class Bench {
+    private static final int USAGE_ERROR = 2;
+
+    private Bench() {}
+
+    /**
+     * Runs the subcommand in the first argument.
+     *
+     * @param arguments subcommand and its flags
+     * @throws Exception if a benchmark cannot be run or a report cannot be written
+     */
+    public static void main(String[] arguments) throws Exception {
+        String command = arguments.length == 0 ? "" : arguments[0];
+        String[] rest = arguments.length == 0 ? arguments : tail(arguments);
+        int status =
+                switch (command) {
+                    case "decisions" -> Decisions.run(rest);
+                    default -> usage();
+                };
+        System.exit(status);
+    }
+
+    private static String[] tail(String[] arguments) {
+        return Arrays.copyOfRange(arguments, 1, arguments.length);
+    }
+
+    private static int usage() {
+        System.err.println("usage: jujube-bench decisions [--main]");
+        System.err.println("       jujube-bench policies [--seed N] [--out FILE]");
+        return USAGE_ERROR;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/jujubefork/bench/DecisionBenchmark.java
@@ -0,0 +1,168 @@
+package org.jujubefork.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jujubefork.core.control.Reducer;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.event.TaskEvent;
+import org.jujubefork.core.event.Tick;
+import org.jujubefork.core.model.EndReason;
+import org.jujubefork.core.model.EndedTask;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.ReportedTask;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.core.model.WorkerReport;
+import org.jujubefork.core.placement.QueuedWork;
+import org.jujubefork.core.placement.RunningTask;
+import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.WorkerState;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.pcollections.TreePVector;
+
+/** Measures decisions of the reducer on one thread. */
+@org.openjdk.jmh.annotations.State(Scope.Thread)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+public class DecisionBenchmark {
+    private static final int BACKLOG_PER_TEAM = 20;
+    private static final Resources BATCH_SIZE = Resources.of(2_000, 8_000, 0);
+
+    /** Workers of the cell. */
+    @Param("1100")
+    public int workers;
+
+    /** Running tasks of the cell. */
+    @Param("11000")
+    public int tasks;
+
+    /** Teams of the cell. */
+    @Param("36")
+    public int teams;
+
+    /** Shards of the cell, of which one is owned. */
+    @Param("1")
+    public int shards;
+
+    private State idle;
+    private State full;
+    private List<WorkerId> workerIds;
+    private long counter;
+
+    /** Builds a state with room and a state in which batch tasks of all teams wait. */
+    @Setup
+    public void setUp() {
+        idle = new Fixture(workers, tasks, teams, shards).state();
+        workerIds = new ArrayList<>(owned(idle).workers().keySet());
+        State filling = idle;
+        for (int i = 0; i < teams * BACKLOG_PER_TEAM + 3 * workers; i++) {
+            filling = enqueue(filling);
+        }
+        full = filling;
+        for (int i = 0; i < 200; i++) {
+            full = Reducer.reduce(full, new Tick(Fixture.NOW_MILLIS, i)).state();
+        }
+    }
+
+    private static ShardState owned(State state) {
+        return state.shards().firstEntry().getValue();
+    }
+
+    private State enqueue(State state) {
+        int team = (int) (counter++ % teams);
+        ShardState shard = owned(state);
+        QueuedWork work =
+                new QueuedWork.Task(
+                        JobId.of("bench-" + counter),
+                        0,
+                        1,
+                        Fixture.team(team),
+                        Fixture.batch(team),
+                        WorkKind.BATCH,
+                        BATCH_SIZE,
+                        "",
+                        Fixture.NOW_MILLIS);
+        return state.withShard(shard.withQueue(shard.queue().plus(work)));
+    }
+
+    /** A request arrives, is placed and ends, while workers have room. */
+    @Benchmark
+    public Transition request() {
+        counter++;
+        Transition placed =
+                Reducer.reduce(
+                        idle,
+                        new RequestEvent.RequestArrived(
+                                Fixture.NOW_MILLIS,
+                                RequestId.of("request-" + counter),
+                                Fixture.lookups((int) (counter % teams)),
+                                Optional.empty(),
+                                Optional.empty(),
+                                0));
+        WorkerEffect.StartTask start = started(placed);
+        Transition ended =
+                Reducer.reduce(
+                        placed.state(),
+                        new TaskEvent.RequestFinished(
+                                Fixture.NOW_MILLIS, start.worker(), start.task().id(), true, 100));
+        idle = ended.state();
+        return ended;
+    }
+
+    /**
+     * A worker of a full fleet reports the end of a batch task, and a waiting one takes its room.
+     */
+    @Benchmark
+    public Transition batchOnFullFleet() {
+        WorkerId id = workerIds.get((int) (counter % workerIds.size()));
+        ShardState shard = owned(full);
+        WorkerState worker = shard.workers().get(id);
+        List<ReportedTask> running = new ArrayList<>();
+        EndedTask ended = null;
+        for (TaskId task : worker.tasks()) {
+            RunningTask known = shard.tasks().get(task);
+            if (ended == null && known.spec().size().equals(BATCH_SIZE)) {
+                ended = new EndedTask(known.spec(), EndReason.SUCCEEDED, "", 1);
+            } else {
+                running.add(new ReportedTask(known.spec(), known.spec().size(), 0.5));
+            }
+        }
+        State queued = enqueue(full);
+        WorkerReport report =
+                new WorkerReport(
+                        1,
+                        false,
+                        Fixture.WORKER,
+                        worker.slots(),
+                        TreePVector.from(running),
+                        ended == null ? TreePVector.empty() : TreePVector.singleton(ended));
+        Transition result =
+                Reducer.reduce(
+                        queued,
+                        new FleetEvent.LeaseGranted(
+                                Fixture.NOW_MILLIS, id, shard.epoch(), Fixture.NOW_MILLIS, report));
+        full = result.state();
+        return result;
+    }
+
+    private static WorkerEffect.StartTask started(Transition transition) {
+        for (var effect : transition.effects()) {
+            if (effect instanceof WorkerEffect.StartTask start) {
+                return start;
+            }
+        }
+        throw new IllegalStateException("nothing was placed: " + transition.effects());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/jujubefork/bench/Decisions.java
@@ -0,0 +1,106 @@
+package org.jujubefork.bench;
+
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.results.Result;
+import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.Options;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.openjdk.jmh.runner.options.TimeValue;
+import org.openjdk.jmh.runner.options.VerboseMode;
+
+/** Runs the benchmarks of decisions and prints one line per benchmark and size. */
+final class Decisions {
+    private static final double MICROS_PER_SECOND = 1_000_000;
+
+    /**
+     * A size of the cell.
+     *
+     * @param workers workers
+     * @param tasks running tasks
+     * @param teams teams
+     * @param shards shards
+     */
+    private record Size(int workers, int tasks, int teams, int shards) {}
+
+    private static final Size[] SIZES = {
+        new Size(1_100, 11_000, 36, 1),
+        new Size(1_100, 11_000, 36, 7),
+        new Size(100, 1_000, 36, 1),
+        new Size(400, 4_000, 36, 1),
+        new Size(700, 7_000, 36, 1),
+        new Size(1_100, 3_300, 36, 1),
+        new Size(1_100, 6_600, 36, 1),
+        new Size(1_100, 11_000, 6, 1),
+        new Size(1_100, 11_000, 18, 1),
+    };
+
+    private Decisions() {}
+
+    static int run(String[] arguments) throws RunnerException {
+        int sizes = arguments.length > 0 && arguments[0].equals("--main") ? 2 : SIZES.length;
+        System.out.println(
+                "benchmark workers tasks teams shards ops/s mean_us p50_us p99_us max_us bytes/op");
+        for (int i = 0; i < sizes; i++) {
+            Size size = SIZES[i];
+            for (RunResult result : new Runner(options(size)).run()) {
+                print(size, result);
+            }
+        }
+        return 0;
+    }
+
+    private static Options options(Size size) {
+        return new OptionsBuilder()
+                .include(DecisionBenchmark.class.getName())
+                .param("workers", String.valueOf(size.workers()))
+                .param("tasks", String.valueOf(size.tasks()))
+                .param("teams", String.valueOf(size.teams()))
+                .param("shards", String.valueOf(size.shards()))
+                .mode(Mode.SampleTime)
+                .timeUnit(TimeUnit.MICROSECONDS)
+                .addProfiler(GCProfiler.class)
+                .threads(1)
+                .forks(1)
+                .warmupIterations(2)
+                .warmupTime(TimeValue.seconds(1))
+                .measurementIterations(3)
+                .measurementTime(TimeValue.seconds(1))
+                .jvmArgs("-Xmx2g")
+                .verbosity(VerboseMode.SILENT)
+                .build();
+    }
+
+    private static void print(Size size, RunResult result) {
+        Result<?> primary = result.getPrimaryResult();
+        double mean = primary.getScore();
+        double bytes =
+                result.getSecondaryResults().entrySet().stream()
+                        .filter(e -> e.getKey().endsWith("gc.alloc.rate.norm"))
+                        .map(e -> e.getValue().getScore())
+                        .findFirst()
+                        .orElse(Double.NaN);
+        System.out.printf(
+                Locale.ROOT,
+                "%s %d %d %d %d %.0f %.1f %.1f %.1f %.1f %.0f%n",
+                shortName(result.getParams().getBenchmark()),
+                size.workers(),
+                size.tasks(),
+                size.teams(),
+                size.shards(),
+                MICROS_PER_SECOND / mean,
+                mean,
+                primary.getStatistics().getPercentile(50),
+                primary.getStatistics().getPercentile(99),
+                primary.getStatistics().getMax(),
+                bytes);
+    }
+
+    private static String shortName(String benchmark) {
+        return benchmark.substring(benchmark.lastIndexOf('.') + 1);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/jujubefork/bench/Fixture.java
@@ -0,0 +1,212 @@
+package org.jujubefork.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.configuration.Queue;
+import org.jujubefork.core.configuration.Team;
+import org.jujubefork.core.configuration.Tuning;
+import org.jujubefork.core.control.EntryIdentity;
+import org.jujubefork.core.control.Reducer;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Timing;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.event.Tick;
+import org.jujubefork.core.membership.MemberRow;
+import org.jujubefork.core.membership.ShardSummary;
+import org.jujubefork.core.membership.TeamLoad;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.JobTask;
+import org.jujubefork.core.model.Location;
+import org.jujubefork.core.model.QueueId;
+import org.jujubefork.core.model.ReportedTask;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.TaskSpec;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.core.model.WorkerListing;
+import org.jujubefork.core.model.WorkerReport;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.PSortedMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePVector;
+
+/**
+ * The state of an entry that owns one shard of a running cell.
+ *
+ * @param workers workers of the cell
+ * @param tasks running tasks of the cell
+ * @param teams teams of the cell
+ * @param shards shards of the cell, of which this entry owns the first
+ */
+record Fixture(int workers, int tasks, int teams, int shards) {
+    /** What each worker holds. */
+    static final Resources WORKER = Resources.of(30_000, 130_000, 2);
+
+    /** Time of the events of a benchmark; members heard from at this time stay alive. */
+    static final long NOW_MILLIS = 10_000;
+
+    private static final int SLOTS = 8;
+    private static final int WORKERS_PER_RACK = 8;
+    private static final int ZONES_PER_REGION = 4;
+
+    static TeamId team(int index) {
+        return TeamId.of("team-" + index);
+    }
+
+    static QueueId lookups(int team) {
+        return QueueId.of("lookup-" + team);
+    }
+
+    static QueueId batch(int team) {
+        return QueueId.of("batch-" + team);
+    }
+
+    /** Returns the state after all workers granted their leases and reported their tasks. */
+    State state() {
+        EntryIdentity self =
+                new EntryIdentity(new EntryId("entry-0", 1), location(0, 0), "h:1", "p:1");
+        State state = State.initial(self, Timing.DEFAULT, 0).withConfiguration(configuration());
+        state = Reducer.reduce(state, new FleetEvent.WorkersListed(0, listings())).state();
+        state = Reducer.reduce(state, gossip(NOW_MILLIS - 500)).state();
+        state = Reducer.reduce(state, new Tick(NOW_MILLIS - 500, 1)).state();
+        Transition claimed = Reducer.reduce(state, new Tick(NOW_MILLIS, 1));
+        state = claimed.state();
+        int next = 0;
+        for (var effect : claimed.effects()) {
+            if (effect instanceof WorkerEffect.AcquireLease lease) {
+                WorkerReport report =
+                        new WorkerReport(
+                                1, false, WORKER, SLOTS, running(next), TreePVector.empty());
+                next++;
+                state =
+                        Reducer.reduce(
+                                        state,
+                                        new FleetEvent.LeaseGranted(
+                                                NOW_MILLIS,
+                                                lease.worker(),
+                                                lease.epoch(),
+                                                NOW_MILLIS,
+                                                report))
+                                .state();
+            }
+        }
+        return state;
+    }
+
+    private Configuration configuration() {
+        PMap<TeamId, Team> teamMap = HashTreePMap.empty();
+        PMap<QueueId, Queue> queues = HashTreePMap.empty();
+        for (int i = 0; i < teams; i++) {
+            Resources limit = Resources.of(1_000_000_000, 1_000_000_000, 1_000_000);
+            teamMap = teamMap.plus(team(i), new Team(team(i), 1 + i % 3, limit));
+            queues =
+                    queues.plus(lookups(i), queue(lookups(i), i, WorkKind.LOOKUP))
+                            .plus(batch(i), queue(batch(i), i, WorkKind.BATCH));
+        }
+        return new Configuration(
+                1,
+                "bench",
+                shards,
+                1,
+                720,
+                teamMap,
+                queues,
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                Tuning.DEFAULT);
+    }
+
+    private static Queue queue(QueueId id, int team, WorkKind kind) {
+        return new Queue(
+                id, team(team), true, kind, Resources.of(100, 128, 0), false, 600_000, 10_000);
+    }
+
+    private static Location location(int zone, int worker) {
+        return new Location(
+                "region-" + zone / ZONES_PER_REGION,
+                "zone-" + zone,
+                "rack-" + zone + "-" + worker / WORKERS_PER_RACK);
+    }
+
+    private PVector<WorkerListing> listings() {
+        List<WorkerListing> listings = new ArrayList<>();
+        for (int i = 0; i < workers; i++) {
+            int zone = i % shards;
+            listings.add(
+                    new WorkerListing(
+                            WorkerId.of("worker-" + i),
+                            "10.0.0.1:" + i,
+                            location(zone, i / shards),
+                            WORKER,
+                            SLOTS,
+                            false));
+        }
+        return TreePVector.from(listings);
+    }
+
+    private PVector<ReportedTask> running(int worker) {
+        int perWorker = Math.max(1, tasks / workers);
+        Resources size = Resources.of(25_000 / perWorker, 100_000 / perWorker, 0);
+        List<ReportedTask> running = new ArrayList<>();
+        for (int i = 0; i < perWorker; i++) {
+            int number = worker * perWorker + i;
+            int team = number % teams;
+            WorkKind kind = i % 5 == 0 ? WorkKind.SERVICE : WorkKind.BATCH;
+            TaskSpec spec =
+                    new TaskSpec(
+                            TaskId.of("task-" + number),
+                            team(team),
+                            batch(team),
+                            kind,
+                            size,
+                            Optional.of(new JobTask(JobId.of("job-" + number), 0, 1)),
+                            "");
+            running.add(new ReportedTask(spec, size, 0.5));
+        }
+        return TreePVector.from(running);
+    }
+
+    private MembershipEvent.GossipReceived gossip(long atMillis) {
+        List<MemberRow> rows = new ArrayList<>();
+        for (int i = 1; i < shards; i++) {
+            EntryId id = new EntryId("entry-" + i, 1);
+            PSortedMap<ShardId, ShardSummary> owned =
+                    TreePMap.singleton(ShardId.of("zone-" + i), summary(id));
+            rows.add(
+                    new MemberRow(
+                            id, location(i, 0), "h:" + i, "p:" + i, 1, 1, true, false, owned));
+        }
+        return new MembershipEvent.GossipReceived(
+                atMillis, new EntryId("entry-1", 1), TreePVector.from(rows));
+    }
+
+    private ShardSummary summary(EntryId owner) {
+        PSortedMap<TeamId, TeamLoad> loads = TreePMap.empty();
+        for (int i = 0; i < teams; i++) {
+            loads = loads.plus(team(i), new TeamLoad(WORKER, Resources.ZERO, 0));
+        }
+        int count = workers / shards;
+        return new ShardSummary(
+                Epoch.of(1, owner),
+                count,
+                count,
+                0,
+                WORKER.times(count),
+                WORKER,
+                WORKER,
+                loads,
+                Optional.empty());
+    }
+}
