--- a/core/src/main/java/org/jujubefork/core/control/Reducer.java
+++ b/core/src/main/java/org/jujubefork/core/control/Reducer.java
@@ -18,6 +18,8 @@
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.ownership.Ownership;
 import org.jujubefork.core.placement.Admission;
+import org.jujubefork.core.placement.FleetTotals;
+import org.jujubefork.core.placement.Reclaim;
 import org.jujubefork.core.placement.Scheduler;
 import org.jujubefork.core.placement.ShardState;
 import org.jujubefork.core.placement.Tasks;
@@ -38,7 +40,18 @@
     public static Transition reduce(State state, Event event) {
         State timed = state.at(event.atMillis());
         Transition reduced = dispatch(timed, event);
-        return placeWaiting(state, reduced, event instanceof Tick);
+        boolean tick = event instanceof Tick;
+        return placeWaiting(withTotals(state, reduced, event), tick);
+    }
+
+    /** Sums the shards of other entries anew where the event can have changed the sums. */
+    private static Transition withTotals(State before, Transition reduced, Event event) {
+        State after = reduced.state();
+        boolean changed =
+                event instanceof Tick
+                        || event instanceof MembershipEvent.GossipReceived
+                        || before.shards().size() != after.shards().size();
+        return changed ? reduced.withState(after.withTotals(FleetTotals.of(after))) : reduced;
     }
 
     private static Transition dispatch(State state, Event event) {
@@ -63,28 +76,26 @@
         Transition result =
                 Transition.of(state).then(Ownership::tick).then(Workers::tick).then(Requests::tick);
         for (ShardId shard : state.shards().keySet()) {
-            result =
-                    result.then(
-                            s ->
-                                    s.shards().containsKey(shard)
-                                            ? Admission.expire(s, shard)
-                                            : Transition.of(s));
+            result = result.then(s -> tickShard(s, shard));
         }
         return result.then(s -> Membership.tick(s, tick));
     }
 
+    private static Transition tickShard(State state, ShardId shard) {
+        return state.shards().containsKey(shard)
+                ? Admission.expire(state, shard)
+                        .then(s -> Scheduler.tick(s, shard))
+                        .then(s -> Reclaim.tick(s, shard))
+                : Transition.of(state);
+    }
+
     /** Runs the scheduler for shards in which something waits and something relevant changed. */
-    private static Transition placeWaiting(State before, Transition reduced, boolean always) {
+    private static Transition placeWaiting(Transition reduced, boolean always) {
         Transition result = reduced;
         for (ShardState shard : reduced.state().shards().values()) {
-            if (shard.queue().size() == 0) {
-                continue;
-            }
-            ShardState old = before.shards().get(shard.id());
-            boolean changed =
-                    old == null || old.queue() != shard.queue() || old.index() != shard.index();
-            if (always || changed) {
-                result = result.then(s -> Scheduler.run(s, shard.id()));
+            boolean changed = shard.scheduling().recheck() || !shard.queue().ready().isEmpty();
+            if (shard.queue().size() > 0 && (always || changed)) {
+                result = result.then(s -> Scheduler.run(s, shard.id(), always));
             }
         }
         return result;
--- a/core/src/main/java/org/jujubefork/core/control/State.java
+++ b/core/src/main/java/org/jujubefork/core/control/State.java
@@ -9,6 +9,7 @@
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.ownership.FleetState;
 import org.jujubefork.core.ownership.OwnershipState;
+import org.jujubefork.core.placement.FleetTotals;
 import org.jujubefork.core.placement.RunningTask;
 import org.jujubefork.core.placement.ShardState;
 import org.jujubefork.core.requests.RequestTable;
@@ -31,6 +32,7 @@
  * @param requests requests that callers sent to this entry
  * @param jobs jobs of the cell
  * @param draining whether this entry is stopping
+ * @param totals sums over the shards of other entries
  */
 public record State(
         EntryIdentity self,
@@ -45,7 +47,8 @@
         LimitState limits,
         RequestTable requests,
         JobTable jobs,
-        boolean draining) {
+        boolean draining,
+        FleetTotals totals) {
     /** Returns the state of an entry that has just started. */
     public static State initial(EntryIdentity self, Timing timing, long nowMillis) {
         return new State(
@@ -61,7 +64,8 @@
                 LimitState.EMPTY,
                 RequestTable.EMPTY,
                 JobTable.EMPTY,
-                false);
+                false,
+                FleetTotals.NONE);
     }
 
     /** Returns this state at {@code millis}, or as it is if that lies before its time. */
@@ -81,7 +85,8 @@
                         limits,
                         requests,
                         jobs,
-                        draining);
+                        draining,
+                        totals);
     }
 
     /** Returns this state with {@code value} in force. */
@@ -99,7 +104,8 @@
                 limits,
                 requests,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with other membership. */
@@ -117,7 +123,8 @@
                 limits,
                 requests,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with another fleet. */
@@ -135,7 +142,8 @@
                 limits,
                 requests,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with other knowledge of owners. */
@@ -153,7 +161,8 @@
                 limits,
                 requests,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with {@code shard} added or replaced. */
@@ -176,7 +185,8 @@
                 limits,
                 requests,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with other detached tasks. */
@@ -194,7 +204,8 @@
                 limits,
                 requests,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with other budgets. */
@@ -212,7 +223,8 @@
                 value,
                 requests,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with other requests. */
@@ -230,7 +242,8 @@
                 limits,
                 value,
                 jobs,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state with other jobs. */
@@ -248,7 +261,8 @@
                 limits,
                 requests,
                 value,
-                draining);
+                draining,
+                totals);
     }
 
     /** Returns this state marked as stopping. */
@@ -266,6 +280,26 @@
                 limits,
                 requests,
                 jobs,
-                true);
+                true,
+                totals);
+    }
+
+    /** Returns this state with other sums over the shards of other entries. */
+    public State withTotals(FleetTotals value) {
+        return new State(
+                self,
+                timing,
+                nowMillis,
+                configuration,
+                membership,
+                fleet,
+                ownership,
+                shards,
+                detached,
+                limits,
+                requests,
+                jobs,
+                draining,
+                value);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/Admission.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Admission.java
@@ -1,5 +1,6 @@
 package org.jujubefork.core.placement;
 
+import java.util.Comparator;
 import java.util.Optional;
 import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.control.State;
@@ -7,12 +8,19 @@
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.requests.Attempts;
 
 /** Decides whether a request may wait in a shard. */
 public final class Admission {
-    /** How long a caller is told to wait when too much work is waiting. */
-    static final long RETRY_AFTER_MILLIS = 1_000;
+    /** How often a worker without room may refuse a request before it is sent back to its entry. */
+    static final int MAX_REFUSALS = 3;
+
+    /**
+     * Requests that must be waiting before the expected wait is compared with a deadline. For
+     * fewer, the drain rate says more about arrivals than about what the shard can do.
+     */
+    static final int ENOUGH_WAITING = 16;
 
     private Admission() {}
 
@@ -20,16 +28,32 @@
     public static Transition enqueue(State state, ShardId shard, QueuedWork.Request request) {
         ShardState owned = state.shards().get(shard);
         Configuration configuration = state.configuration().orElseThrow();
-        int ofTeam = owned.queue().lane(new LaneKey(request.lane(), request.team())).size();
-        int maxOfTeam = configuration.queue(request.queue()).map(q -> q.maxQueued()).orElse(0);
-        if (ofTeam >= maxOfTeam
-                || owned.queue().size() >= configuration.tuning().maxQueuedTotal()) {
+        WorkQueue queue = owned.queue();
+        int maxInQueue = configuration.queue(request.queue()).map(q -> q.maxQueued()).orElse(0);
+        boolean late = isLate(state, owned, request);
+        if (queue.queuedIn(request.queue()) >= maxInQueue || late) {
+            return refuse(state, owned, request);
+        }
+        State added = state.withShard(owned.withQueue(queue.plus(request)));
+        return queue.requestCount() >= configuration.tuning().maxQueuedTotal()
+                ? shed(added, shard)
+                : Transition.of(added);
+    }
+
+    /**
+     * Puts the request of {@code task} back at the head of its lane, after its worker had no room
+     * for it; after {@link #MAX_REFUSALS} it goes back to the entry of its caller.
+     */
+    static Transition queueAgain(State state, ShardId shard, RunningTask task) {
+        ShardState owned = state.shards().get(shard).release(task.spec().id());
+        QueuedWork.Request request = task.request().orElseThrow().refused();
+        if (request.refusals() >= MAX_REFUSALS) {
             return Attempts.report(
-                    state,
+                    state.withShard(owned),
                     request.origin(),
-                    AttemptResult.notRun(RefusalReason.OVERLOADED, RETRY_AFTER_MILLIS));
+                    AttemptResult.notRunHere(RefusalReason.WORKER_REFUSED));
         }
-        return Transition.of(state.withShard(owned.withQueue(owned.queue().plus(request))));
+        return Transition.of(state.withShard(owned.withQueue(owned.queue().plusFirst(request))));
     }
 
     /** Removes waiting requests whose deadline has passed. */
@@ -62,4 +86,58 @@
                 .map(p -> state.withShard(owned.withQueue(owned.queue().minus(p))))
                 .orElse(state);
     }
+
+    /** Returns whether {@code request} would wait past its deadline at the observed rate. */
+    private static boolean isLate(State state, ShardState shard, QueuedWork.Request request) {
+        int ahead = request.urgent() ? urgentCount(shard) : shard.queue().requestCount();
+        DrainRate drain = shard.scheduling().drain().at(state.nowMillis());
+        return ahead >= ENOUGH_WAITING
+                && state.nowMillis() + drain.expectedWaitMillis(ahead) > request.deadlineMillis();
+    }
+
+    private static int urgentCount(ShardState shard) {
+        int count = 0;
+        for (var lane : shard.queue().lanes().entrySet()) {
+            if (lane.getKey().lane() != Lane.URGENT) {
+                break;
+            }
+            count += lane.getValue().size();
+        }
+        return count;
+    }
+
+    /**
+     * Refuses the newest waiting request of the team farthest above its share, counting what it has
+     * waiting, so that a team that floods the queue does not push out the others.
+     */
+    private static Transition shed(State state, ShardId shard) {
+        ShardState owned = state.shards().get(shard);
+        TeamId team =
+                owned.queue().requestDemand().entrySet().stream()
+                        .max(
+                                Comparator.comparingDouble(
+                                        e ->
+                                                FleetUsage.weightedShare(
+                                                        state, e.getKey(), e.getValue())))
+                        .orElseThrow()
+                        .getKey();
+        QueuedWork.Request newest = newest(owned.queue(), team);
+        return refuse(remove(state, shard, newest), owned, newest);
+    }
+
+    private static QueuedWork.Request newest(WorkQueue queue, TeamId team) {
+        var lane = queue.lane(new LaneKey(Lane.REQUEST, team));
+        var chosen = lane.isEmpty() ? queue.lane(new LaneKey(Lane.URGENT, team)) : lane;
+        return (QueuedWork.Request) chosen.lastEntry().getValue();
+    }
+
+    private static Transition refuse(State state, ShardState shard, QueuedWork.Request request) {
+        DrainRate drain = shard.scheduling().drain().at(state.nowMillis());
+        return Attempts.report(
+                state,
+                request.origin(),
+                AttemptResult.notRun(
+                        RefusalReason.OVERLOADED,
+                        drain.retryAfterMillis(shard.queue().requestCount())));
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/placement/BatchKey.java
@@ -0,0 +1,22 @@
+package org.jujubefork.core.placement;
+
+import org.jujubefork.core.model.TaskId;
+
+/**
+ * A batch task in the order in which tasks were placed.
+ *
+ * @param placedAtMillis when it was placed
+ * @param task the task
+ */
+public record BatchKey(long placedAtMillis, TaskId task) implements Comparable<BatchKey> {
+    /** Returns the key of {@code task}. */
+    static BatchKey of(RunningTask task) {
+        return new BatchKey(task.placedAtMillis(), task.spec().id());
+    }
+
+    @Override
+    public int compareTo(BatchKey other) {
+        int byTime = Long.compare(placedAtMillis, other.placedAtMillis);
+        return byTime != 0 ? byTime : task.compareTo(other.task);
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/placement/FleetUsage.java
+++ b/core/src/main/java/org/jujubefork/core/placement/FleetUsage.java
@@ -1,10 +1,8 @@
 package org.jujubefork.core.placement;
 
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.configuration.Team;
 import org.jujubefork.core.control.State;
-import org.jujubefork.core.membership.Member;
-import org.jujubefork.core.membership.Membership;
-import org.jujubefork.core.membership.ShardSummary;
-import org.jujubefork.core.membership.TeamLoad;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TeamId;
 
@@ -14,48 +12,37 @@
 
     /** Returns what {@code team} has running in all shards. */
     public static Resources of(State state, TeamId team) {
-        Resources sum = Resources.ZERO;
+        Resources sum = state.totals().usage().getOrDefault(team, Resources.ZERO);
         for (ShardState shard : state.shards().values()) {
             sum = sum.plus(shard.usageOf(team));
         }
-        for (Member member : state.membership().members().values()) {
-            if (Membership.isAlive(state, member)) {
-                sum = sum.plus(remote(state, member, team));
-            }
-        }
         return sum;
     }
 
     /** Returns what the workers of all shards hold. */
     public static Resources capacity(State state) {
-        Resources sum = Resources.ZERO;
+        Resources sum = state.totals().capacity();
         for (ShardState shard : state.shards().values()) {
             sum = sum.plus(shard.capacity());
         }
-        for (Member member : state.membership().members().values()) {
-            if (Membership.isAlive(state, member)) {
-                for (var entry : member.row().shards().entrySet()) {
-                    if (!state.shards().containsKey(entry.getKey())) {
-                        sum = sum.plus(entry.getValue().capacity());
-                    }
-                }
-            }
-        }
         return sum;
     }
 
-    private static Resources remote(State state, Member member, TeamId team) {
-        Resources sum = Resources.ZERO;
-        for (var entry : member.row().shards().entrySet()) {
-            if (!state.shards().containsKey(entry.getKey())) {
-                sum = sum.plus(running(entry.getValue(), team));
-            }
-        }
-        return sum;
+    /** Returns how much {@code team} uses of the fleet, divided by its weight. */
+    public static double weightedShare(State state, TeamId team) {
+        return weightedShare(state, team, Resources.ZERO);
+    }
+
+    /** Returns the weighted share of {@code team} if it used {@code extra} more. */
+    public static double weightedShare(State state, TeamId team, Resources extra) {
+        double weight =
+                state.configuration().flatMap(c -> c.team(team)).map(Team::weight).orElse(1.0);
+        return of(state, team).plus(extra).dominantShareOf(capacity(state)) / weight;
     }
 
-    private static Resources running(ShardSummary summary, TeamId team) {
-        TeamLoad load = summary.teams().get(team);
-        return load == null ? Resources.ZERO : load.running();
+    /** Returns the weighted share that every team is entitled to. */
+    public static double fairShare(State state) {
+        double weights = state.configuration().map(Configuration::totalWeight).orElse(0.0);
+        return weights > 0 ? 1 / weights : 1;
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/PlacementPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/placement/PlacementPolicies.java
@@ -1,38 +1,50 @@
 package org.jujubefork.core.placement;
 
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.jujubefork.core.model.Resources;
+import java.util.stream.StreamSupport;
+import org.jujubefork.core.model.WorkKind;
 import org.jujubefork.core.model.WorkerId;
 
 /** The placement policies that settings can name. */
 public final class PlacementPolicies {
     /** Takes the worker with the least free processors on which the work fits. */
     public static final PlacementPolicy BEST_FIT =
-            (index, demand) -> first(index.byFree().tailSet(lowest(demand)), demand);
+            (index, demand) -> index.byFree().first(demand).map(WorkerKey::worker);
 
     /** Takes the worker with the most free request slots, or with the most free processors. */
     public static final PlacementPolicy LEAST_LOADED =
             (index, demand) ->
-                    first(
-                            demand.slots() > 0
-                                    ? index.bySlots().descendingSet()
-                                    : index.byFree().descendingSet(),
-                            demand);
+                    (demand.slots() > 0 ? index.bySlots() : index.byFree())
+                            .last(demand)
+                            .map(WorkerKey::worker);
 
-    /** Takes the first worker by id on which the work fits; a baseline for comparisons. */
+    /** Takes the first worker by id on which the work fits; a baseline that scans all workers. */
     public static final PlacementPolicy FIRST_FIT =
             (index, demand) ->
-                    index.byFree().stream()
+                    StreamSupport.stream(index.byFree().spliterator(), false)
                             .filter(demand::fits)
                             .map(WorkerKey::worker)
                             .min(Comparator.naturalOrder());
 
+    /**
+     * Takes the rack, and within it the worker, with the fewest replicas of the same service, so
+     * that the loss of a rack or worker ends few of them; among equals the most free processors.
+     */
+    public static final PlacementPolicy SPREAD = PlacementPolicies::spread;
+
     private static final Map<String, PlacementPolicy> BY_NAME =
-            Map.of("best-fit", BEST_FIT, "least-loaded", LEAST_LOADED, "first-fit", FIRST_FIT);
+            Map.of(
+                    "best-fit",
+                    BEST_FIT,
+                    "least-loaded",
+                    LEAST_LOADED,
+                    "first-fit",
+                    FIRST_FIT,
+                    "spread",
+                    SPREAD);
 
     private PlacementPolicies() {}
 
@@ -46,18 +58,51 @@
         return Optional.ofNullable(BY_NAME.get(name));
     }
 
-    private static Optional<WorkerId> first(Collection<WorkerKey> workers, Demand demand) {
-        for (WorkerKey worker : workers) {
-            if (demand.fits(worker)) {
-                return Optional.of(worker.worker());
+    /** Returns the policy for {@code kind} where settings name none. */
+    public static PlacementPolicy defaultFor(WorkKind kind) {
+        return switch (kind) {
+            case LOOKUP, COMMAND -> LEAST_LOADED;
+            case SERVICE -> SPREAD;
+            case BATCH, GANG -> BEST_FIT;
+        };
+    }
+
+    /** Looks into a rack only if it has fewer replicas, or as many and more free processors. */
+    private static Optional<WorkerId> spread(WorkerIndex index, Demand demand) {
+        WorkerKey best = null;
+        int fewest = Integer.MAX_VALUE;
+        for (var rack : index.byRack().entrySet()) {
+            WorkerTree members = rack.getValue();
+            int replicas = demand.siblings().inRack(rack.getKey());
+            boolean worse =
+                    replicas > fewest
+                            || (replicas == fewest
+                                    && best != null
+                                    && members.largestFree().cpuMillis()
+                                            <= best.free().cpuMillis());
+            if (worse || !members.mayFit(demand)) {
+                continue;
+            }
+            WorkerKey candidate = inRack(members, demand);
+            if (candidate != null) {
+                best = candidate;
+                fewest = replicas;
             }
         }
-        return Optional.empty();
+        return Optional.ofNullable(best).map(WorkerKey::worker);
     }
 
-    private static WorkerKey lowest(Demand demand) {
-        return new WorkerKey(Resources.of(demand.needed().cpuMillis(), 0, 0), 0, LOWEST_WORKER);
+    private static WorkerKey inRack(WorkerTree members, Demand demand) {
+        WorkerKey best = null;
+        int fewest = Integer.MAX_VALUE;
+        for (WorkerKey worker : members) {
+            int replicas = demand.siblings().on(worker.worker());
+            // Later workers of the tree have more free processors.
+            if (replicas <= fewest && demand.fits(worker)) {
+                best = worker;
+                fewest = replicas;
+            }
+        }
+        return best;
     }
-
-    private static final WorkerId LOWEST_WORKER = WorkerId.of("#");
 }
--- a/core/src/main/java/org/jujubefork/core/placement/QueueOrder.java
+++ b/core/src/main/java/org/jujubefork/core/placement/QueueOrder.java
@@ -10,7 +10,11 @@
      * What an order may look at.
      *
      * @param weightedShare the team's dominant share of the fleet divided by its weight
+     * @param shareRatio the team's dominant share divided by the share that it is entitled to; 1 is
+     *     exactly its share
      * @param headSinceMillis since when its oldest work waits
+     * @param waitedMillis how long its oldest work has waited
      */
-    record TeamView(double weightedShare, long headSinceMillis) {}
+    record TeamView(
+            double weightedShare, double shareRatio, long headSinceMillis, long waitedMillis) {}
 }
--- a/core/src/main/java/org/jujubefork/core/placement/QueueOrders.java
+++ b/core/src/main/java/org/jujubefork/core/placement/QueueOrders.java
@@ -12,8 +12,18 @@
     /** The oldest work goes first; a baseline for comparisons. */
     public static final QueueOrder FIFO = team -> team.headSinceMillis();
 
+    /**
+     * Waiting time that outweighs one whole entitled share in {@link #WAITING_FAIR}. It equals the
+     * default of {@code reclaimAfterMillis}, the wait after which running work may be reclaimed.
+     */
+    static final double WAIT_PER_SHARE_MILLIS = 30_000;
+
+    /** Waiting time counts against distance from the share, for users who weigh waiting most. */
+    public static final QueueOrder WAITING_FAIR =
+            team -> team.shareRatio() - team.waitedMillis() / WAIT_PER_SHARE_MILLIS;
+
     private static final Map<String, QueueOrder> BY_NAME =
-            Map.of("weighted-fair", WEIGHTED_FAIR, "fifo", FIFO);
+            Map.of("weighted-fair", WEIGHTED_FAIR, "fifo", FIFO, "waiting-fair", WAITING_FAIR);
 
     private QueueOrders() {}
 
--- a/core/src/main/java/org/jujubefork/core/placement/QueuedWork.java
+++ b/core/src/main/java/org/jujubefork/core/placement/QueuedWork.java
@@ -37,6 +37,7 @@
      * @param urgent whether it may use the reserved part of workers
      * @param sinceMillis since when it waits
      * @param deadlineMillis when it is too late to start it
+     * @param refusals how often a worker of this shard had no room for it after all
      */
     record Request(
             RequestOrigin origin,
@@ -46,12 +47,27 @@
             Resources size,
             boolean urgent,
             long sinceMillis,
-            long deadlineMillis)
+            long deadlineMillis,
+            int refusals)
             implements QueuedWork {
         @Override
         public Lane lane() {
             return Lane.of(kind, urgent);
         }
+
+        /** Returns this request after a worker had no room for it. */
+        Request refused() {
+            return new Request(
+                    origin,
+                    team,
+                    queue,
+                    kind,
+                    size,
+                    urgent,
+                    sinceMillis,
+                    deadlineMillis,
+                    refusals + 1);
+        }
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/placement/Reports.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reports.java
@@ -10,9 +10,11 @@
 import org.jujubefork.core.event.FleetEvent;
 import org.jujubefork.core.jobs.Jobs;
 import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.EndedTask;
 import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.ReportedTask;
+import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.WorkerId;
@@ -60,22 +62,41 @@
         ShardState owned = state.shards().get(shard);
         Optional<RunningTask> known = owned.task(task.spec().id());
         if (known.isPresent()) {
-            return state.withShard(
-                    owned.update(known.get().reported(task.usage(), task.progress())));
+            RunningTask reported = known.get().reported(task.usage(), task.progress());
+            return state.withShard(learnGrowth(owned, reported).update(reported));
         }
+        Resources learned = owned.scheduling().learnedSize(task.spec().queue(), task.spec().size());
         RunningTask adopted =
                 RunningTask.starting(task.spec(), worker, state.nowMillis(), Optional.empty())
+                        .charged(learned)
                         .reported(task.usage(), task.progress());
         return state.withShard(owned.place(adopted));
     }
 
+    /**
+     * Counts usage above the learned size at once, so that too small a size is corrected before the
+     * tasks end. Usage below it says nothing until the end, because it may still grow.
+     */
+    private static ShardState learnGrowth(ShardState shard, RunningTask task) {
+        Resources expected =
+                shard.scheduling().learnedSize(task.spec().queue(), task.spec().size());
+        RunningTask before = shard.tasks().get(task.spec().id());
+        boolean grew = !task.peak().fitsIn(expected) && !task.peak().equals(before.peak());
+        return grew && !task.spec().kind().isRequest() ? learn(shard, task) : shard;
+    }
+
+    /** Counts the peak of {@code task}, at most the capacity of its worker. */
+    private static ShardState learn(ShardState shard, RunningTask task) {
+        Resources peak = task.peak().min(shard.workers().get(task.worker()).capacity());
+        return shard.withScheduling(shard.scheduling().withPeak(task.spec().queue(), peak));
+    }
+
     private static Transition ended(State state, ShardId shard, WorkerId worker, EndedTask task) {
         ShardState owned = state.shards().get(shard);
         Optional<RunningTask> known = owned.task(task.spec().id());
         if (task.spec().kind().isRequest()) {
-            // The connection that started a request reports its end with the answer; only requests
-            // that another
-            // owner started, or whose connection was lost, end through the report.
+            // The connection that started a request reports its end with the answer. Only requests
+            // that another owner started, or whose connection was lost, end through the report.
             boolean awaited =
                     known.isPresent()
                             && known.get().origin().isPresent()
@@ -83,10 +104,26 @@
             State released = awaited ? state : state.withShard(owned.release(task.spec().id()));
             return Transition.of(Workers.acknowledge(released, worker, task.spec().id()));
         }
-        State released = state.withShard(owned.release(task.spec().id()));
+        State released = state.withShard(judged(state, owned, known, task));
         return Jobs.taskEnded(released, shard, worker, task);
     }
 
+    /** Returns the shard without the ended task, with what its end says of worker and size. */
+    private static ShardState judged(
+            State state, ShardState shard, Optional<RunningTask> known, EndedTask ended) {
+        if (known.isEmpty()) {
+            return shard;
+        }
+        RunningTask task = known.get();
+        ShardState result = shard;
+        if (ended.reason() == EndReason.SUCCEEDED) {
+            result = Verdicts.succeeded(result, task, state.nowMillis());
+        } else if (ended.reason() == EndReason.FAILED) {
+            result = Verdicts.failed(state, result, task);
+        }
+        return (task.peak().isZero() ? result : learn(result, task)).release(task.spec().id());
+    }
+
     private static Transition loseUnreported(
             State state, ShardId shard, WorkerId worker, WorkerReport report, long placedBefore) {
         Set<TaskId> reported = new HashSet<>();
--- a/core/src/main/java/org/jujubefork/core/placement/RunningTask.java
+++ b/core/src/main/java/org/jujubefork/core/placement/RunningTask.java
@@ -15,6 +15,11 @@
  * @param origin where the answer goes; empty for tasks of jobs
  * @param usage usage as last reported
  * @param progress the part that is done, from 0 to 1, as last reported
+ * @param charge what it takes of its worker by experience: the learned size, or the reported usage
+ *     if that is larger
+ * @param peak the highest reported usage, component by component
+ * @param request the request as it waited; empty for tasks of jobs and for adopted tasks
+ * @param throttled whether it was told to run with no more than its declared size
  */
 public record RunningTask(
         TaskSpec spec,
@@ -23,22 +28,111 @@
         long placedAtMillis,
         Optional<RequestOrigin> origin,
         Resources usage,
-        double progress) {
+        double progress,
+        Resources charge,
+        Resources peak,
+        Optional<QueuedWork.Request> request,
+        boolean throttled) {
     /** Returns a task of which the start is being sent. */
     public static RunningTask starting(
             TaskSpec spec, WorkerId worker, long nowMillis, Optional<RequestOrigin> origin) {
         return new RunningTask(
-                spec, worker, TaskPhase.STARTING, nowMillis, origin, Resources.ZERO, 0);
+                spec,
+                worker,
+                TaskPhase.STARTING,
+                nowMillis,
+                origin,
+                Resources.ZERO,
+                0,
+                spec.size(),
+                Resources.ZERO,
+                Optional.empty(),
+                false);
     }
 
     /** Returns this task in another phase. */
     public RunningTask in(TaskPhase other) {
-        return new RunningTask(spec, worker, other, placedAtMillis, origin, usage, progress);
+        return new RunningTask(
+                spec,
+                worker,
+                other,
+                placedAtMillis,
+                origin,
+                usage,
+                progress,
+                charge,
+                peak,
+                request,
+                throttled);
+    }
+
+    /** Returns this task as the start of {@code work}. */
+    RunningTask startedFor(QueuedWork.Request work) {
+        return new RunningTask(
+                spec,
+                worker,
+                phase,
+                placedAtMillis,
+                origin,
+                usage,
+                progress,
+                charge,
+                peak,
+                Optional.of(work),
+                throttled);
+    }
+
+    /** Returns this task charged with {@code size} by experience. */
+    public RunningTask charged(Resources size) {
+        return new RunningTask(
+                spec,
+                worker,
+                phase,
+                placedAtMillis,
+                origin,
+                usage,
+                progress,
+                size,
+                peak,
+                request,
+                throttled);
     }
 
     /** Returns this task with figures that its worker reported. */
     public RunningTask reported(Resources measured, double done) {
         TaskPhase confirmed = phase == TaskPhase.STOPPING ? phase : TaskPhase.RUNNING;
-        return new RunningTask(spec, worker, confirmed, placedAtMillis, origin, measured, done);
+        return new RunningTask(
+                spec,
+                worker,
+                confirmed,
+                placedAtMillis,
+                origin,
+                measured,
+                done,
+                throttled ? charge : charge.max(measured),
+                peak.max(measured),
+                request,
+                throttled);
+    }
+
+    /** Returns this task after the worker confirmed that it is held to its declared size. */
+    RunningTask asThrottled() {
+        return new RunningTask(
+                spec,
+                worker,
+                phase,
+                placedAtMillis,
+                origin,
+                usage,
+                progress,
+                charge.min(spec.size()),
+                peak,
+                request,
+                true);
+    }
+
+    /** Returns the job or queue that a failure of this task is counted for. */
+    String subject() {
+        return spec.job().map(j -> "job:" + j.job()).orElseGet(() -> "queue:" + spec.queue());
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
@@ -1,260 +1,198 @@
 package org.jujubefork.core.placement;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashSet;
-import java.util.List;
+import java.util.Collection;
+import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
+import java.util.PriorityQueue;
 import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.configuration.KindPolicy;
-import org.jujubefork.core.configuration.Team;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
-import org.jujubefork.core.effect.DecisionKind;
-import org.jujubefork.core.effect.LogDecision;
-import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.limits.Limits;
-import org.jujubefork.core.model.JobTask;
-import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
-import org.jujubefork.core.model.TaskId;
-import org.jujubefork.core.model.TaskSpec;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.model.WorkKind;
-import org.jujubefork.core.model.WorkerId;
 
 /** Places the work that waits in a shard, in fair order, as far as workers have room. */
 public final class Scheduler {
+    /**
+     * Placements in one run. It bounds the time of one event; what is left waits for the next event
+     * or tick.
+     */
+    static final int MAX_PLACEMENTS = 64;
+
     private Scheduler() {}
 
-    /** Places waiting work of {@code shard} until nothing more fits. */
-    public static Transition run(State state, ShardId shard) {
+    /**
+     * A lane with waiting work.
+     *
+     * @param rank its rank by the policy of its kind
+     * @param key the lane
+     */
+    private record Ranked(double rank, LaneKey key) implements Comparable<Ranked> {
+        @Override
+        public int compareTo(Ranked other) {
+            int byRank = Double.compare(rank, other.rank);
+            return byRank != 0 ? byRank : key.compareTo(other.key);
+        }
+    }
+
+    /** Forgets outdated notes and reviews the reservation of {@code shard}. */
+    public static Transition tick(State state, ShardId shard) {
+        ShardState owned = state.shards().get(shard);
+        Scheduling pruned = owned.scheduling().pruned(state.nowMillis());
+        State noted =
+                state.withShard(
+                        owned.withScheduling(
+                                pruned.withDrain(pruned.drain().at(state.nowMillis()))));
+        return Transition.of(Gangs.review(noted, shard));
+    }
+
+    /**
+     * Places waiting work of {@code shard} until nothing more fits, or until {@link
+     * #MAX_PLACEMENTS} are made.
+     *
+     * @param state the state
+     * @param shard the shard, which must be owned
+     * @param all whether to try lanes whose head was tried before without success
+     */
+    public static Transition run(State state, ShardId shard, boolean all) {
         if (state.configuration().isEmpty()) {
             return Transition.of(state);
         }
-        Configuration configuration = state.configuration().get();
-        Resources capacity = FleetUsage.capacity(state);
-        Set<LaneKey> blocked = new HashSet<>();
-        Transition result = Transition.of(state);
-        while (true) {
-            State current = result.state();
-            Optional<LaneKey> next = next(current, shard, configuration, capacity, blocked);
-            if (next.isEmpty()) {
-                return result;
-            }
-            Optional<Transition> placed = placeHead(current, shard, configuration, next.get());
-            if (placed.isEmpty()) {
-                blocked.add(next.get());
-            } else {
+        ShardState owned = state.shards().get(shard);
+        boolean everything = all || owned.scheduling().recheck();
+        Transition result =
+                Transition.of(
+                        state.withShard(
+                                owned.withScheduling(owned.scheduling().withRecheck(false))));
+        Shares shares = Shares.of(state);
+        int left = MAX_PLACEMENTS;
+        for (var lane : candidates(owned, everything, all).values()) {
+            PriorityQueue<Ranked> ranked = ranked(result.state(), shard, shares, lane);
+            while (!ranked.isEmpty()) {
+                if (left == 0) {
+                    return result.withState(unfinished(result.state(), shard));
+                }
+                LaneKey key = ranked.poll().key();
+                Optional<Transition> placed = placeHead(result.state(), shard, key);
+                if (placed.isEmpty()) {
+                    result = result.withState(tried(result.state(), shard, key));
+                    continue;
+                }
                 result = result.then(s -> placed.get());
+                left--;
+                if (result.state().shards().get(shard).queue().lanes().containsKey(key)) {
+                    ranked.add(rank(result.state(), shard, shares, key));
+                }
             }
         }
+        return result;
     }
 
-    private static Optional<LaneKey> next(
-            State state,
-            ShardId shard,
-            Configuration configuration,
-            Resources capacity,
-            Set<LaneKey> blocked) {
-        Lane lane = null;
-        List<LaneKey> candidates = new ArrayList<>();
-        for (LaneKey key : state.shards().get(shard).queue().lanes().keySet()) {
-            if (blocked.contains(key)) {
-                continue;
-            }
-            if (lane != null && key.lane() != lane) {
-                break;
+    /**
+     * Returns the lanes to try. A gang that did not fit is tried again only when time passes,
+     * because the attempt costs as much as all its tasks.
+     */
+    private static Map<Lane, Collection<LaneKey>> candidates(
+            ShardState shard, boolean everything, boolean gangs) {
+        Map<Lane, Collection<LaneKey>> byLane = new EnumMap<>(Lane.class);
+        Collection<LaneKey> keys =
+                everything ? shard.queue().lanes().keySet() : shard.queue().ready();
+        for (LaneKey key : keys) {
+            boolean skipped =
+                    key.lane() == Lane.GANG && !gangs && !shard.queue().ready().contains(key);
+            if (!skipped) {
+                byLane.computeIfAbsent(key.lane(), l -> new ArrayList<>()).add(key);
             }
-            lane = key.lane();
-            candidates.add(key);
         }
-        if (candidates.size() <= 1) {
-            return candidates.stream().findFirst();
+        return byLane;
+    }
+
+    private static PriorityQueue<Ranked> ranked(
+            State state, ShardId shard, Shares shares, Collection<LaneKey> lanes) {
+        PriorityQueue<Ranked> ranked = new PriorityQueue<>();
+        ShardState owned = state.shards().get(shard);
+        for (LaneKey key : lanes) {
+            if (mayFit(state, owned, key)) {
+                ranked.add(
+                        lanes.size() == 1 ? new Ranked(0, key) : rank(state, shard, shares, key));
+            } else if (owned.queue().ready().contains(key)) {
+                // Kept ready only until the end of the run; a failed attempt marks it as tried.
+                ranked.add(new Ranked(Double.MAX_VALUE, key));
+            }
         }
-        return candidates.stream()
-                .min(
-                        Comparator.comparingDouble(
-                                key -> rank(state, shard, configuration, capacity, key)));
+        return ranked;
     }
 
-    private static double rank(
-            State state,
-            ShardId shard,
-            Configuration configuration,
-            Resources capacity,
-            LaneKey key) {
-        Map.Entry<Long, QueuedWork> head =
-                state.shards().get(shard).queue().head(key).orElseThrow();
-        double weight = configuration.team(key.team()).map(Team::weight).orElse(1.0);
-        double share = FleetUsage.of(state, key.team()).dominantShareOf(capacity) / weight;
-        return order(configuration, head.getValue().kind())
-                .rank(new QueueOrder.TeamView(share, head.getValue().sinceMillis()));
+    /** Returns whether the head of {@code key} may fit; skips the ranking of those that cannot. */
+    private static boolean mayFit(State state, ShardState shard, LaneKey key) {
+        QueuedWork head = shard.queue().head(key).orElseThrow().getValue();
+        return key.lane() == Lane.GANG || shard.index().byFree().mayFit(demand(state, shard, head));
     }
 
-    private static QueueOrder order(Configuration configuration, WorkKind kind) {
-        KindPolicy policy = configuration.policies().get(kind);
-        return Optional.ofNullable(policy)
-                .flatMap(p -> QueueOrders.named(p.order()))
-                .orElse(QueueOrders.WEIGHTED_FAIR);
+    private static Ranked rank(State state, ShardId shard, Shares shares, LaneKey key) {
+        QueuedWork head = state.shards().get(shard).queue().head(key).orElseThrow().getValue();
+        return new Ranked(shares.rank(state, key.team(), head), key);
     }
 
-    private static PlacementPolicy placement(Configuration configuration, WorkKind kind) {
+    /** Returns the placement policy for work of {@code kind}. */
+    static PlacementPolicy placement(Configuration configuration, WorkKind kind) {
         KindPolicy policy = configuration.policies().get(kind);
         return Optional.ofNullable(policy)
                 .flatMap(p -> PlacementPolicies.named(p.placement()))
-                .orElse(
-                        kind.isRequest()
-                                ? PlacementPolicies.LEAST_LOADED
-                                : PlacementPolicies.BEST_FIT);
+                .orElseGet(() -> PlacementPolicies.defaultFor(kind));
     }
 
-    private static Optional<Transition> placeHead(
-            State state, ShardId shard, Configuration configuration, LaneKey key) {
-        ShardState owned = state.shards().get(shard);
-        Map.Entry<Long, QueuedWork> head = owned.queue().head(key).orElseThrow();
-        WorkQueue rest = owned.queue().minus(new WorkQueue.Position(key, head.getKey()));
-        State taken = state.withShard(owned.withQueue(rest));
-        return switch (head.getValue()) {
-            case QueuedWork.Request work ->
-                    placeOne(
-                            taken,
-                            shard,
-                            configuration,
-                            work,
-                            head.getKey(),
-                            requestSpec(owned, work, head.getKey()),
-                            Optional.of(work.origin()));
-            case QueuedWork.Task work ->
-                    placeOne(
-                            taken,
-                            shard,
-                            configuration,
-                            work,
-                            head.getKey(),
-                            taskSpec(owned, work, work.index(), work.attempt(), head.getKey()),
-                            Optional.empty());
-            case QueuedWork.Gang work ->
-                    placeGang(taken, shard, configuration, work, head.getKey());
-        };
+    /** Returns what one task of {@code work} needs of a worker. */
+    static Demand demand(State state, ShardState shard, QueuedWork work) {
+        Siblings siblings =
+                work instanceof QueuedWork.Task task && work.kind() == WorkKind.SERVICE
+                        ? shard.book().services().getOrDefault(task.job(), Siblings.NONE)
+                        : Siblings.NONE;
+        return Demand.of(
+                work,
+                state.configuration().orElseThrow().tuning(),
+                shard.scheduling().learnedSize(work.queue(), work.size()),
+                siblings);
     }
 
-    private static Optional<Transition> placeOne(
-            State state,
-            ShardId shard,
-            Configuration configuration,
-            QueuedWork work,
-            long sequence,
-            TaskSpec spec,
-            Optional<RequestOrigin> origin) {
+    private static Optional<Transition> placeHead(State state, ShardId shard, LaneKey key) {
         ShardState owned = state.shards().get(shard);
+        Map.Entry<Long, QueuedWork> head = owned.queue().head(key).orElseThrow();
+        WorkQueue.Position position = new WorkQueue.Position(key, head.getKey());
+        if (head.getValue() instanceof QueuedWork.Gang gang) {
+            return Gangs.place(state, shard, position, gang);
+        }
+        QueuedWork work = head.getValue();
         if (!Limits.allows(state, owned, work.team(), work.size())) {
             return Optional.empty();
         }
-        Demand demand = Demand.of(work, configuration.tuning());
-        Optional<WorkerId> worker =
-                placement(configuration, work.kind()).choose(owned.index(), demand);
-        return worker.map(w -> start(state, shard, spec, w, work.sinceMillis(), origin));
+        return placement(state.configuration().orElseThrow(), work.kind())
+                .choose(owned.index(), demand(state, owned, work))
+                .map(w -> Starts.one(without(state, shard, position), shard, work, w));
     }
 
-    private static Optional<Transition> placeGang(
-            State state,
-            ShardId shard,
-            Configuration configuration,
-            QueuedWork.Gang gang,
-            long sequence) {
-        Transition result = Transition.of(state);
-        for (int index = 0; index < gang.tasks(); index++) {
-            State current = result.state();
-            ShardState owned = current.shards().get(shard);
-            TaskSpec spec = gangSpec(owned, gang, index, sequence);
-            Optional<Transition> placed =
-                    placeOne(current, shard, configuration, gang, sequence, spec, Optional.empty());
-            if (placed.isEmpty()) {
-                return Optional.empty();
-            }
-            result = result.then(s -> placed.get());
-        }
-        return Optional.of(result);
-    }
-
-    private static Transition start(
-            State state,
-            ShardId shard,
-            TaskSpec spec,
-            WorkerId worker,
-            long sinceMillis,
-            Optional<RequestOrigin> origin) {
+    /** Returns {@code state} without the waiting item at {@code position}. */
+    static State without(State state, ShardId shard, WorkQueue.Position position) {
         ShardState owned = state.shards().get(shard);
-        WorkerState chosen = owned.workers().get(worker);
-        RunningTask task = RunningTask.starting(spec, worker, state.nowMillis(), origin);
-        return Transition.of(state.withShard(owned.place(task)))
-                .with(
-                        new WorkerEffect.StartTask(
-                                worker,
-                                chosen.listing().address(),
-                                owned.epoch(),
-                                chosen.incarnation(),
-                                spec,
-                                origin.map(RequestOrigin::request)))
-                .with(
-                        new LogDecision(
-                                DecisionKind.PLACED,
-                                spec.id().value(),
-                                Optional.of(spec.team()),
-                                worker.value(),
-                                spec.kind().name(),
-                                owned.index().byFree().size() - 1,
-                                state.nowMillis() - sinceMillis));
-    }
-
-    private static TaskSpec requestSpec(ShardState shard, QueuedWork.Request work, long sequence) {
-        return new TaskSpec(
-                taskId(work.origin().request().value(), shard, sequence),
-                work.team(),
-                work.queue(),
-                work.kind(),
-                work.size(),
-                Optional.empty(),
-                "");
+        return state.withShard(owned.withQueue(owned.queue().minus(position)));
     }
 
-    private static TaskSpec taskSpec(
-            ShardState shard, QueuedWork.Task work, int index, int attempt, long sequence) {
-        return new TaskSpec(
-                taskId(work.job() + "/" + index, shard, sequence),
-                work.team(),
-                work.queue(),
-                work.kind(),
-                work.size(),
-                Optional.of(new JobTask(work.job(), index, attempt)),
-                work.payload());
-    }
-
-    private static TaskSpec gangSpec(
-            ShardState shard, QueuedWork.Gang work, int index, long sequence) {
-        return new TaskSpec(
-                taskId(work.job() + "/" + index, shard, sequence),
-                work.team(),
-                work.queue(),
-                WorkKind.GANG,
-                work.size(),
-                Optional.of(new JobTask(work.job(), index, work.attempt())),
-                work.payload());
+    private static State tried(State state, ShardId shard, LaneKey key) {
+        ShardState owned = state.shards().get(shard);
+        return state.withShard(owned.withQueue(owned.queue().tried(key)));
     }
 
-    /** Returns an id that no other placement has: the sequence is unique under the epoch. */
-    private static TaskId taskId(String subject, ShardState shard, long sequence) {
-        return TaskId.of(
-                subject + ":" + shard.id() + "." + shard.epoch().number() + "." + sequence);
+    private static State unfinished(State state, ShardId shard) {
+        ShardState owned = state.shards().get(shard);
+        return state.withShard(owned.withScheduling(owned.scheduling().withRecheck(true)));
     }
 
     /** Returns how much {@code team} uses of the fleet, divided by its weight. */
     public static double weightedShare(State state, TeamId team) {
-        double weight =
-                state.configuration().flatMap(c -> c.team(team)).map(Team::weight).orElse(1.0);
-        return FleetUsage.of(state, team).dominantShareOf(FleetUsage.capacity(state)) / weight;
+        return FleetUsage.weightedShare(state, team);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/ShardState.java
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardState.java
@@ -18,10 +18,10 @@
  * @param claimedAtMillis when this entry claimed it
  * @param workers its workers
  * @param index the workers that take work, by what is free
- * @param tasks tasks placed on its workers
- * @param usage declared sizes of placed tasks by team
+ * @param book tasks placed on its workers
  * @param capacity what its workers hold in all
  * @param queue what waits
+ * @param scheduling what the scheduler remembers between events
  */
 public record ShardState(
         ShardId id,
@@ -29,10 +29,10 @@
         long claimedAtMillis,
         PSortedMap<WorkerId, WorkerState> workers,
         WorkerIndex index,
-        PSortedMap<TaskId, RunningTask> tasks,
-        PSortedMap<TeamId, Resources> usage,
+        TaskBook book,
         Resources capacity,
-        WorkQueue queue) {
+        WorkQueue queue,
+        Scheduling scheduling) {
     /** Returns a shard that has just been claimed, without workers. */
     public static ShardState claimed(ShardId id, Epoch epoch, long nowMillis) {
         return new ShardState(
@@ -41,10 +41,10 @@
                 nowMillis,
                 TreePMap.empty(),
                 WorkerIndex.EMPTY,
-                TreePMap.empty(),
-                TreePMap.empty(),
+                TaskBook.EMPTY,
                 Resources.ZERO,
-                WorkQueue.EMPTY);
+                WorkQueue.EMPTY,
+                Scheduling.INITIAL);
     }
 
     /** Returns the worker {@code worker}, if it belongs to the shard. */
@@ -52,32 +52,42 @@
         return Optional.ofNullable(workers.get(worker));
     }
 
+    /** Returns the tasks placed on its workers. */
+    public PSortedMap<TaskId, RunningTask> tasks() {
+        return book.tasks();
+    }
+
+    /** Returns declared sizes of placed tasks by team. */
+    public PSortedMap<TeamId, Resources> usage() {
+        return book.usage();
+    }
+
     /** Returns the task {@code task}, if it is placed in the shard. */
     public Optional<RunningTask> task(TaskId task) {
-        return Optional.ofNullable(tasks.get(task));
+        return Optional.ofNullable(book.tasks().get(task));
     }
 
     /** Returns what {@code team} has placed in the shard. */
     public Resources usageOf(TeamId team) {
-        Resources used = usage.get(team);
-        return used == null ? Resources.ZERO : used;
+        return book.usageOf(team);
     }
 
     /** Returns this shard with {@code worker} added or replaced. */
     public ShardState withWorker(WorkerState worker) {
         WorkerState before = workers.get(worker.id());
-        WorkerIndex without = before == null ? index : index.minus(before);
+        WorkerIndex changed = before == null ? index.plus(worker) : index.replace(before, worker);
         Resources base = before == null ? capacity : capacity.minus(before.capacity());
+        boolean room = before == null ? worker.isEligible() : worker.hasMoreRoomThan(before);
         return new ShardState(
                 id,
                 epoch,
                 claimedAtMillis,
                 workers.plus(worker.id(), worker),
-                without.plus(worker),
-                tasks,
-                usage,
+                changed,
+                book,
                 base.plus(worker.capacity()),
-                queue);
+                queue,
+                room ? scheduling.withRecheck(true) : scheduling);
     }
 
     /** Returns this shard without {@code worker}, on which no task may be placed any more. */
@@ -96,56 +106,67 @@
                 claimedAtMillis,
                 workers.minus(worker),
                 index.minus(before),
-                tasks,
-                usage,
+                book,
                 capacity.minus(before.capacity()),
-                queue);
+                queue,
+                scheduling);
     }
 
     /** Returns this shard with {@code task} placed on its worker. */
     public ShardState place(RunningTask task) {
         WorkerState worker = workers.get(task.worker());
-        TeamId team = task.spec().team();
-        return withWorker(worker.plus(task))
-                .withTasks(
-                        tasks.plus(task.spec().id(), task),
-                        usage.plus(team, usageOf(team).plus(task.spec().size())));
+        return withWorker(worker.plus(task)).withBook(book.plus(task, rackOf(worker)));
     }
 
     /** Returns this shard with the placed task of the same id replaced by {@code task}. */
     public ShardState update(RunningTask task) {
-        return withTasks(tasks.plus(task.spec().id(), task), usage);
+        RunningTask before = book.tasks().get(task.spec().id());
+        ShardState charged =
+                before.charge().equals(task.charge())
+                        ? this
+                        : withWorker(
+                                workers.get(task.worker())
+                                        .recharged(before.charge(), task.charge()));
+        return charged.withBook(book.updated(task));
     }
 
     /** Returns this shard without the task {@code id}, whose resources are free again. */
     public ShardState release(TaskId id) {
-        RunningTask task = tasks.get(id);
+        RunningTask task = book.tasks().get(id);
         if (task == null) {
             return this;
         }
-        TeamId team = task.spec().team();
-        Resources left = usageOf(team).minus(task.spec().size());
-        PSortedMap<TeamId, Resources> remaining =
-                left.isZero() ? usage.minus(team) : usage.plus(team, left);
-        return withWorker(workers.get(task.worker()).minus(task))
-                .withTasks(tasks.minus(id), remaining);
+        WorkerState worker = workers.get(task.worker());
+        return withWorker(worker.minus(task)).withBook(book.minus(task, rackOf(worker)));
     }
 
     /** Returns this shard with another queue. */
     public ShardState withQueue(WorkQueue value) {
         return new ShardState(
-                id, epoch, claimedAtMillis, workers, index, tasks, usage, capacity, value);
+                id, epoch, claimedAtMillis, workers, index, book, capacity, value, scheduling);
     }
 
     /** Returns this shard under another epoch. */
     public ShardState withEpoch(Epoch value) {
         return new ShardState(
-                id, value, claimedAtMillis, workers, index, tasks, usage, capacity, queue);
+                id, value, claimedAtMillis, workers, index, book, capacity, queue, scheduling);
+    }
+
+    /** Returns this shard with other notes of the scheduler. */
+    ShardState withScheduling(Scheduling value) {
+        return value == scheduling
+                ? this
+                : new ShardState(
+                        id, epoch, claimedAtMillis, workers, index, book, capacity, queue, value);
     }
 
-    private ShardState withTasks(
-            PSortedMap<TaskId, RunningTask> placed, PSortedMap<TeamId, Resources> used) {
+    private ShardState withBook(TaskBook value) {
         return new ShardState(
-                id, epoch, claimedAtMillis, workers, index, placed, used, capacity, queue);
+                id, epoch, claimedAtMillis, workers, index, value, capacity, queue, scheduling);
+    }
+
+    /** Returns the rack of {@code worker}; it does not change while tasks are placed there. */
+    private static String rackOf(WorkerState worker) {
+        return worker.listing().location().rack();
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/ShardSummaries.java
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardSummaries.java
@@ -26,22 +26,15 @@
 
     /** Returns the summary of {@code shard}. */
     public static ShardSummary of(ShardState shard, Optional<String> handoverTo) {
-        Resources free = Resources.ZERO;
-        Resources largest = Resources.ZERO;
-        int slots = 0;
-        for (WorkerKey worker : shard.index().byFree()) {
-            free = free.plus(worker.free());
-            largest = largest.max(worker.free());
-            slots += worker.slots();
-        }
+        WorkerTree workers = shard.index().byFree();
         return new ShardSummary(
                 shard.epoch(),
-                shard.index().byFree().size(),
-                slots,
+                workers.size(),
+                workers.freeSlots(),
                 shard.queue().requestCount(),
                 shard.capacity(),
-                free,
-                largest,
+                workers.free(),
+                workers.largestFree(),
                 teams(shard),
                 handoverTo);
     }
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/placement/Shares.java
@@ -0,0 +1,45 @@
+package org.jujubefork.core.placement;
+
+import java.util.Optional;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.configuration.KindPolicy;
+import org.jujubefork.core.configuration.Team;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+
+/**
+ * Ranks lanes by the shares of their teams. The sums that stay the same during one run of the
+ * scheduler are computed once.
+ *
+ * @param configuration the configuration in force
+ * @param capacity what the fleet holds
+ * @param totalWeight the sum of the weights of all teams
+ */
+record Shares(Configuration configuration, Resources capacity, double totalWeight) {
+    static Shares of(State state) {
+        Configuration configuration = state.configuration().orElseThrow();
+        return new Shares(configuration, FleetUsage.capacity(state), configuration.totalWeight());
+    }
+
+    /** Returns the rank of {@code team}, of which {@code head} is the oldest work in its lane. */
+    double rank(State state, TeamId team, QueuedWork head) {
+        double weight = configuration.team(team).map(Team::weight).orElse(1.0);
+        double share = FleetUsage.of(state, team).dominantShareOf(capacity) / weight;
+        return order(head.kind())
+                .rank(
+                        new QueueOrder.TeamView(
+                                share,
+                                share * totalWeight,
+                                head.sinceMillis(),
+                                state.nowMillis() - head.sinceMillis()));
+    }
+
+    private QueueOrder order(WorkKind kind) {
+        KindPolicy policy = configuration.policies().get(kind);
+        return Optional.ofNullable(policy)
+                .flatMap(p -> QueueOrders.named(p.order()))
+                .orElse(QueueOrders.WEIGHTED_FAIR);
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -54,7 +54,13 @@
 
     private static Transition refused(
             State state, ShardState shard, RunningTask task, TaskEvent.StartRefused event) {
-        Transition result = sendBack(state, shard, task, RefusalReason.WORKER_REFUSED);
+        boolean full =
+                event.reason() == StartRefusal.NO_CAPACITY
+                        || event.reason() == StartRefusal.NO_SLOT;
+        Transition result =
+                full && task.request().isPresent()
+                        ? Admission.queueAgain(state, shard.id(), task)
+                        : sendBack(state, shard, task, RefusalReason.WORKER_REFUSED);
         Optional<Epoch> current = event.current();
         if (event.reason() == StartRefusal.STALE_EPOCH
                 && current.isPresent()
@@ -88,7 +94,8 @@
 
     private static Transition unknown(
             State state, ShardState shard, RunningTask task, TaskEvent.StartUnknown event) {
-        State unconfirmed = state.withShard(shard.update(task.in(TaskPhase.UNCONFIRMED)));
+        ShardState judged = Verdicts.failed(state, shard, task);
+        State unconfirmed = state.withShard(judged.update(task.in(TaskPhase.UNCONFIRMED)));
         Transition result =
                 Transition.of(unconfirmed)
                         .with(
@@ -111,7 +118,11 @@
 
     private static Transition finished(
             State state, ShardState shard, RunningTask task, TaskEvent.RequestFinished event) {
-        State released = state.withShard(shard.release(task.spec().id()));
+        ShardState judged =
+                event.succeeded()
+                        ? Verdicts.succeeded(shard, task, state.nowMillis())
+                        : Verdicts.failed(state, shard, task);
+        State released = state.withShard(judged.release(task.spec().id()));
         Transition result = Transition.of(released).with(endDecision(state, task, event));
         return task.origin()
                 .map(o -> result.then(s -> Attempts.report(s, o, AttemptResult.done())))
@@ -131,6 +142,10 @@
     }
 
     private static Transition stopConfirmed(State state, ShardState shard, RunningTask task) {
+        if (task.phase() == TaskPhase.RUNNING) {
+            // Only a throttle command leaves a task running.
+            return Transition.of(state.withShard(shard.update(task.asThrottled())));
+        }
         if (task.phase() != TaskPhase.UNCONFIRMED) {
             return Transition.of(state);
         }
--- a/core/src/main/java/org/jujubefork/core/placement/WorkerKey.java
+++ b/core/src/main/java/org/jujubefork/core/placement/WorkerKey.java
@@ -7,7 +7,7 @@
 /**
  * A worker in an index over what is free.
  *
- * @param free what is free
+ * @param free what is free for any work
  * @param slots how many request slots are free
  * @param worker the worker
  */
@@ -26,6 +26,6 @@
 
     /** Returns the key of {@code worker} as it is now. */
     static WorkerKey of(WorkerState worker) {
-        return new WorkerKey(worker.free(), worker.freeSlots(), worker.id());
+        return new WorkerKey(worker.available(), worker.freeSlots(), worker.id());
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/WorkerState.java
+++ b/core/src/main/java/org/jujubefork/core/placement/WorkerState.java
@@ -8,7 +8,6 @@
 import org.jujubefork.core.model.WorkerReport;
 import org.pcollections.PSortedSet;
 import org.pcollections.PVector;
-import org.pcollections.TreePSet;
 import org.pcollections.TreePVector;
 
 /**
@@ -18,12 +17,11 @@
  * @param phase whether it takes work
  * @param incarnation its run, 0 until the lease is granted
  * @param leaving whether it takes no new work
- * @param quarantined whether it takes no work because it fails what it starts
+ * @param health whether it runs what it starts
  * @param capacity what it holds in all
  * @param slots how many requests it serves at a time
- * @param committed declared sizes of the tasks placed on it
- * @param usedSlots requests placed on it
- * @param tasks the tasks placed on it
+ * @param load what is placed on it
+ * @param reserved what is kept for a gang
  * @param acknowledgements ended tasks that the next renewal acknowledges
  * @param askedAtMillis when the lease was last asked for or renewed
  * @param leaseSentMillis send time of the newest request that the worker granted
@@ -33,28 +31,26 @@
         WorkerPhase phase,
         long incarnation,
         boolean leaving,
-        boolean quarantined,
+        WorkerHealth health,
         Resources capacity,
         int slots,
-        Resources committed,
-        int usedSlots,
-        PSortedSet<TaskId> tasks,
+        Load load,
+        Resources reserved,
         PVector<TaskId> acknowledgements,
         long askedAtMillis,
         long leaseSentMillis) {
-    /** Returns a worker whose lease is about to be asked for. */
+    /** Returns a worker whose lease is being asked for. */
     public static WorkerState acquiring(WorkerListing listing, long nowMillis) {
         return new WorkerState(
                 listing,
                 WorkerPhase.ACQUIRING,
                 0,
                 listing.leaving(),
-                false,
+                WorkerHealth.GOOD,
                 listing.capacity(),
                 listing.slots(),
+                Load.NONE,
                 Resources.ZERO,
-                0,
-                TreePSet.empty(),
                 TreePVector.empty(),
                 nowMillis,
                 nowMillis);
@@ -65,53 +61,102 @@
         return listing.id();
     }
 
-    /** Returns what is free. */
+    /** Returns the declared sizes of the tasks placed on it. */
+    public Resources committed() {
+        return load.committed();
+    }
+
+    /** Returns how many requests are placed on it. */
+    public int usedSlots() {
+        return load.usedSlots();
+    }
+
+    /** Returns the tasks placed on it. */
+    public PSortedSet<TaskId> tasks() {
+        return load.tasks();
+    }
+
+    /** Returns whether it takes no work, but for a probe, because it fails what it starts. */
+    public boolean quarantined() {
+        return health.isQuarantined();
+    }
+
+    /** Returns what is free by declared and by observed sizes, without regard to reservations. */
     public Resources free() {
-        return capacity.minus(committed).max(Resources.ZERO);
+        return capacity.minus(load.taken()).max(Resources.ZERO);
+    }
+
+    /** Returns what is free for work other than the gang that reserved a part. */
+    public Resources available() {
+        return capacity.minus(load.taken()).minus(reserved).max(Resources.ZERO);
     }
 
     /** Returns how many request slots are free. */
     public int freeSlots() {
-        return Math.max(0, slots - usedSlots);
+        return Math.max(0, slots - load.usedSlots());
     }
 
     /** Returns whether work may be placed here. */
     public boolean isEligible() {
-        return phase == WorkerPhase.ACTIVE && !leaving && !quarantined;
+        return phase == WorkerPhase.ACTIVE && !leaving && health.takesWork();
+    }
+
+    /** Returns whether more work may fit here than on {@code before}. */
+    boolean hasMoreRoomThan(WorkerState before) {
+        return isEligible()
+                && (!before.isEligible()
+                        || !available().fitsIn(before.available())
+                        || freeSlots() > before.freeSlots());
     }
 
     /** Returns this worker with {@code task} placed on it. */
     WorkerState plus(RunningTask task) {
-        return withTasks(
-                committed.plus(task.spec().size()),
-                usedSlots + slotsOf(task),
-                tasks.plus(task.spec().id()));
+        return with(load.plus(task), health.started(task.spec().id()));
     }
 
     /** Returns this worker without {@code task}. */
     WorkerState minus(RunningTask task) {
-        return withTasks(
-                committed.minus(task.spec().size()),
-                usedSlots - slotsOf(task),
-                tasks.minus(task.spec().id()));
+        return with(load.minus(task), health.released(task.spec().id()));
     }
 
-    private static int slotsOf(RunningTask task) {
-        return task.spec().kind().isRequest() ? 1 : 0;
+    /** Returns this worker with the charge of a task changed. */
+    WorkerState recharged(Resources before, Resources after) {
+        return with(load.recharged(before, after), health);
+    }
+
+    /** Returns this worker in another health. */
+    WorkerState in(WorkerHealth other) {
+        return with(load, other);
+    }
+
+    private WorkerState with(Load sums, WorkerHealth condition) {
+        return new WorkerState(
+                listing,
+                phase,
+                incarnation,
+                leaving,
+                condition,
+                capacity,
+                slots,
+                sums,
+                reserved,
+                acknowledgements,
+                askedAtMillis,
+                leaseSentMillis);
     }
 
-    private WorkerState withTasks(Resources sum, int requests, PSortedSet<TaskId> ids) {
+    /** Returns this worker with {@code amount} kept for a gang. */
+    WorkerState reserving(Resources amount) {
         return new WorkerState(
                 listing,
                 phase,
                 incarnation,
                 leaving,
-                quarantined,
+                health,
                 capacity,
                 slots,
-                sum,
-                requests,
-                ids,
+                load,
+                amount,
                 acknowledgements,
                 askedAtMillis,
                 leaseSentMillis);
@@ -124,12 +169,11 @@
                 WorkerPhase.ACTIVE,
                 report.incarnation(),
                 report.leaving() || listing.leaving(),
-                quarantined,
+                health,
                 report.capacity(),
                 report.slots(),
-                committed,
-                usedSlots,
-                tasks,
+                load,
+                reserved,
                 acknowledgements,
                 askedAtMillis,
                 Math.max(leaseSentMillis, sentAtMillis));
@@ -142,12 +186,11 @@
                 other,
                 incarnation,
                 leaving,
-                quarantined,
+                health,
                 capacity,
                 slots,
-                committed,
-                usedSlots,
-                tasks,
+                load,
+                reserved,
                 acknowledgements,
                 askedAtMillis,
                 leaseSentMillis);
@@ -160,12 +203,11 @@
                 phase,
                 incarnation,
                 leaving,
-                quarantined,
+                health,
                 capacity,
                 slots,
-                committed,
-                usedSlots,
-                tasks,
+                load,
+                reserved,
                 TreePVector.empty(),
                 nowMillis,
                 leaseSentMillis);
@@ -178,12 +220,11 @@
                 phase,
                 incarnation,
                 now.map(WorkerListing::leaving).orElse(true),
-                quarantined,
+                health,
                 capacity,
                 slots,
-                committed,
-                usedSlots,
-                tasks,
+                load,
+                reserved,
                 acknowledgements,
                 askedAtMillis,
                 leaseSentMillis);
@@ -196,12 +237,11 @@
                 phase,
                 incarnation,
                 leaving,
-                quarantined,
+                health,
                 capacity,
                 slots,
-                committed,
-                usedSlots,
-                tasks,
+                load,
+                reserved,
                 acknowledgements.plus(task),
                 askedAtMillis,
                 leaseSentMillis);
--- a/core/src/main/java/org/jujubefork/core/placement/Workers.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -7,6 +7,7 @@
 import org.jujubefork.core.effect.LogDecision;
 import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.WorkerId;
@@ -40,6 +41,9 @@
         Transition result = Transition.of(state);
         for (ShardState shard : state.shards().values()) {
             for (WorkerState worker : shard.workers().values()) {
+                if (worker.health().isDue(state.nowMillis())) {
+                    result = result.then(s -> Transition.of(recover(s, shard.id(), worker.id())));
+                }
                 if (isDue(state, worker)) {
                     result = result.then(s -> ask(s, shard.id(), worker.id()));
                 }
@@ -88,6 +92,13 @@
                 .orElse(state);
     }
 
+    private static State recover(State state, ShardId shard, WorkerId id) {
+        ShardState owned = state.shards().get(shard);
+        WorkerState worker = owned.workers().get(id);
+        WorkerHealth health = worker.health().elapsed(state.nowMillis());
+        return state.withShard(owned.withWorker(worker.in(health)));
+    }
+
     private static boolean isDue(State state, WorkerState worker) {
         long interval =
                 worker.phase() == WorkerPhase.ACTIVE
@@ -208,8 +219,7 @@
                                 "no answer to a renewal"));
     }
 
-    private static Optional<ShardState> heldUnder(
-            State state, WorkerId worker, org.jujubefork.core.model.Epoch epoch) {
+    private static Optional<ShardState> heldUnder(State state, WorkerId worker, Epoch epoch) {
         return shardOf(state, worker).filter(s -> s.epoch().equals(epoch));
     }
 
--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -188,7 +188,8 @@
                         queue.size(),
                         queue.urgent(),
                         state.nowMillis(),
-                        request.deadlineMillis()));
+                        request.deadlineMillis(),
+                        0));
     }
 
     private static Transition forwarded(State state, RequestEvent.RequestForwarded event) {
@@ -209,7 +210,8 @@
                         work.size(),
                         work.urgent(),
                         state.nowMillis(),
-                        state.nowMillis() + work.remainingMillis()));
+                        state.nowMillis() + work.remainingMillis(),
+                        0));
     }
 
     private static boolean isForwardedTo(State state, RequestId id, EntryId owner) {
--- a/core/src/main/java/org/jujubefork/core/requests/Routing.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Routing.java
@@ -46,7 +46,7 @@
         int routes = 0;
         for (ShardState shard : state.shards().values()) {
             if (!request.tried().contains(shard.id()) && !shard.index().byFree().isEmpty()) {
-                int slots = shard.index().bySlots().last().slots();
+                int slots = shard.index().byFree().freeSlots();
                 double cost =
                         distanceCost(state, shard.id(), tuning)
                                 + waitCost(
