Route by wait, bytes and recent failures; finish claims that the store missed

Cause: all entries took the cheapest route by the same gossip; a retry of a request in progress was refused at once; an outcome that the store did not confirm was never written again.

Unconfirmed outcomes and releases stay in the state and are written again with back-off and spread.

--- a/core/src/main/java/org/jujubefork/core/configuration/Tuning.java
+++ b/core/src/main/java/org/jujubefork/core/configuration/Tuning.java
@@ -30,7 +30,11 @@
         int quarantineFailures,
         long quarantineWindowMillis,
         long crossZoneCostMillis,
-        long crossRegionCostMillis) {
+        long crossRegionCostMillis,
+        long crossRegionCostPerMibMillis) {
+    /** The price of bytes across regions where the configuration says nothing. */
+    public static final long DEFAULT_COST_PER_MIB_MILLIS = 100;
+
     /** The values that apply where the configuration says nothing. */
     public static final Tuning DEFAULT =
             new Tuning(
@@ -48,8 +52,36 @@
             throw new IllegalArgumentException(
                     "maxQueuedTotal, maxAttempts and quarantineFailures must be at least 1");
         }
-        if (crossZoneCostMillis < 0 || crossRegionCostMillis < 0) {
+        if (crossZoneCostMillis < 0
+                || crossRegionCostMillis < 0
+                || crossRegionCostPerMibMillis < 0) {
             throw new IllegalArgumentException("routing costs must not be negative");
         }
     }
+
+    /** Returns figures with the default price of bytes across regions. */
+    public Tuning(
+            long reclaimAfterMillis,
+            long gangReserveAfterMillis,
+            Resources requestReserve,
+            int reservedSlots,
+            int maxQueuedTotal,
+            int maxAttempts,
+            int quarantineFailures,
+            long quarantineWindowMillis,
+            long crossZoneCostMillis,
+            long crossRegionCostMillis) {
+        this(
+                reclaimAfterMillis,
+                gangReserveAfterMillis,
+                requestReserve,
+                reservedSlots,
+                maxQueuedTotal,
+                maxAttempts,
+                quarantineFailures,
+                quarantineWindowMillis,
+                crossZoneCostMillis,
+                crossRegionCostMillis,
+                DEFAULT_COST_PER_MIB_MILLIS);
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/effect/StoreEffect.java
+++ b/core/src/main/java/org/jujubefork/core/effect/StoreEffect.java
@@ -18,6 +18,15 @@
     record CreateClaim(RequestId request, String claimKey, ClaimRecord claim)
             implements StoreEffect {}
 
+    /**
+     * Read the claim of another request again; the answer is {@code ClaimExists}, {@code ClaimGone}
+     * or {@code ClaimFailed}.
+     *
+     * @param request the request that waits
+     * @param claimKey the key in the store
+     */
+    record ReadClaim(RequestId request, String claimKey) implements StoreEffect {}
+
     /**
      * Record the outcome in a claim of this entry, with the answer body if it is done and not too
      * large.
--- a/core/src/main/java/org/jujubefork/core/event/ClaimEvent.java
+++ b/core/src/main/java/org/jujubefork/core/event/ClaimEvent.java
@@ -27,6 +27,14 @@
     record ClaimExists(long atMillis, RequestId request, ClaimRecord existing)
             implements ClaimEvent {}
 
+    /**
+     * No claim exists under the key that was read.
+     *
+     * @param atMillis when
+     * @param request the request
+     */
+    record ClaimGone(long atMillis, RequestId request) implements ClaimEvent {}
+
     /**
      * The store could not be reached, so that the claim is not known to be written.
      *
--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -16,6 +16,7 @@
 import org.jujubefork.core.model.StartRefusal;
 import org.jujubefork.core.ownership.Ownership;
 import org.jujubefork.core.requests.Attempts;
+import org.jujubefork.core.requests.Requests;
 
 /** Follows tasks from the start command to their end. */
 public final class Tasks {
@@ -122,7 +123,11 @@
                 event.succeeded()
                         ? Verdicts.succeeded(shard, task, state.nowMillis())
                         : Verdicts.failed(state, shard, task);
-        State released = state.withShard(judged.release(task.spec().id()));
+        State released =
+                Requests.answered(
+                        state.withShard(judged.release(task.spec().id())),
+                        task.spec().queue(),
+                        event.answerBytes());
         Transition result = Transition.of(released).with(endDecision(state, task, event));
         return task.origin()
                 .map(o -> result.then(s -> Attempts.report(s, o, AttemptResult.done())))
--- a/core/src/main/java/org/jujubefork/core/requests/RequestPhase.java
+++ b/core/src/main/java/org/jujubefork/core/requests/RequestPhase.java
@@ -4,6 +4,10 @@
 public enum RequestPhase {
     /** The claim of a non-idempotent request is being written. */
     CLAIMING,
+    /**
+     * Another request with the same idempotency key is in progress, and its claim is read again.
+     */
+    WAITING,
     /** It waits or runs in a shard that this entry owns. */
     LOCAL,
     /** It was forwarded to the owner of a shard. */
--- a/core/src/main/java/org/jujubefork/core/requests/RequestTable.java
+++ b/core/src/main/java/org/jujubefork/core/requests/RequestTable.java
@@ -1,6 +1,9 @@
 package org.jujubefork.core.requests;
 
+import org.jujubefork.core.model.QueueId;
 import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.placement.WorkQueue;
 import org.pcollections.PSortedMap;
 import org.pcollections.PSortedSet;
 import org.pcollections.TreePMap;
@@ -12,37 +15,88 @@
  * @param active requests without an answer
  * @param deadlines their deadlines
  * @param retries the retry budget
+ * @param avoided shards that just failed, and until when they are avoided
+ * @param answerBytes smoothed length of answers by queue
+ * @param claims work on claims that the store has not confirmed
  */
 public record RequestTable(
         PSortedMap<RequestId, FrontRequest> active,
-        PSortedSet<org.jujubefork.core.placement.WorkQueue.Deadline> deadlines,
-        RetryBudget retries) {
+        PSortedSet<WorkQueue.Deadline> deadlines,
+        RetryBudget retries,
+        PSortedMap<ShardId, Long> avoided,
+        PSortedMap<QueueId, Long> answerBytes,
+        PendingClaims claims) {
     /** No requests. */
     public static final RequestTable EMPTY =
-            new RequestTable(TreePMap.empty(), TreePSet.empty(), RetryBudget.FULL);
+            new RequestTable(
+                    TreePMap.empty(),
+                    TreePSet.empty(),
+                    RetryBudget.FULL,
+                    TreePMap.empty(),
+                    TreePMap.empty(),
+                    PendingClaims.NONE);
+
+    /** The part of a new answer in the smoothed length is one over this. */
+    private static final int ANSWER_SMOOTHING = 8;
 
     RequestTable arrived(FrontRequest request) {
         return new RequestTable(
                 active.plus(request.id(), request),
                 deadlines.plus(deadline(request)),
-                retries.earned());
+                retries.earned(),
+                avoided,
+                answerBytes,
+                claims);
     }
 
     RequestTable with(FrontRequest request) {
-        return new RequestTable(active.plus(request.id(), request), deadlines, retries);
+        return new RequestTable(
+                active.plus(request.id(), request),
+                deadlines,
+                retries,
+                avoided,
+                answerBytes,
+                claims);
     }
 
     RequestTable without(FrontRequest request) {
         return new RequestTable(
-                active.minus(request.id()), deadlines.minus(deadline(request)), retries);
+                active.minus(request.id()),
+                deadlines.minus(deadline(request)),
+                retries,
+                avoided,
+                answerBytes,
+                claims.withoutReads(request.id()));
     }
 
     RequestTable retried() {
-        return new RequestTable(active, deadlines, retries.spent());
+        return new RequestTable(active, deadlines, retries.spent(), avoided, answerBytes, claims);
+    }
+
+    RequestTable avoiding(ShardId shard, long untilMillis) {
+        return new RequestTable(
+                active, deadlines, retries, avoided.plus(shard, untilMillis), answerBytes, claims);
+    }
+
+    RequestTable withClaims(PendingClaims value) {
+        return new RequestTable(active, deadlines, retries, avoided, answerBytes, value);
+    }
+
+    RequestTable answered(QueueId queue, long bytes) {
+        Long known = answerBytes.get(queue);
+        long smoothed = known == null ? bytes : known + (bytes - known) / ANSWER_SMOOTHING;
+        return known != null && known == smoothed
+                ? this
+                : new RequestTable(
+                        active,
+                        deadlines,
+                        retries,
+                        avoided,
+                        answerBytes.plus(queue, smoothed),
+                        claims);
     }
 
-    private static org.jujubefork.core.placement.WorkQueue.Deadline deadline(FrontRequest request) {
-        return new org.jujubefork.core.placement.WorkQueue.Deadline(
-                request.deadlineMillis(), request.id());
+    private static WorkQueue.Deadline deadline(FrontRequest request) {
+        return new WorkQueue.Deadline(request.deadlineMillis(), request.id());
     }
 }
--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -14,6 +14,7 @@
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.QueueId;
 import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.model.ShardId;
@@ -58,7 +59,7 @@
             FrontRequest request = state.requests().active().get(deadline.request());
             result = result.then(s -> overdue(s, request));
         }
-        return result;
+        return result.then(Claims::tick);
     }
 
     private static Transition arrived(State state, RequestEvent.RequestArrived event) {
@@ -236,13 +237,30 @@
         if (request == null || request.phase() == RequestPhase.SETTLING) {
             return Transition.of(state);
         }
+        State noted = avoidFailed(state, request, result);
         boolean safe = result.outcome() == Outcome.NOT_RUN || request.isIdempotent();
         boolean wanted = result.outcome() != Outcome.DONE && result.retryElsewhere() && safe;
         boolean inTime = state.nowMillis() < request.deadlineMillis();
         if (wanted && inTime && state.requests().retries().allows()) {
-            return retry(state, request, result);
+            return retry(noted, request, result);
         }
-        return finish(state, request, result);
+        return finish(noted, request, result);
+    }
+
+    /** Avoids a shard for a moment after an attempt that says something about the shard. */
+    private static State avoidFailed(State state, FrontRequest request, AttemptResult result) {
+        boolean failed =
+                switch (result.reason()) {
+                    case NOT_OWNER, OWNER_CHANGED, ENTRY_UNREACHABLE, ENTRY_CONNECTION_LOST -> true;
+                    default -> false;
+                };
+        return failed && request.shard().isPresent()
+                ? state.withRequests(
+                        state.requests()
+                                .avoiding(
+                                        request.shard().get(),
+                                        state.nowMillis() + Routing.AVOID_MILLIS))
+                : state;
     }
 
     private static Transition retry(State state, FrontRequest request, AttemptResult result) {
@@ -295,6 +313,7 @@
     private static Transition overdue(State state, FrontRequest request) {
         return switch (request.phase()) {
             case CLAIMING, SETTLING -> Transition.of(state);
+            case WAITING -> Claims.stopWaiting(state, request);
             case LOCAL, FORWARDED -> {
                 Transition ended =
                         finish(
@@ -326,7 +345,15 @@
         if (request == null) {
             return Transition.of(state);
         }
+        if (request.phase() == RequestPhase.WAITING) {
+            return Claims.stopWaiting(state, request);
+        }
         Transition result = Transition.of(state);
         return cancelForward(state, request).map(result::with).orElse(result);
     }
+
+    /** Notes the length of an answer, from which routing estimates the price of distance. */
+    public static State answered(State state, QueueId queue, long bytes) {
+        return state.withRequests(state.requests().answered(queue, bytes));
+    }
 }
