--- a/core/src/main/java/org/jujubefork/core/requests/FrontRequest.java
+++ b/core/src/main/java/org/jujubefork/core/requests/FrontRequest.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.jujubefork.core.configuration.Queue;
 import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Outcome;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.WorkKind;
@@ -23,6 +24,7 @@
  * @param shard the shard that is being tried
  * @param owner the entry to which it was forwarded
  * @param random for choices between equal shards
+ * @param maybeRan whether an earlier attempt may have run
  */
 public record FrontRequest(
         RequestId id,
@@ -35,7 +37,8 @@
         PSortedSet<ShardId> tried,
         Optional<ShardId> shard,
         Optional<EntryId> owner,
-        long random) {
+        long random,
+        boolean maybeRan) {
     /** Returns a request that has just arrived. */
     static FrontRequest arrived(
             RequestId id, Queue queue, long nowMillis, Optional<String> claimKey, long random) {
@@ -50,7 +53,8 @@
                 TreePSet.empty(),
                 Optional.empty(),
                 Optional.empty(),
-                random);
+                random,
+                false);
     }
 
     /** Returns whether it may be executed more than once. */
@@ -70,7 +74,8 @@
                 tried,
                 shard,
                 owner,
-                random);
+                random,
+                maybeRan);
     }
 
     FrontRequest withClaim() {
@@ -85,7 +90,8 @@
                 tried,
                 shard,
                 owner,
-                random);
+                random,
+                maybeRan);
     }
 
     FrontRequest routedTo(ShardId target, Optional<EntryId> entry) {
@@ -101,10 +107,11 @@
                 tried,
                 Optional.of(target),
                 entry,
-                random);
+                random,
+                maybeRan);
     }
 
-    FrontRequest afterAttempt() {
+    FrontRequest afterAttempt(Outcome outcome) {
         PSortedSet<ShardId> all = shard.map(tried::plus).orElse(tried);
         return new FrontRequest(
                 id,
@@ -117,7 +124,8 @@
                 all,
                 Optional.empty(),
                 Optional.empty(),
-                random);
+                random,
+                maybeRan || outcome == Outcome.UNKNOWN);
     }
 
     FrontRequest withoutTried() {
@@ -132,6 +140,7 @@
                 TreePSet.empty(),
                 shard,
                 owner,
-                random);
+                random,
+                maybeRan);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -264,7 +264,7 @@
     }
 
     private static Transition retry(State state, FrontRequest request, AttemptResult result) {
-        FrontRequest next = request.afterAttempt();
+        FrontRequest next = request.afterAttempt(result.outcome());
         if (Routing.choose(state, next).isEmpty()) {
             next = next.withoutTried();
         }
@@ -285,7 +285,8 @@
     }
 
     /** Answers the caller, after the claim of a non-idempotent request is settled or released. */
-    static Transition finish(State state, FrontRequest request, AttemptResult result) {
+    static Transition finish(State state, FrontRequest request, AttemptResult attempt) {
+        AttemptResult result = overall(request, attempt);
         if (request.claimKey().isPresent()) {
             return Claims.finish(state, request, result);
         }
@@ -295,6 +296,13 @@
                 : refuse(without, request.id(), request.queue().id().value(), result);
     }
 
+    /** Returns what is known of all attempts if {@code last} is the result of the last one. */
+    private static AttemptResult overall(FrontRequest request, AttemptResult last) {
+        return request.maybeRan() && last.outcome() == Outcome.NOT_RUN
+                ? new AttemptResult(Outcome.UNKNOWN, last.reason(), last.retryAfterMillis(), false)
+                : last;
+    }
+
     /** Tells the caller that the request did not run, or that its outcome is not known. */
     static Transition refuse(State state, RequestId request, String queue, AttemptResult result) {
         return Transition.of(state)
