Write job records by compare-and-swap and queue tasks from them

Jobs were only kept as records: submissions got no answer, tasks were never queued and their ends were acknowledged before they were durable.

Submissions are checked, divided among shards and answered after the first write. Ends of tasks are kept until a record shows them, so that lost answers, conflicts and repeated reports count each end once. Owners queue a window of tasks per job, and only after every worker of the shard was acquired or its lease is over. Unstarted tasks move to another shard in two writes, the second one only after all workers renewed the lease.

JobRecord gets run and progress, JobPart gets movingTo, JobSubmitted gets epochMillis, and StoreEffect gets DeleteJob. The scheduler and the reports of workers call Jobs.taskPlaced.

--- a/core/src/main/java/org/jujubefork/core/control/Reducer.java
+++ b/core/src/main/java/org/jujubefork/core/control/Reducer.java
@@ -61,7 +61,11 @@
 
     private static Transition tick(State state, Tick tick) {
         Transition result =
-                Transition.of(state).then(Ownership::tick).then(Workers::tick).then(Requests::tick);
+                Transition.of(state)
+                        .then(Ownership::tick)
+                        .then(Workers::tick)
+                        .then(Jobs::tick)
+                        .then(Requests::tick);
         for (ShardId shard : state.shards().keySet()) {
             result =
                     result.then(
--- a/core/src/main/java/org/jujubefork/core/effect/StoreEffect.java
+++ b/core/src/main/java/org/jujubefork/core/effect/StoreEffect.java
@@ -2,6 +2,7 @@
 
 import org.jujubefork.core.jobs.JobRecord;
 import org.jujubefork.core.limits.Ledger;
+import org.jujubefork.core.model.JobId;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.requests.ClaimRecord;
 import org.jujubefork.core.requests.ClaimState;
@@ -53,6 +54,14 @@
      */
     record WriteJob(long expectedRevision, JobRecord record) implements StoreEffect {}
 
+    /**
+     * Remove the record of a job that ended long ago, if the store still holds this revision.
+     *
+     * @param expectedRevision the revision that the store must hold
+     * @param job the job
+     */
+    record DeleteJob(long expectedRevision, JobId job) implements StoreEffect {}
+
     /**
      * Write the ledger by compare-and-swap.
      *
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobQueue.java
@@ -0,0 +1,279 @@
+package org.jujubefork.core.jobs;
+
+import java.util.Map;
+import java.util.Optional;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.configuration.Queue;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.model.EndReason;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.placement.Lane;
+import org.jujubefork.core.placement.LaneKey;
+import org.jujubefork.core.placement.QueuedWork;
+import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.WorkQueue;
+import org.pcollections.PSortedSet;
+import org.pcollections.TreePSet;
+
+/** Queues the tasks of jobs in owned shards, a bounded number of each job at a time. */
+final class JobQueue {
+    /**
+     * Tasks of one job that wait in the queue of a shard at most. It covers the starts between two
+     * ticks; more would only make the queue larger.
+     */
+    static final int WINDOW = 128;
+
+    private JobQueue() {}
+
+    /** Returns the jobs of an owned shard. */
+    static ShardJobs shardJobs(State state, ShardId shard) {
+        return state.jobs().shard(shard, state.shards().get(shard).epoch());
+    }
+
+    static State withShardJobs(State state, ShardId shard, ShardJobs jobs) {
+        return state.withJobs(state.jobs().withShard(shard, jobs));
+    }
+
+    static State withPart(State state, ShardId shard, JobId job, PartState part) {
+        return withShardJobs(state, shard, shardJobs(state, shard).with(job, part));
+    }
+
+    /** Returns whether the tasks of {@code index} may be started in {@code shard}. */
+    private static boolean isStartable(State state, ShardId shard, JobId job, int index) {
+        boolean stored =
+                state.jobs().record(job).map(r -> r.isStartable(shard, index)).orElse(false);
+        return stored && state.jobs().view(job).map(r -> r.isStartable(shard, index)).orElse(false);
+    }
+
+    /** Derives from the record which tasks of a job are still to be queued. */
+    static State reload(State state, ShardId shard, JobId job) {
+        Optional<JobRecord> record = state.jobs().view(job);
+        if (record.isEmpty()) {
+            return state;
+        }
+        State cleared = state;
+        for (int index : shardJobs(state, shard).part(job).queued().keySet()) {
+            if (!isStartable(state, shard, job, index)) {
+                cleared = unqueue(cleared, shard, job, index);
+            }
+        }
+        PartState part = shardJobs(cleared, shard).part(job);
+        PSortedSet<Integer> todo = TreePSet.empty();
+        for (JobPart range : record.get().parts()) {
+            if (!range.shard().equals(shard) || !isStartable(state, shard, job, range.from())) {
+                continue;
+            }
+            for (int index = range.from(); index < range.to(); index++) {
+                boolean known =
+                        part.placed().containsKey(index)
+                                || part.queued().containsKey(index)
+                                || part.delayed().contains(index)
+                                || record.get().succeeded().contains(index);
+                todo = known ? todo : todo.plus(index);
+            }
+        }
+        return withShardJobs(
+                cleared,
+                shard,
+                shardJobs(cleared, shard).with(job, part.loaded(todo)).refilling(job));
+    }
+
+    /** Removes the task {@code index} from the queue. */
+    static State unqueue(State state, ShardId shard, JobId job, int index) {
+        PartState part = shardJobs(state, shard).part(job);
+        WorkQueue.Position position = part.queued().get(index);
+        if (position == null) {
+            return state;
+        }
+        ShardState owned = state.shards().get(shard);
+        return withPart(
+                state.withShard(owned.withQueue(owned.queue().minus(position))),
+                shard,
+                job,
+                part.withQueued(part.queued().minus(index)));
+    }
+
+    /** Has the task {@code index} queued again. */
+    static State again(State state, ShardId shard, JobId job, int index) {
+        ShardJobs jobs = shardJobs(state, shard);
+        PartState part = jobs.part(job);
+        if (!part.loaded()) {
+            return state;
+        }
+        return withShardJobs(
+                state,
+                shard,
+                jobs.with(job, part.withTodo(part.todo().plus(index))).refilling(job));
+    }
+
+    /** Has the task {@code index} queued again after {@code delayMillis}. */
+    static State delay(State state, ShardId shard, JobId job, int index, long delayMillis) {
+        ShardJobs jobs = shardJobs(state, shard);
+        PartState part = jobs.part(job);
+        DelayedTask task = new DelayedTask(state.nowMillis() + delayMillis, job, index);
+        return withShardJobs(
+                state,
+                shard,
+                jobs.with(job, part.withDelayed(part.delayed().plus(index)))
+                        .withDelayed(jobs.delayed().plus(task)));
+    }
+
+    /** Queues tasks of {@code job} as far as its window and the queue have room. */
+    static Transition refill(State state, ShardId shard, JobId job) {
+        Optional<JobRecord> view = state.jobs().view(job);
+        ShardJobs jobs = shardJobs(state, shard);
+        State without = withShardJobs(state, shard, jobs.withRefill(jobs.refill().minus(job)));
+        if (view.isEmpty() || view.get().state().isFinal() || !jobs.settled()) {
+            return Transition.of(without);
+        }
+        State loaded = jobs.part(job).loaded() ? without : reload(without, shard, job);
+        if (Moves.isForeign(loaded, shard, job)) {
+            return Transition.of(refilling(Moves.clear(loaded, shard, job), shard, job))
+                    .then(s -> Transition.of(refillTasks(s, shard, view.get())));
+        }
+        return view.get().kind() == WorkKind.GANG
+                ? refillGang(loaded, shard, view.get())
+                : Transition.of(refillTasks(loaded, shard, view.get()));
+    }
+
+    private static State refillTasks(State state, ShardId shard, JobRecord record) {
+        JobId job = record.id();
+        State result = state;
+        PartState part = shardJobs(state, shard).part(job);
+        while (!part.todo().isEmpty() && part.queued().size() < WINDOW) {
+            if (!hasRoom(result, shard, record)) {
+                return withShardJobs(result, shard, shardJobs(result, shard).refilling(job));
+            }
+            int index = part.todo().first();
+            result = withPart(result, shard, job, part.withTodo(part.todo().minus(index)));
+            boolean wanted =
+                    isStartable(result, shard, job, index)
+                            && !record.succeeded().contains(index)
+                            && !part.placed().containsKey(index)
+                            && !part.queued().containsKey(index);
+            if (wanted) {
+                result = enqueue(result, shard, index, taskOf(result, record, index));
+            }
+            part = shardJobs(result, shard).part(job);
+        }
+        ShardJobs jobs = shardJobs(result, shard);
+        return withShardJobs(result, shard, jobs.withRefill(jobs.refill().minus(job)));
+    }
+
+    private static boolean hasRoom(State state, ShardId shard, JobRecord record) {
+        WorkQueue queue = state.shards().get(shard).queue();
+        Optional<Configuration> configuration = state.configuration();
+        if (configuration.isEmpty()) {
+            return false;
+        }
+        int maxOfTeam =
+                configuration.get().queue(record.queue()).map(Queue::maxQueued).orElse(WINDOW);
+        LaneKey lane = new LaneKey(Lane.of(record.kind(), false), record.team());
+        return queue.size() < configuration.get().tuning().maxQueuedTotal()
+                && queue.lane(lane).size() < maxOfTeam;
+    }
+
+    private static QueuedWork.Task taskOf(State state, JobRecord record, int index) {
+        boolean counted = record.kind() == WorkKind.BATCH;
+        return new QueuedWork.Task(
+                record.id(),
+                index,
+                counted ? record.failedAttempts(index) + 1 : 1,
+                record.team(),
+                record.queue(),
+                record.kind(),
+                record.size(),
+                record.payload(),
+                state.nowMillis());
+    }
+
+    private static State enqueue(State state, ShardId shard, int index, QueuedWork work) {
+        ShardState owned = state.shards().get(shard);
+        WorkQueue.Position position =
+                new WorkQueue.Position(
+                        new LaneKey(work.lane(), work.team()), owned.queue().nextSequence());
+        JobId job =
+                work instanceof QueuedWork.Gang gang ? gang.job() : ((QueuedWork.Task) work).job();
+        PartState part = shardJobs(state, shard).part(job);
+        return withPart(
+                state.withShard(owned.withQueue(owned.queue().plus(work))),
+                shard,
+                job,
+                part.withQueued(part.queued().plus(index, position)));
+    }
+
+    /**
+     * Queues a gang once nothing of an earlier run is left, and stops the rest of a run of which a
+     * task is missing.
+     */
+    private static Transition refillGang(State state, ShardId shard, JobRecord record) {
+        JobId job = record.id();
+        PartState part = shardJobs(state, shard).part(job);
+        if (!part.queued().isEmpty() || !isStartable(state, shard, job, 0)) {
+            return Transition.of(state);
+        }
+        if (!isBroken(record, part)) {
+            return Transition.of(state);
+        }
+        if (!part.placed().isEmpty()) {
+            return Closing.addBroken(state, shard, job);
+        }
+        if (!record.succeeded().isEmpty()) {
+            PendingEnd broken =
+                    new PendingEnd(
+                            Optional.empty(),
+                            TaskId.of("run-" + record.run()),
+                            0,
+                            record.run(),
+                            EndReason.LEASE_EXPIRED,
+                            "",
+                            0);
+            return JobWrites.addEnd(state, job, broken)
+                    .then(s -> Transition.of(refilling(s, shard, job)));
+        }
+        if (!hasRoom(state, shard, record)) {
+            return Transition.of(refilling(state, shard, job));
+        }
+        State started = withPart(state, shard, job, part.started(record.run()));
+        return Transition.of(enqueue(started, shard, 0, gangOf(state, record)));
+    }
+
+    /**
+     * Returns whether tasks of a gang that are placed belong to an earlier run, or tasks of its run
+     * are missing.
+     */
+    static boolean isBroken(JobRecord record, PartState part) {
+        if (record.kind() != WorkKind.GANG) {
+            return false;
+        }
+        boolean stale = part.placed().values().stream().anyMatch(t -> t.attempt() < record.run());
+        return stale || part.placed().size() + record.succeeded().size() < record.tasks();
+    }
+
+    static State refilling(State state, ShardId shard, JobId job) {
+        return withShardJobs(state, shard, shardJobs(state, shard).refilling(job));
+    }
+
+    private static QueuedWork.Gang gangOf(State state, JobRecord record) {
+        return new QueuedWork.Gang(
+                record.id(),
+                record.tasks(),
+                record.run(),
+                record.team(),
+                record.queue(),
+                record.size(),
+                record.payload(),
+                state.nowMillis());
+    }
+
+    /** Returns the placed task of {@code index}, if it is {@code id}. */
+    static Optional<PlacedTask> placed(
+            State state, ShardId shard, JobId job, int index, TaskId id) {
+        Map<Integer, PlacedTask> placed = shardJobs(state, shard).part(job).placed();
+        return Optional.ofNullable(placed.get(index)).filter(t -> t.task().equals(id));
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/jobs/JobRecord.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobRecord.java
@@ -1,8 +1,10 @@
 package org.jujubefork.core.jobs;
 
+import java.util.Optional;
 import org.jujubefork.core.model.JobId;
 import org.jujubefork.core.model.QueueId;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.model.WorkKind;
 import org.pcollections.PSortedMap;
@@ -26,7 +28,10 @@
  * @param reason why it failed or cannot run; empty otherwise
  * @param parts which shard runs which tasks
  * @param succeeded indexes of tasks that succeeded
- * @param attempts started attempts by task index, where a task was started more than once or failed
+ * @param attempts failed attempts by task index; a gang counts its failed runs under index 0
+ * @param run the current run of a gang, from 1; {@code succeeded} belongs to this run. Other kinds
+ *     stay at 1
+ * @param progress the part that checkpointed tasks have done, from 0 to 1, by task index
  */
 public record JobRecord(
         JobId id,
@@ -42,4 +47,160 @@
         String reason,
         PVector<JobPart> parts,
         PSortedSet<Integer> succeeded,
-        PSortedMap<Integer, Integer> attempts) {}
+        PSortedMap<Integer, Integer> attempts,
+        int run,
+        PSortedMap<Integer, Double> progress) {
+    /** Checks the number of tasks and the run. */
+    public JobRecord {
+        if (tasks < 1) {
+            throw new IllegalArgumentException(
+                    "job " + id + " must have at least 1 task: " + tasks);
+        }
+        if (run < 1) {
+            throw new IllegalArgumentException("run of job " + id + " must be at least 1: " + run);
+        }
+    }
+
+    /** Returns how many attempts of the task {@code index} failed. */
+    public int failedAttempts(int index) {
+        Integer failed = attempts.get(index);
+        return failed == null ? 0 : failed;
+    }
+
+    /** Returns the part that holds the task {@code index}, if there is one. */
+    public Optional<JobPart> part(int index) {
+        return parts.stream().filter(p -> p.holds(index)).findFirst();
+    }
+
+    /** Returns whether {@code shard} runs any of the tasks. */
+    public boolean isIn(ShardId shard) {
+        return parts.stream().anyMatch(p -> p.shard().equals(shard));
+    }
+
+    /** Returns whether {@code shard} may start the task {@code index}. */
+    public boolean isStartable(ShardId shard, int index) {
+        return part(index)
+                .map(p -> p.shard().equals(shard) && p.movingTo().isEmpty())
+                .orElse(false);
+    }
+
+    JobRecord withParts(PVector<JobPart> value) {
+        return new JobRecord(
+                id,
+                team,
+                queue,
+                kind,
+                name,
+                tasks,
+                size,
+                payload,
+                submittedAtEpochMillis,
+                state,
+                reason,
+                value,
+                succeeded,
+                attempts,
+                run,
+                progress);
+    }
+
+    JobRecord in(JobState value, String why) {
+        return new JobRecord(
+                id,
+                team,
+                queue,
+                kind,
+                name,
+                tasks,
+                size,
+                payload,
+                submittedAtEpochMillis,
+                value,
+                why,
+                parts,
+                succeeded,
+                attempts,
+                run,
+                progress);
+    }
+
+    JobRecord withSucceeded(PSortedSet<Integer> value) {
+        return new JobRecord(
+                id,
+                team,
+                queue,
+                kind,
+                name,
+                tasks,
+                size,
+                payload,
+                submittedAtEpochMillis,
+                state,
+                reason,
+                parts,
+                value,
+                attempts,
+                run,
+                progress);
+    }
+
+    JobRecord withAttempts(PSortedMap<Integer, Integer> value) {
+        return new JobRecord(
+                id,
+                team,
+                queue,
+                kind,
+                name,
+                tasks,
+                size,
+                payload,
+                submittedAtEpochMillis,
+                state,
+                reason,
+                parts,
+                succeeded,
+                value,
+                run,
+                progress);
+    }
+
+    JobRecord withProgress(PSortedMap<Integer, Double> value) {
+        return new JobRecord(
+                id,
+                team,
+                queue,
+                kind,
+                name,
+                tasks,
+                size,
+                payload,
+                submittedAtEpochMillis,
+                state,
+                reason,
+                parts,
+                succeeded,
+                attempts,
+                run,
+                value);
+    }
+
+    JobRecord inRun(int value) {
+        return new JobRecord(
+                id,
+                team,
+                queue,
+                kind,
+                name,
+                tasks,
+                size,
+                payload,
+                submittedAtEpochMillis,
+                state,
+                reason,
+                parts,
+                succeeded,
+                attempts,
+                value,
+                progress);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/jobs/Submissions.java
@@ -0,0 +1,338 @@
+package org.jujubefork.core.jobs;
+
+import java.util.List;
+import java.util.Optional;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.configuration.Queue;
+import org.jujubefork.core.configuration.Team;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.DecisionKind;
+import org.jujubefork.core.effect.LogDecision;
+import org.jujubefork.core.effect.RequestEffect;
+import org.jujubefork.core.effect.StoreEffect;
+import org.jujubefork.core.event.JobEvent;
+import org.jujubefork.core.membership.Freshness;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.requests.Requests;
+import org.pcollections.PVector;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePSet;
+import org.pcollections.TreePVector;
+
+/** Takes jobs and cancellations from callers. */
+final class Submissions {
+    /** How long a caller waits at most until the store has taken its job. */
+    static final long SUBMIT_WAIT_MILLIS = 10_000;
+
+    /** How long a caller waits at most for a cancellation; a wave of them is written over time. */
+    static final long CANCEL_WAIT_MILLIS = 30_000;
+
+    /** Time after which the first write of a job is sent again if its outcome is not known. */
+    static final long RETRY_MILLIS = 1_000;
+
+    /** Most tasks of a job: its record has to stay below the store's 1 MB per value. */
+    static final int MAX_TASKS = 20_000;
+
+    /** Longest input of the tasks of a job, for the same reason. */
+    static final int MAX_PAYLOAD_CHARS = 256 * 1024;
+
+    private Submissions() {}
+
+    static Transition submitted(State state, JobEvent.JobSubmitted event) {
+        String queueName = event.spec().queue().value();
+        Optional<Queue> queue = state.configuration().flatMap(c -> c.queue(event.spec().queue()));
+        RefusalReason access = checkAccess(state, queue, event.keyHash());
+        if (access != RefusalReason.NONE) {
+            return refuse(state, event.request(), Optional.empty(), queueName, access);
+        }
+        JobCaller caller =
+                new JobCaller(
+                        state.nowMillis() + SUBMIT_WAIT_MILLIS,
+                        event.request(),
+                        event.job(),
+                        false);
+        TeamId team = queue.orElseThrow().team();
+        if (state.jobs().records().containsKey(event.job())) {
+            return Transition.of(state)
+                    .with(new RequestEffect.AcceptJob(event.request(), event.job()));
+        }
+        if (state.jobs().submissions().containsKey(event.job())) {
+            return Transition.of(state.withJobs(state.jobs().withCaller(caller)));
+        }
+        RefusalReason reason = check(state, queue.get(), event.spec());
+        Resources size = event.spec().size().orElse(queue.get().size());
+        PVector<JobPart> parts =
+                reason == RefusalReason.NONE
+                        ? Division.divide(state, queue.get().kind(), event.spec().tasks(), size)
+                        : TreePVector.empty();
+        if (reason == RefusalReason.NONE && parts.isEmpty()) {
+            reason = RefusalReason.NO_SHARD;
+        }
+        if (reason != RefusalReason.NONE) {
+            return refuse(state, event.request(), Optional.of(team), queueName, reason);
+        }
+        JobRecord record = firstRecord(event, queue.get(), size, parts);
+        return create(state.withJobs(state.jobs().withCaller(caller)), record, false);
+    }
+
+    private static JobRecord firstRecord(
+            JobEvent.JobSubmitted event, Queue queue, Resources size, PVector<JobPart> parts) {
+        JobSpec spec = event.spec();
+        return new JobRecord(
+                event.job(),
+                queue.team(),
+                queue.id(),
+                queue.kind(),
+                spec.name(),
+                spec.tasks(),
+                size,
+                spec.payload(),
+                event.epochMillis(),
+                JobState.ACTIVE,
+                "",
+                parts,
+                TreePSet.empty(),
+                TreePMap.empty(),
+                1,
+                TreePMap.empty());
+    }
+
+    private static Transition create(State state, JobRecord record, boolean uncertain) {
+        Submission sent = new Submission(record, Submission.IN_FLIGHT, uncertain);
+        JobTable table = state.jobs();
+        return Transition.of(
+                        state.withJobs(
+                                table.withSubmissions(table.submissions().plus(record.id(), sent))))
+                .with(new StoreEffect.WriteJob(0, record));
+    }
+
+    private static RefusalReason checkAccess(
+            State state, Optional<Queue> queue, Optional<String> keyHash) {
+        if (state.draining()) {
+            return RefusalReason.DRAINING;
+        }
+        if (state.configuration().isEmpty()) {
+            return RefusalReason.NO_CONFIGURATION;
+        }
+        return queue.map(q -> Requests.checkKey(state, q, keyHash))
+                .orElse(RefusalReason.QUEUE_UNKNOWN);
+    }
+
+    /** Returns why a new job cannot be taken, or {@link RefusalReason#NONE}. */
+    private static RefusalReason check(State state, Queue queue, JobSpec spec) {
+        Configuration configuration = state.configuration().orElseThrow();
+        Resources size = spec.size().orElse(queue.size());
+        if (queue.kind().isRequest()) {
+            return RefusalReason.WRONG_KIND;
+        }
+        if (size.isNegative() || size.isZero()) {
+            return RefusalReason.SIZE_INVALID;
+        }
+        if (spec.tasks() > MAX_TASKS || spec.payload().length() > MAX_PAYLOAD_CHARS) {
+            return RefusalReason.JOB_TOO_LARGE;
+        }
+        boolean gang = queue.kind() == WorkKind.GANG;
+        Resources atOnce = gang ? size.times(spec.tasks()) : size;
+        Optional<Team> team = configuration.team(queue.team());
+        if (team.isEmpty() || !atOnce.fitsIn(team.get().limit())) {
+            return RefusalReason.ABOVE_LIMIT;
+        }
+        if (state.fleet().workers().isEmpty()) {
+            return RefusalReason.NO_SHARD;
+        }
+        List<Rooms.Room> rooms = Rooms.of(state, size);
+        if (rooms.stream().allMatch(r -> r.tasksInAll() == 0)) {
+            return RefusalReason.NEVER_FITS;
+        }
+        if (gang && rooms.stream().allMatch(r -> r.tasksInAll() < spec.tasks())) {
+            return RefusalReason.GANG_NEVER_FITS;
+        }
+        return Freshness.isStoreContactFresh(state)
+                ? RefusalReason.NONE
+                : RefusalReason.STORE_UNAVAILABLE;
+    }
+
+    private static Transition refuse(
+            State state,
+            RequestId request,
+            Optional<TeamId> team,
+            String subject,
+            RefusalReason reason) {
+        AttemptResult result =
+                switch (reason) {
+                    case DRAINING,
+                            NO_CONFIGURATION,
+                            CONFIGURATION_NOT_FRESH,
+                            NO_SHARD,
+                            STORE_UNAVAILABLE ->
+                            AttemptResult.notRun(reason, RETRY_MILLIS);
+                    default -> AttemptResult.notRun(reason);
+                };
+        return answer(state, request, team, subject, result);
+    }
+
+    private static Transition answer(
+            State state,
+            RequestId request,
+            Optional<TeamId> team,
+            String subject,
+            AttemptResult result) {
+        return Transition.of(state)
+                .with(new RequestEffect.Refuse(request, result))
+                .with(
+                        new LogDecision(
+                                DecisionKind.REFUSED,
+                                request.value(),
+                                team,
+                                subject,
+                                result.outcome() + "/" + result.reason().code(),
+                                0,
+                                0));
+    }
+
+    /** Handles the failure of the first write of a job. */
+    static Transition failed(State state, JobEvent.JobWriteFailed event) {
+        JobTable table = state.jobs();
+        Submission submission = table.submissions().get(event.job());
+        if (submission == null || submission.retryAtMillis() != Submission.IN_FLIGHT) {
+            return Transition.of(state);
+        }
+        if (event.conflict()) {
+            // The key is taken, so this or an earlier submission is in the store.
+            return Transition.of(dropped(state, event.job()))
+                    .then(s -> answerAll(s, event.job(), Optional.empty()));
+        }
+        if (!event.maybeWritten() && !submission.uncertain()) {
+            AttemptResult result =
+                    AttemptResult.notRun(RefusalReason.STORE_UNAVAILABLE, RETRY_MILLIS);
+            return Transition.of(dropped(state, event.job()))
+                    .then(s -> answerAll(s, event.job(), Optional.of(result)));
+        }
+        Submission waiting =
+                new Submission(submission.record(), state.nowMillis() + RETRY_MILLIS, true);
+        return Transition.of(
+                state.withJobs(
+                        table.withSubmissions(table.submissions().plus(event.job(), waiting))));
+    }
+
+    static State dropped(State state, JobId job) {
+        JobTable table = state.jobs();
+        return table.submissions().containsKey(job)
+                ? state.withJobs(table.withSubmissions(table.submissions().minus(job)))
+                : state;
+    }
+
+    /** Answers all who submitted {@code job}: it is accepted, or {@code refusal} applies. */
+    private static Transition answerAll(State state, JobId job, Optional<AttemptResult> refusal) {
+        Transition result = Transition.of(state);
+        for (JobCaller caller : state.jobs().callersOf(job)) {
+            if (caller.cancel()) {
+                continue;
+            }
+            result =
+                    result.withState(
+                            result.state().withJobs(result.state().jobs().withoutCaller(caller)));
+            result =
+                    refusal.isEmpty()
+                            ? result.with(new RequestEffect.AcceptJob(caller.request(), job))
+                            : result.then(
+                                    s ->
+                                            answer(
+                                                    s,
+                                                    caller.request(),
+                                                    Optional.empty(),
+                                                    job.value(),
+                                                    refusal.get()));
+        }
+        return result;
+    }
+
+    static Transition cancelRequested(State state, JobEvent.JobCancelRequested event) {
+        Optional<JobRecord> record = state.jobs().record(event.job());
+        String subject = event.job().value();
+        if (record.isEmpty()) {
+            return refuse(
+                    state, event.request(), Optional.empty(), subject, RefusalReason.JOB_UNKNOWN);
+        }
+        TeamId team = record.get().team();
+        RefusalReason access =
+                checkAccess(state, Optional.of(queueOf(state, record.get())), event.keyHash());
+        if (access != RefusalReason.NONE) {
+            return refuse(state, event.request(), Optional.of(team), subject, access);
+        }
+        if (record.get().state().isFinal()) {
+            return Transition.of(state)
+                    .with(new RequestEffect.AcceptJob(event.request(), event.job()));
+        }
+        if (!Freshness.isStoreContactFresh(state)) {
+            return refuse(
+                    state,
+                    event.request(),
+                    Optional.of(team),
+                    subject,
+                    RefusalReason.STORE_UNAVAILABLE);
+        }
+        JobCaller caller =
+                new JobCaller(
+                        state.nowMillis() + CANCEL_WAIT_MILLIS, event.request(), event.job(), true);
+        return Transition.of(
+                JobWrites.cancel(state.withJobs(state.jobs().withCaller(caller)), event.job()));
+    }
+
+    /** Returns the queue of a job; one that was removed counts as closed to other teams. */
+    private static Queue queueOf(State state, JobRecord record) {
+        return state.configuration()
+                .flatMap(c -> c.queue(record.queue()))
+                .filter(q -> q.team().equals(record.team()))
+                .orElse(
+                        new Queue(
+                                record.queue(),
+                                record.team(),
+                                false,
+                                record.kind(),
+                                record.size(),
+                                false,
+                                1,
+                                1));
+    }
+
+    /** Sends uncertain first writes again and answers callers that have waited long enough. */
+    static Transition tick(State state) {
+        Transition result = Transition.of(state);
+        for (Submission submission : state.jobs().submissions().values()) {
+            if (submission.retryAtMillis() <= state.nowMillis()) {
+                result = result.then(s -> create(s, submission.record(), true));
+            }
+        }
+        while (true) {
+            JobTable table = result.state().jobs();
+            if (table.callers().isEmpty()
+                    || table.callers().first().deadlineMillis() > state.nowMillis()) {
+                return result;
+            }
+            JobCaller late = table.callers().first();
+            result = result.then(s -> expired(s, late));
+        }
+    }
+
+    private static Transition expired(State state, JobCaller caller) {
+        State without = state.withJobs(state.jobs().withoutCaller(caller));
+        State rest =
+                without.jobs().callersOf(caller.job()).isEmpty()
+                        ? dropped(without, caller.job())
+                        : without;
+        return answer(
+                rest,
+                caller.request(),
+                Optional.empty(),
+                caller.job().value(),
+                AttemptResult.unknown(RefusalReason.STORE_UNAVAILABLE));
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/model/RefusalReason.java
+++ b/core/src/main/java/org/jujubefork/core/model/RefusalReason.java
@@ -65,6 +65,10 @@
     RETRY_BUDGET_EMPTY("the retry budget is used up"),
     /** The job does not exist. */
     JOB_UNKNOWN("no such job"),
+    /** The size of a task is zero or negative. */
+    SIZE_INVALID("the size of a task must be above zero"),
+    /** The job has too many tasks or too long an input. */
+    JOB_TOO_LARGE("the job has too many tasks or too long an input"),
     /** The task failed. */
     TASK_FAILED("the task failed on the worker"),
     /** The answer is longer than the limit. */
--- a/core/src/main/java/org/jujubefork/core/placement/Reports.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reports.java
@@ -35,7 +35,7 @@
                 before.incarnation() != 0 && before.incarnation() != report.incarnation();
         Transition result = Transition.of(state);
         for (ReportedTask task : report.running()) {
-            result = result.then(s -> Transition.of(running(s, shard, worker, task)));
+            result = result.then(s -> running(s, shard, worker, task));
         }
         for (EndedTask task : report.ended()) {
             result = result.then(s -> ended(s, shard, worker, task));
@@ -56,17 +56,19 @@
         return result;
     }
 
-    private static State running(State state, ShardId shard, WorkerId worker, ReportedTask task) {
+    private static Transition running(
+            State state, ShardId shard, WorkerId worker, ReportedTask task) {
         ShardState owned = state.shards().get(shard);
         Optional<RunningTask> known = owned.task(task.spec().id());
         if (known.isPresent()) {
-            return state.withShard(
-                    owned.update(known.get().reported(task.usage(), task.progress())));
+            return Transition.of(
+                    state.withShard(
+                            owned.update(known.get().reported(task.usage(), task.progress()))));
         }
         RunningTask adopted =
                 RunningTask.starting(task.spec(), worker, state.nowMillis(), Optional.empty())
                         .reported(task.usage(), task.progress());
-        return state.withShard(owned.place(adopted));
+        return Jobs.taskPlaced(state.withShard(owned.place(adopted)), shard, adopted);
     }
 
     private static Transition ended(State state, ShardId shard, WorkerId worker, EndedTask task) {
--- a/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
@@ -15,6 +15,7 @@
 import org.jujubefork.core.effect.DecisionKind;
 import org.jujubefork.core.effect.LogDecision;
 import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.jobs.Jobs;
 import org.jujubefork.core.limits.Limits;
 import org.jujubefork.core.model.JobTask;
 import org.jujubefork.core.model.Resources;
@@ -190,7 +191,7 @@
         ShardState owned = state.shards().get(shard);
         WorkerState chosen = owned.workers().get(worker);
         RunningTask task = RunningTask.starting(spec, worker, state.nowMillis(), origin);
-        return Transition.of(state.withShard(owned.place(task)))
+        return Jobs.taskPlaced(state.withShard(owned.place(task)), shard, task)
                 .with(
                         new WorkerEffect.StartTask(
                                 worker,
