--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/jobs/FakeStore.java
@@ -0,0 +1,57 @@
+package org.jujubefork.core.jobs;
+
+import java.util.Optional;
+import java.util.TreeMap;
+import org.jujubefork.core.limits.Ledger;
+import org.jujubefork.core.model.JobId;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/** A store with compare-and-swap and a log of changes. */
+final class FakeStore {
+    final TreeMap<JobId, StoredJob> jobs = new TreeMap<>();
+    final TreeMap<Long, JobId> log = new TreeMap<>();
+    long revision;
+    long ledgerRevision;
+    Ledger ledger = Ledger.EMPTY;
+    boolean down;
+    int writes;
+
+    Optional<StoredJob> write(long expected, JobRecord record) {
+        StoredJob held = jobs.get(record.id());
+        if ((held == null ? 0 : held.revision()) != expected) {
+            return Optional.empty();
+        }
+        writes++;
+        StoredJob stored = new StoredJob(++revision, record);
+        jobs.put(record.id(), stored);
+        log.put(revision, record.id());
+        return Optional.of(stored);
+    }
+
+    boolean delete(long expected, JobId job) {
+        StoredJob held = jobs.get(job);
+        if (held == null || held.revision() != expected) {
+            return false;
+        }
+        jobs.remove(job);
+        log.put(++revision, job);
+        return true;
+    }
+
+    PVector<StoredJob> changedAfter(long seen) {
+        PVector<StoredJob> changed = TreePVector.empty();
+        for (JobId job : log.tailMap(seen, false).values()) {
+            changed = jobs.containsKey(job) ? changed.plus(jobs.get(job)) : changed;
+        }
+        return changed;
+    }
+
+    PVector<JobId> removedAfter(long seen) {
+        PVector<JobId> removed = TreePVector.empty();
+        for (JobId job : log.tailMap(seen, false).values()) {
+            removed = jobs.containsKey(job) ? removed : removed.plus(job);
+        }
+        return removed;
+    }
+}
