Keep a task until a report asked for after its start was confirmed

A renewal that overtook the start of a task reported it missing, and the task was started a second time. The owner now compares the send time of the renewal with the time at which the start was confirmed, and not with the time of the placement.

--- a/core/src/main/java/org/jujubefork/core/placement/Reports.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reports.java
@@ -63,11 +63,16 @@
         if (known.isPresent()) {
             return Transition.of(
                     state.withShard(
-                            owned.update(known.get().reported(task.usage(), task.progress()))));
+                            owned.update(
+                                    known.get()
+                                            .reported(
+                                                    task.usage(),
+                                                    task.progress(),
+                                                    state.nowMillis()))));
         }
         RunningTask adopted =
                 RunningTask.starting(task.spec(), worker, state.nowMillis(), Optional.empty())
-                        .reported(task.usage(), task.progress());
+                        .reported(task.usage(), task.progress(), state.nowMillis());
         return Jobs.taskPlaced(state.withShard(owned.place(adopted)), shard, adopted);
     }
 
@@ -100,7 +105,7 @@
             boolean answered =
                     task.phase() == TaskPhase.RUNNING || task.phase() == TaskPhase.STOPPING;
             boolean awaited = task.origin().isPresent() && placedBefore != Long.MAX_VALUE;
-            boolean older = task.placedAtMillis() < placedBefore;
+            boolean older = task.confirmedAtMillis() < placedBefore;
             boolean gone = placedBefore == Long.MAX_VALUE || (answered && older && !awaited);
             if (!reported.contains(id) && gone) {
                 result = result.then(s -> lose(s, shard, id));
--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -37,10 +37,7 @@
             State state, ShardState shard, RunningTask task, TaskEvent event) {
         return switch (event) {
             case TaskEvent.StartAccepted e ->
-                    Transition.of(
-                            task.phase() == TaskPhase.STARTING
-                                    ? state.withShard(shard.update(task.in(TaskPhase.RUNNING)))
-                                    : state);
+                    Transition.of(state.withShard(shard.update(task.confirmed(state.nowMillis()))));
             case TaskEvent.StartRefused e -> refused(state, shard, task, e);
             case TaskEvent.StartNotSent e -> notSent(state, shard, task);
             case TaskEvent.StartUnknown e -> unknown(state, shard, task, e);
