--- a/core/src/main/java/org/jujubefork/core/placement/Reports.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reports.java
@@ -37,7 +37,7 @@
                 before.incarnation() != 0 && before.incarnation() != report.incarnation();
         Transition result = Transition.of(state);
         for (ReportedTask task : report.running()) {
-            result = result.then(s -> Transition.of(running(s, shard, worker, task)));
+            result = result.then(s -> running(s, shard, worker, task));
         }
         for (EndedTask task : report.ended()) {
             result = result.then(s -> ended(s, shard, worker, task));
@@ -58,19 +58,21 @@
         return result;
     }
 
-    private static State running(State state, ShardId shard, WorkerId worker, ReportedTask task) {
+    private static Transition running(
+            State state, ShardId shard, WorkerId worker, ReportedTask task) {
         ShardState owned = state.shards().get(shard);
         Optional<RunningTask> known = owned.task(task.spec().id());
         if (known.isPresent()) {
-            RunningTask reported = known.get().reported(task.usage(), task.progress());
-            return state.withShard(learnGrowth(owned, reported).update(reported));
+            RunningTask reported =
+                    known.get().reported(task.usage(), task.progress(), state.nowMillis());
+            return Transition.of(state.withShard(learnGrowth(owned, reported).update(reported)));
         }
         Resources learned = owned.scheduling().learnedSize(task.spec().queue(), task.spec().size());
         RunningTask adopted =
                 RunningTask.starting(task.spec(), worker, state.nowMillis(), Optional.empty())
                         .charged(learned)
-                        .reported(task.usage(), task.progress());
-        return state.withShard(owned.place(adopted));
+                        .reported(task.usage(), task.progress(), state.nowMillis());
+        return Jobs.taskPlaced(state.withShard(owned.place(adopted)), shard, adopted);
     }
 
     /**
@@ -135,7 +137,7 @@
             boolean answered =
                     task.phase() == TaskPhase.RUNNING || task.phase() == TaskPhase.STOPPING;
             boolean awaited = task.origin().isPresent() && placedBefore != Long.MAX_VALUE;
-            boolean older = task.placedAtMillis() < placedBefore;
+            boolean older = task.confirmedAtMillis() < placedBefore;
             boolean gone = placedBefore == Long.MAX_VALUE || (answered && older && !awaited);
             if (!reported.contains(id) && gone) {
                 result = result.then(s -> lose(s, shard, id));
--- a/core/src/main/java/org/jujubefork/core/placement/RunningTask.java
+++ b/core/src/main/java/org/jujubefork/core/placement/RunningTask.java
@@ -12,6 +12,8 @@
  * @param worker where it runs
  * @param phase how far it has come
  * @param placedAtMillis when it was placed
+ * @param confirmedAtMillis when the worker was found to have started it; {@link #UNCONFIRMED} until
+ *     then
  * @param origin where the answer goes; empty for tasks of jobs
  * @param usage usage as last reported
  * @param progress the part that is done, from 0 to 1, as last reported
@@ -26,6 +28,7 @@
         WorkerId worker,
         TaskPhase phase,
         long placedAtMillis,
+        long confirmedAtMillis,
         Optional<RequestOrigin> origin,
         Resources usage,
         double progress,
@@ -33,6 +36,9 @@
         Resources peak,
         Optional<QueuedWork.Request> request,
         boolean throttled) {
+    /** Stands for a start that the worker has not confirmed. */
+    public static final long UNCONFIRMED = Long.MAX_VALUE;
+
     /** Returns a task of which the start is being sent. */
     public static RunningTask starting(
             TaskSpec spec, WorkerId worker, long nowMillis, Optional<RequestOrigin> origin) {
@@ -41,6 +47,7 @@
                 worker,
                 TaskPhase.STARTING,
                 nowMillis,
+                UNCONFIRMED,
                 origin,
                 Resources.ZERO,
                 0,
@@ -57,6 +64,7 @@
                 worker,
                 other,
                 placedAtMillis,
+                confirmedAtMillis,
                 origin,
                 usage,
                 progress,
@@ -73,6 +81,7 @@
                 worker,
                 phase,
                 placedAtMillis,
+                confirmedAtMillis,
                 origin,
                 usage,
                 progress,
@@ -89,6 +98,7 @@
                 worker,
                 phase,
                 placedAtMillis,
+                confirmedAtMillis,
                 origin,
                 usage,
                 progress,
@@ -98,14 +108,32 @@
                 throttled);
     }
 
+    /** Returns this task after its worker was found to have started it. */
+    public RunningTask confirmed(long nowMillis) {
+        return new RunningTask(
+                spec,
+                worker,
+                phase == TaskPhase.STARTING ? TaskPhase.RUNNING : phase,
+                placedAtMillis,
+                Math.min(confirmedAtMillis, nowMillis),
+                origin,
+                usage,
+                progress,
+                charge,
+                peak,
+                request,
+                throttled);
+    }
+
     /** Returns this task with figures that its worker reported. */
-    public RunningTask reported(Resources measured, double done) {
+    public RunningTask reported(Resources measured, double done, long nowMillis) {
         TaskPhase confirmed = phase == TaskPhase.STOPPING ? phase : TaskPhase.RUNNING;
         return new RunningTask(
                 spec,
                 worker,
                 confirmed,
                 placedAtMillis,
+                Math.min(confirmedAtMillis, nowMillis),
                 origin,
                 measured,
                 done,
@@ -122,6 +150,7 @@
                 worker,
                 phase,
                 placedAtMillis,
+                confirmedAtMillis,
                 origin,
                 usage,
                 progress,
--- a/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
@@ -146,8 +146,8 @@
                 .orElseGet(() -> PlacementPolicies.defaultFor(kind));
     }
 
-    /** Returns what one task of {@code work} needs of a worker. */
-    static Demand demand(State state, ShardState shard, QueuedWork work) {
+    /** Returns what {@code work} needs of one worker of {@code shard}. */
+    public static Demand demand(State state, ShardState shard, QueuedWork work) {
         Siblings siblings =
                 work instanceof QueuedWork.Task task && work.kind() == WorkKind.SERVICE
                         ? shard.book().services().getOrDefault(task.job(), Siblings.NONE)
--- a/core/src/main/java/org/jujubefork/core/placement/Starts.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Starts.java
@@ -6,6 +6,7 @@
 import org.jujubefork.core.effect.DecisionKind;
 import org.jujubefork.core.effect.LogDecision;
 import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.jobs.Jobs;
 import org.jujubefork.core.model.JobTask;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
@@ -71,7 +72,7 @@
                     placed.withScheduling(
                             noted.withDrain(noted.drain().plusStart(state.nowMillis())));
         }
-        return Transition.of(state.withShard(placed))
+        return Jobs.taskPlaced(state.withShard(placed), shard, task)
                 .with(
                         new WorkerEffect.StartTask(
                                 worker,
