Keep upper limits by a ledger of budgets per team and shard

The provisional check compared gossiped usage with the limit, which two owners could pass at the same time. An owner now starts work only within the budget of a row that carries its epoch, or within the usage it adopted while the row does not. Rows are lowered locally before the ledger is, and a write without an answer counts as the smaller of both budgets until the revision has moved on.

Gossip sends only rows and heartbeats that the peer does not have. Heartbeats carry their age, so that relaying does not delay the detection of a dead entry. Answers to probes count only for rounds that this run has sent, and evidence from before a pause is dropped.

--- a/core/src/main/java/org/jujubefork/core/control/Reducer.java
+++ b/core/src/main/java/org/jujubefork/core/control/Reducer.java
@@ -13,7 +13,8 @@
 import org.jujubefork.core.event.TaskEvent;
 import org.jujubefork.core.event.Tick;
 import org.jujubefork.core.jobs.Jobs;
-import org.jujubefork.core.limits.LimitState;
+import org.jujubefork.core.limits.Budgets;
+import org.jujubefork.core.limits.LedgerSync;
 import org.jujubefork.core.membership.Membership;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.ownership.Ownership;
@@ -36,9 +37,9 @@
 
     /** Returns the state after {@code event} and what is to be done about it. */
     public static Transition reduce(State state, Event event) {
-        State timed = state.at(event.atMillis());
+        State timed = Pause.note(state, event.atMillis()).at(event.atMillis());
         Transition reduced = dispatch(timed, event);
-        return placeWaiting(state, reduced, event instanceof Tick);
+        return placeWaiting(state, reduced, event instanceof Tick || event instanceof LimitEvent);
     }
 
     private static Transition dispatch(State state, Event event) {
@@ -52,9 +53,7 @@
             case RequestEvent e -> Requests.reduce(state, e);
             case ClaimEvent e -> Claims.reduce(state, e);
             case JobEvent e -> Jobs.reduce(state, e);
-            case LimitEvent.LedgerLoaded e ->
-                    Transition.of(state.withLimits(new LimitState(e.revision(), e.ledger())));
-            case LimitEvent.LedgerWriteFailed e -> Transition.of(state);
+            case LimitEvent e -> LedgerSync.reduce(state, e);
             case DrainRequested e -> Transition.of(state.withDraining());
         };
     }
@@ -70,7 +69,9 @@
                                             ? Admission.expire(s, shard)
                                             : Transition.of(s));
         }
-        return result.then(s -> Membership.tick(s, tick));
+        return result.then(Budgets::tick)
+                .then(s -> LedgerSync.tick(s, tick))
+                .then(s -> Membership.tick(s, tick));
     }
 
     /** Runs the scheduler for shards in which something waits and something relevant changed. */
--- a/core/src/main/java/org/jujubefork/core/effect/GossipEffect.java
+++ b/core/src/main/java/org/jujubefork/core/effect/GossipEffect.java
@@ -1,5 +1,6 @@
 package org.jujubefork.core.effect;
 
+import org.jujubefork.core.membership.Heartbeat;
 import org.jujubefork.core.membership.MemberRow;
 import org.jujubefork.core.model.EntryId;
 import org.pcollections.PVector;
@@ -10,9 +11,11 @@
      * Send rows to another entry.
      *
      * @param peerAddress its address
-     * @param rows this entry's own row first, then rows to pass on
+     * @param rows rows that the other entry may not have yet, this entry's own first
+     * @param heartbeats signs of life of this entry and of those that it hears of
      */
-    record SendGossip(String peerAddress, PVector<MemberRow> rows) implements GossipEffect {}
+    record SendGossip(String peerAddress, PVector<MemberRow> rows, PVector<Heartbeat> heartbeats)
+            implements GossipEffect {}
 
     /**
      * Ask another entry which configuration is in force there.
--- a/core/src/main/java/org/jujubefork/core/event/MembershipEvent.java
+++ b/core/src/main/java/org/jujubefork/core/event/MembershipEvent.java
@@ -1,8 +1,10 @@
 package org.jujubefork.core.event;
 
+import org.jujubefork.core.membership.Heartbeat;
 import org.jujubefork.core.membership.MemberRow;
 import org.jujubefork.core.model.EntryId;
 import org.pcollections.PVector;
+import org.pcollections.TreePVector;
 
 /** News of other entries. */
 public sealed interface MembershipEvent extends Event {
@@ -11,10 +13,17 @@
      *
      * @param atMillis when
      * @param from the sender
-     * @param rows the sender's own row and rows that it passes on
+     * @param rows rows that this entry may not have yet, of the sender or passed on
+     * @param heartbeats signs of life of the sender and of entries that it hears of
      */
-    record GossipReceived(long atMillis, EntryId from, PVector<MemberRow> rows)
-            implements MembershipEvent {}
+    record GossipReceived(
+            long atMillis, EntryId from, PVector<MemberRow> rows, PVector<Heartbeat> heartbeats)
+            implements MembershipEvent {
+        /** Creates the event for a message without separate heartbeats. */
+        public GossipReceived(long atMillis, EntryId from, PVector<MemberRow> rows) {
+            this(atMillis, from, rows, TreePVector.empty());
+        }
+    }
 
     /**
      * Addresses of other entries were found in the settings or in the store.
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/limits/Demands.java
@@ -0,0 +1,64 @@
+package org.jujubefork.core.limits;
+
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.membership.Member;
+import org.jujubefork.core.membership.Membership;
+import org.jujubefork.core.membership.ShardSummary;
+import org.jujubefork.core.membership.TeamLoad;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkerListing;
+import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.WorkerKey;
+
+/** Compares budgets with what waits here and elsewhere. */
+public final class Demands {
+    private Demands() {}
+
+    /** Returns what {@code team} has waiting in {@code shard} that its budget does not cover. */
+    public static Resources unmet(State state, ShardState shard, TeamId team) {
+        TeamDemand demand = TeamDemand.of(shard, team, free(shard));
+        return need(shard, team, demand)
+                .minus(Limits.allowance(state, shard, team))
+                .max(Resources.ZERO)
+                .min(demand.waiting());
+    }
+
+    /** Returns what {@code team} needs in {@code shard} to start all that waits and would fit. */
+    static Resources need(ShardState shard, TeamId team, TeamDemand demand) {
+        return shard.usageOf(team).plus(shard.charged()).plus(demand.waiting());
+    }
+
+    /** Returns what is free on the workers of {@code shard} that take work. */
+    static Resources free(ShardState shard) {
+        Resources free = Resources.ZERO;
+        for (WorkerKey worker : shard.index().byFree()) {
+            free = free.plus(worker.free());
+        }
+        return free;
+    }
+
+    /** Returns the unmet demand of {@code team} in the shards of other live entries. */
+    static Resources elsewhere(State state, TeamId team) {
+        Resources sum = Resources.ZERO;
+        for (Member member : state.membership().members().values()) {
+            if (!Membership.isAlive(state, member)) {
+                continue;
+            }
+            for (ShardSummary summary : member.row().shards().values()) {
+                TeamLoad load = summary.teams().get(team);
+                sum = load == null ? sum : sum.plus(load.waiting());
+            }
+        }
+        return sum;
+    }
+
+    /** Returns what all listed workers hold. */
+    static Resources fleetCapacity(State state) {
+        Resources sum = Resources.ZERO;
+        for (WorkerListing worker : state.fleet().workers().values()) {
+            sum = sum.plus(worker.capacity());
+        }
+        return sum;
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/limits/Ledger.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Ledger.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.limits;
 
 import java.util.Optional;
+import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TeamId;
@@ -19,25 +20,44 @@
 
     /** Returns the row of {@code team} in {@code shard}, if there is one. */
     public Optional<BudgetRow> row(TeamId team, ShardId shard) {
+        return Optional.ofNullable(team(team).get(shard));
+    }
+
+    /** Returns the rows of {@code team} by shard. */
+    public PSortedMap<ShardId, BudgetRow> team(TeamId team) {
         PSortedMap<ShardId, BudgetRow> shards = rows.get(team);
-        return shards == null ? Optional.empty() : Optional.ofNullable(shards.get(shard));
+        return shards == null ? TreePMap.empty() : shards;
     }
 
     /** Returns the sum of the budgets of {@code team}. */
     public Resources allocated(TeamId team) {
-        PSortedMap<ShardId, BudgetRow> shards = rows.get(team);
-        if (shards == null) {
-            return Resources.ZERO;
+        Resources sum = Resources.ZERO;
+        for (BudgetRow row : team(team).values()) {
+            sum = sum.plus(row.budget());
         }
-        return shards.values().stream()
-                .map(BudgetRow::budget)
-                .reduce(Resources.ZERO, Resources::plus);
+        return sum;
+    }
+
+    /** Returns the highest epoch in the rows of {@code shard}, if it has any. */
+    public Optional<Epoch> epochOf(ShardId shard) {
+        Optional<Epoch> highest = Optional.empty();
+        for (PSortedMap<ShardId, BudgetRow> shards : rows.values()) {
+            BudgetRow row = shards.get(shard);
+            if (row != null && (highest.isEmpty() || row.epoch().isAbove(highest.get()))) {
+                highest = Optional.of(row.epoch());
+            }
+        }
+        return highest;
     }
 
     /** Returns this ledger with {@code row} for {@code team} in {@code shard}. */
     public Ledger with(TeamId team, ShardId shard, BudgetRow row) {
-        PSortedMap<ShardId, BudgetRow> shards = rows.get(team);
-        PSortedMap<ShardId, BudgetRow> base = shards == null ? TreePMap.empty() : shards;
-        return new Ledger(rows.plus(team, base.plus(shard, row)));
+        return new Ledger(rows.plus(team, team(team).plus(shard, row)));
+    }
+
+    /** Returns this ledger without the row of {@code team} in {@code shard}. */
+    public Ledger without(TeamId team, ShardId shard) {
+        PSortedMap<ShardId, BudgetRow> rest = team(team).minus(shard);
+        return new Ledger(rest.isEmpty() ? rows.minus(team) : rows.plus(team, rest));
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/limits/Orphans.java
@@ -0,0 +1,80 @@
+package org.jujubefork.core.limits;
+
+import java.util.Set;
+import java.util.TreeSet;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.membership.Member;
+import org.jujubefork.core.membership.Membership;
+import org.jujubefork.core.model.ShardId;
+import org.pcollections.PSortedMap;
+import org.pcollections.TreePMap;
+
+/** Finds rows of shards that have neither workers nor an owner. */
+final class Orphans {
+    /**
+     * How long a shard must be gone before its rows are removed: the lease of its last worker (33 s
+     * with margin) and the lag of the VM list.
+     */
+    static final long REMOVE_AFTER_MILLIS = 60_000;
+
+    private Orphans() {}
+
+    /** Returns since when shards in the ledger are gone. */
+    static PSortedMap<ShardId, Long> update(State state) {
+        PSortedMap<ShardId, Long> known = state.limits().orphanedSinceMillis();
+        PSortedMap<ShardId, Long> orphaned = TreePMap.empty();
+        for (ShardId shard : shardsInLedger(state)) {
+            if (isGone(state, shard)) {
+                Long since = known.get(shard);
+                orphaned = orphaned.plus(shard, since == null ? state.nowMillis() : since);
+            }
+        }
+        return orphaned;
+    }
+
+    /** Returns the shards of which this entry is to remove the rows now. */
+    static Set<ShardId> due(State state) {
+        Set<ShardId> due = new TreeSet<>();
+        if (!isFirstAlive(state)) {
+            return due;
+        }
+        for (var entry : state.limits().orphanedSinceMillis().entrySet()) {
+            if (state.nowMillis() - entry.getValue() >= REMOVE_AFTER_MILLIS) {
+                due.add(entry.getKey());
+            }
+        }
+        return due;
+    }
+
+    private static boolean isGone(State state, ShardId shard) {
+        if (state.fleet().byShard().isEmpty()
+                || state.fleet().byShard().containsKey(shard)
+                || state.shards().containsKey(shard)) {
+            return false;
+        }
+        for (Member member : state.membership().members().values()) {
+            if (Membership.isAlive(state, member) && member.row().shard(shard).isPresent()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isFirstAlive(State state) {
+        String self = state.self().id().name();
+        for (Member member : state.membership().members().values()) {
+            if (Membership.isAlive(state, member) && member.row().id().name().compareTo(self) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static Set<ShardId> shardsInLedger(State state) {
+        Set<ShardId> shards = new TreeSet<>();
+        for (var rows : state.limits().ledger().rows().values()) {
+            shards.addAll(rows.keySet());
+        }
+        return shards;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/limits/TeamDemand.java
@@ -0,0 +1,56 @@
+package org.jujubefork.core.limits;
+
+import java.util.Iterator;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.placement.Lane;
+import org.jujubefork.core.placement.LaneKey;
+import org.jujubefork.core.placement.QueuedWork;
+import org.jujubefork.core.placement.ShardState;
+import org.pcollections.PSortedMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * What a team has waiting in a shard.
+ *
+ * @param waiting declared sizes, estimated from the oldest work of each lane and bounded by what is
+ *     free in the shard
+ * @param heads sizes of the oldest work of each lane
+ */
+record TeamDemand(Resources waiting, PVector<Resources> heads) {
+    /** Work per lane that is looked at, so that a long queue costs no more than a short one. */
+    private static final int SAMPLE = 16;
+
+    /** Returns the demand of {@code team} in {@code shard}, of which {@code free} is free. */
+    static TeamDemand of(ShardState shard, TeamId team, Resources free) {
+        Resources sum = Resources.ZERO;
+        PVector<Resources> heads = TreePVector.empty();
+        for (Lane lane : Lane.values()) {
+            PSortedMap<Long, QueuedWork> work = shard.queue().lane(new LaneKey(lane, team));
+            if (work.isEmpty()) {
+                continue;
+            }
+            Resources sampled = Resources.ZERO;
+            int count = 0;
+            Iterator<QueuedWork> oldest = work.values().iterator();
+            while (oldest.hasNext() && count < SAMPLE) {
+                Resources size = sizeOf(oldest.next());
+                heads = count == 0 ? heads.plus(size) : heads;
+                sampled = sampled.plus(size);
+                count++;
+            }
+            sum = sum.plus(sampled.scaled((double) work.size() / count));
+        }
+        return new TeamDemand(sum.min(free), heads);
+    }
+
+    /** Returns whether the oldest work of any lane fits in {@code room}. */
+    boolean anyFits(Resources room) {
+        return heads.stream().anyMatch(h -> h.fitsIn(room));
+    }
+
+    private static Resources sizeOf(QueuedWork work) {
+        return work instanceof QueuedWork.Gang gang ? gang.size().times(gang.tasks()) : work.size();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/membership/ConfigurationSync.java
@@ -0,0 +1,129 @@
+package org.jujubefork.core.membership;
+
+import java.util.Optional;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.DecisionKind;
+import org.jujubefork.core.effect.GossipEffect;
+import org.jujubefork.core.effect.LogDecision;
+import org.jujubefork.core.event.ConfigurationLoaded;
+import org.jujubefork.core.event.MembershipEvent;
+
+/** Puts configurations into force, and finds out whether other entries have a newer one. */
+final class ConfigurationSync {
+    /** Time between two attempts to read a newer configuration from another entry. */
+    static final long FETCH_INTERVAL_MILLIS = 500;
+
+    /** Age of the last store contact at which other entries are asked instead. */
+    static final long PROBE_AFTER_MILLIS = 1_500;
+
+    /** Time between two rounds of probes. */
+    static final long PROBE_INTERVAL_MILLIS = 1_000;
+
+    private ConfigurationSync() {}
+
+    /** Puts a configuration into force if it is newer than the one in force. */
+    static Transition load(State state, ConfigurationLoaded event) {
+        Configuration loaded = event.configuration();
+        if (versionOf(state) >= loaded.version()) {
+            return Transition.of(state);
+        }
+        State replaced =
+                state.configuration().isEmpty()
+                        ? state
+                        : state.withMembership(
+                                state.membership()
+                                        .replacedConfiguration(
+                                                state.configuration().get().expectedEntries()));
+        String source = event.peer().map(p -> "from " + p).orElse("from the store");
+        return Transition.of(replaced.withConfiguration(loaded))
+                .with(
+                        new LogDecision(
+                                DecisionKind.CONFIGURATION,
+                                "version-" + loaded.version(),
+                                Optional.empty(),
+                                "in-force",
+                                source,
+                                0,
+                                0));
+    }
+
+    /** Answers a probe, unless this run does not know yet that its configuration is the newest. */
+    static Transition replyToProbe(State state, MembershipEvent.ProbeReceived probe) {
+        if (state.configuration().isEmpty() || !state.membership().verified()) {
+            return Transition.of(state);
+        }
+        return Transition.of(state)
+                .with(
+                        new GossipEffect.SendProbeReply(
+                                probe.peerAddress(), probe.probeId(), versionOf(state)));
+    }
+
+    /**
+     * Records the answer to a probe. An answer to a probe that this run did not send in one of its
+     * last rounds is ignored: its send time would be that of another run's clock, or lie before a
+     * pause.
+     */
+    static Transition recordProbe(State state, MembershipEvent.ProbeReplied reply) {
+        Optional<Member> member = state.membership().member(reply.from());
+        if (member.isEmpty() || !state.membership().probeRounds().contains(reply.probeId())) {
+            return Transition.of(state);
+        }
+        Member probed = member.get().probed(reply.probeId(), reply.configurationVersion());
+        State recorded = state.withMembership(state.membership().withMember(probed));
+        return fetchIfNewer(recorded, probed.row(), reply.configurationVersion());
+    }
+
+    /** Asks {@code row}'s entry for its configuration if its version is newer. */
+    static Transition fetchIfNewer(State state, MemberRow row, long version) {
+        long sinceFetch = state.nowMillis() - state.membership().fetchedAtMillis();
+        if (version <= versionOf(state) || sinceFetch < FETCH_INTERVAL_MILLIS) {
+            return Transition.of(state);
+        }
+        return Transition.of(state.withMembership(state.membership().fetched(state.nowMillis())))
+                .with(new GossipEffect.FetchConfiguration(row.id(), row.peerAddress()));
+    }
+
+    /** Asks again for a newer configuration that a live member has; an attempt can be lost. */
+    static Transition fetchTick(State state) {
+        for (Member member : state.membership().members().values()) {
+            if (member.row().configurationVersion() > versionOf(state)
+                    && Membership.isAlive(state, member)) {
+                return fetchIfNewer(state, member.row(), member.row().configurationVersion());
+            }
+        }
+        return Transition.of(state);
+    }
+
+    /** Sends a round of probes if the store cannot be reached. */
+    static Transition probeIfDue(State state) {
+        MembershipState membership = state.membership();
+        long now = state.nowMillis();
+        boolean storeSilent = now - membership.storeContactMillis() >= PROBE_AFTER_MILLIS;
+        if (!storeSilent || now - membership.probedAtMillis() < PROBE_INTERVAL_MILLIS) {
+            return Transition.of(state);
+        }
+        Transition result = Transition.of(state.withMembership(membership.probed(now)));
+        for (Member member : membership.members().values()) {
+            if (Membership.isAlive(state, member)) {
+                result = result.with(new GossipEffect.SendProbe(member.row().peerAddress(), now));
+            }
+        }
+        return result;
+    }
+
+    /** Notes that a majority of the other entries has nothing newer. */
+    static Transition verifyByMajority(State state) {
+        boolean majority =
+                state.configuration().map(c -> Freshness.hasMajority(state, c)).orElse(false);
+        return Transition.of(
+                majority && !state.membership().verified()
+                        ? state.withMembership(state.membership().asVerified())
+                        : state);
+    }
+
+    private static long versionOf(State state) {
+        return state.configuration().map(Configuration::version).orElse(0L);
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/membership/Freshness.java
+++ b/core/src/main/java/org/jujubefork/core/membership/Freshness.java
@@ -27,11 +27,23 @@
         return age <= state.timing().freshnessMillis();
     }
 
-    /** Returns whether a majority of the expected entries has no newer configuration. */
+    /**
+     * Returns whether a majority of the expected entries has no newer configuration.
+     *
+     * <p>This entry counts itself only once it is verified, so that an entry that has just started
+     * needs a majority of others. More live entries than expected are counted as expected, because
+     * a majority of the smaller number need not intersect with the one that accepted a change.
+     */
     static boolean hasMajority(State state, Configuration configuration) {
         long others = confirmingMembers(state, configuration.version());
         long self = state.membership().verified() ? 1 : 0;
-        return others + self >= configuration.majority();
+        long alive =
+                1
+                        + state.membership().members().values().stream()
+                                .filter(m -> Membership.isAlive(state, m))
+                                .count();
+        long expected = Math.max(configuration.expectedEntries(), alive);
+        return others + self >= expected / 2 + 1;
     }
 
     /** Returns how many other entries answered lately that they have no newer version. */
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/membership/Gossip.java
@@ -0,0 +1,209 @@
+package org.jujubefork.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.GossipEffect;
+import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.event.Tick;
+import org.jujubefork.core.membership.GossipState.Known;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * Sends and merges rows of entries.
+ *
+ * <p>A message holds the rows that changed since the peer last had them, and a heartbeat of each
+ * live entry that the peer has not seen yet. With n entries, fanout f, interval T, b bytes per
+ * heartbeat and r bytes per row, an entry sends at most {@code f / T * (min(n, 64) * b + min(n, 8)
+ * * r)} bytes a second, which no longer grows from 64 entries on. Rows whose loads change are
+ * published every n / 8 rounds, so that rows cost about {@code 8 * r / T} a second at any n.
+ */
+final class Gossip {
+    /** Peers that get gossip in one round. */
+    static final int FANOUT = 3;
+
+    /** Most rows in a message; others follow in later rounds. */
+    static final int MAX_ROWS = 8;
+
+    /** Most heartbeats in a message. */
+    static final int MAX_HEARTBEATS = 64;
+
+    private Gossip() {}
+
+    /** Sends a round of gossip if one is due. */
+    static Transition sendIfDue(State state, Tick tick) {
+        GossipState gossip = state.membership().gossip();
+        if (state.nowMillis() - gossip.sentAtMillis() < state.timing().gossipIntervalMillis()) {
+            return Transition.of(state);
+        }
+        GossipState round = OwnRow.publish(state, gossip.round(state.nowMillis()));
+        State sending = state.withMembership(state.membership().withGossip(round));
+        Transition result = Transition.of(sending);
+        for (String address : targets(sending, tick.random())) {
+            result = result.then(s -> send(s, address, tick.random()));
+        }
+        return result;
+    }
+
+    private static Transition send(State state, String address, long random) {
+        GossipState gossip = state.membership().gossip();
+        MemberRow own = gossip.own().orElseThrow();
+        PVector<MemberRow> rows = TreePVector.empty();
+        PVector<Heartbeat> beats = TreePVector.singleton(beat(own, 0));
+        boolean ownLacking = lacksRow(gossip.known(address, own.id().name()), own);
+        if (ownLacking) {
+            rows = rows.plus(own);
+        }
+        gossip = gossip.withKnown(address, known(own, ownLacking));
+        List<Member> members = new ArrayList<>(state.membership().members().values());
+        int start = members.isEmpty() ? 0 : (int) Long.remainderUnsigned(random, members.size());
+        for (int i = 0; i < members.size(); i++) {
+            Member member = members.get((start + i) % members.size());
+            MemberRow row = member.row();
+            if (!Membership.isAlive(state, member) || row.peerAddress().equals(address)) {
+                continue;
+            }
+            Known has = gossip.known(address, row.id().name());
+            boolean sendRow = lacksRow(has, row) && rows.size() < MAX_ROWS;
+            boolean sendBeat = lacksBeat(has, row) && beats.size() < MAX_HEARTBEATS;
+            if (!sendRow && !sendBeat) {
+                continue;
+            }
+            rows = sendRow ? rows.plus(row) : rows;
+            long age = Math.max(0, state.nowMillis() - member.lastHeardMillis());
+            beats = beats.plus(beat(row, age));
+            gossip = gossip.withKnown(address, known(row, sendRow));
+        }
+        return Transition.of(state.withMembership(state.membership().withGossip(gossip)))
+                .with(new GossipEffect.SendGossip(address, rows, beats));
+    }
+
+    private static Heartbeat beat(MemberRow row, long ageMillis) {
+        return new Heartbeat(row.id(), row.heartbeat(), ageMillis);
+    }
+
+    private static Known known(MemberRow row, boolean withRow) {
+        return new Known(row.id(), row.heartbeat(), withRow ? row.revision() : -1);
+    }
+
+    private static boolean lacksRow(Known has, MemberRow row) {
+        return has.id().incarnation() < row.id().incarnation()
+                || (has.id().incarnation() == row.id().incarnation()
+                        && has.revision() < row.revision());
+    }
+
+    private static boolean lacksBeat(Known has, MemberRow row) {
+        return has.id().incarnation() < row.id().incarnation()
+                || (has.id().incarnation() == row.id().incarnation()
+                        && has.heartbeat() < row.heartbeat());
+    }
+
+    /** Merges a message. */
+    static Transition merge(State state, MembershipEvent.GossipReceived event) {
+        Transition result = Transition.of(state);
+        for (MemberRow row : event.rows()) {
+            long age = ageOf(event.heartbeats(), row);
+            result = result.then(s -> mergeRow(s, row, s.nowMillis() - age));
+        }
+        for (Heartbeat beat : event.heartbeats()) {
+            result = result.withState(mergeBeat(result.state(), beat));
+        }
+        return result.withState(noteSender(result.state(), event));
+    }
+
+    private static long ageOf(PVector<Heartbeat> beats, MemberRow row) {
+        return beats.stream()
+                .filter(b -> b.id().equals(row.id()))
+                .mapToLong(Heartbeat::ageMillis)
+                .findFirst()
+                .orElse(0);
+    }
+
+    private static Transition mergeRow(State state, MemberRow row, long heardMillis) {
+        if (row.id().name().equals(state.self().id().name())) {
+            return Replaced.check(state, row.id());
+        }
+        MembershipState membership = state.membership();
+        Member known = membership.members().get(row.id().name());
+        if (known != null && !row.isNewerThan(known.row())) {
+            return Transition.of(state);
+        }
+        boolean restarted =
+                known != null && known.row().id().incarnation() < row.id().incarnation();
+        if (restarted) {
+            // A new run has nothing of what was sent to the one before.
+            membership =
+                    membership.withGossip(
+                            membership.gossip().withoutPeer(known.row().peerAddress()));
+        }
+        boolean beating = known == null || restarted || row.heartbeat() > known.row().heartbeat();
+        Member updated =
+                known == null
+                        ? Member.of(row, heardMillis)
+                        : known.heard(row, beating ? heardMillis : known.lastHeardMillis());
+        State merged = state.withMembership(membership.withMember(updated));
+        return ConfigurationSync.fetchIfNewer(merged, row, row.configurationVersion());
+    }
+
+    private static State mergeBeat(State state, Heartbeat beat) {
+        if (beat.id().name().equals(state.self().id().name())) {
+            return Replaced.check(state, beat.id()).state();
+        }
+        Member known = state.membership().members().get(beat.id().name());
+        if (known == null
+                || !known.row().id().equals(beat.id())
+                || beat.heartbeat() <= known.row().heartbeat()) {
+            return state;
+        }
+        Member heard =
+                known.heard(known.row().at(beat.heartbeat()), state.nowMillis() - beat.ageMillis());
+        return state.withMembership(state.membership().withMember(heard));
+    }
+
+    private static State noteSender(State state, MembershipEvent.GossipReceived event) {
+        Member sender = state.membership().member(event.from()).orElse(null);
+        if (sender == null) {
+            return state;
+        }
+        String address = sender.row().peerAddress();
+        GossipState gossip = state.membership().gossip();
+        for (MemberRow row : event.rows()) {
+            gossip = gossip.withKnown(address, known(row, true));
+        }
+        for (Heartbeat beat : event.heartbeats()) {
+            gossip = gossip.withKnown(address, new Known(beat.id(), beat.heartbeat(), -1));
+        }
+        return state.withMembership(state.membership().withGossip(gossip));
+    }
+
+    /** Returns one peer in turn and others at random, so that no peer is left out for long. */
+    private static List<String> targets(State state, long random) {
+        List<String> addresses = addresses(state);
+        List<String> targets = new ArrayList<>();
+        if (addresses.isEmpty()) {
+            return targets;
+        }
+        long round = state.membership().gossip().heartbeat();
+        targets.add(addresses.remove((int) (round % addresses.size())));
+        long remaining = random & Long.MAX_VALUE;
+        while (!addresses.isEmpty() && targets.size() < FANOUT) {
+            int index = (int) (remaining % addresses.size());
+            remaining /= addresses.size();
+            targets.add(addresses.remove(index));
+        }
+        return targets;
+    }
+
+    private static List<String> addresses(State state) {
+        List<String> addresses = new ArrayList<>(state.membership().addresses());
+        for (Member member : state.membership().members().values()) {
+            String address = member.row().peerAddress();
+            if (Membership.isAlive(state, member) && !addresses.contains(address)) {
+                addresses.add(address);
+            }
+        }
+        return addresses;
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/membership/Member.java
+++ b/core/src/main/java/org/jujubefork/core/membership/Member.java
@@ -4,7 +4,7 @@
  * Another entry as this entry sees it.
  *
  * @param row the newest row received
- * @param lastHeardMillis when a newer row last arrived
+ * @param lastHeardMillis when the member itself sent its newest heartbeat, as far as known
  * @param probedAtMillis send time of the newest probe that the entry answered itself; {@link
  *     #NEVER} if none
  * @param probedVersion the configuration version in that answer
@@ -14,15 +14,23 @@
     public static final long NEVER = Long.MIN_VALUE / 2;
 
     /** Returns a member of which {@code row} is the first news. */
-    public static Member of(MemberRow row, long nowMillis) {
-        return new Member(row, nowMillis, NEVER, 0);
+    public static Member of(MemberRow row, long heardMillis) {
+        return new Member(row, heardMillis, NEVER, 0);
     }
 
-    /** Returns this member with a newer row. */
-    public Member heard(MemberRow newer, long nowMillis) {
+    /** Returns this member with a newer row or heartbeat that was sent at {@code heardMillis}. */
+    public Member heard(MemberRow newer, long heardMillis) {
         boolean sameRun = newer.id().equals(row.id());
         return new Member(
-                newer, nowMillis, sameRun ? probedAtMillis : NEVER, sameRun ? probedVersion : 0);
+                sameRun ? row.and(newer) : newer,
+                sameRun ? Math.max(lastHeardMillis, heardMillis) : heardMillis,
+                sameRun ? probedAtMillis : NEVER,
+                sameRun ? probedVersion : 0);
+    }
+
+    /** Returns this member after this entry was paused for {@code gapMillis}. */
+    Member resumed(long gapMillis) {
+        return new Member(row, lastHeardMillis + gapMillis, NEVER, 0);
     }
 
     /** Returns this member with the answer to a probe that was sent at {@code sentAtMillis}. */
--- a/core/src/main/java/org/jujubefork/core/membership/MemberRow.java
+++ b/core/src/main/java/org/jujubefork/core/membership/MemberRow.java
@@ -13,7 +13,8 @@
  * @param location where it stands
  * @param httpAddress host and port for callers
  * @param peerAddress host and port for other entries
- * @param heartbeat grows with each row that the entry sends
+ * @param heartbeat the newest heartbeat of the entry
+ * @param revision the heartbeat at which the rest of the row last changed
  * @param configurationVersion the version that is in force at the entry
  * @param storeReachable whether the entry had a store contact in the last seconds
  * @param leaving whether the entry is about to stop
@@ -25,10 +26,35 @@
         String httpAddress,
         String peerAddress,
         long heartbeat,
+        long revision,
         long configurationVersion,
         boolean storeReachable,
         boolean leaving,
         PSortedMap<ShardId, ShardSummary> shards) {
+    /** Creates a row that changed with its heartbeat. */
+    public MemberRow(
+            EntryId id,
+            Location location,
+            String httpAddress,
+            String peerAddress,
+            long heartbeat,
+            long configurationVersion,
+            boolean storeReachable,
+            boolean leaving,
+            PSortedMap<ShardId, ShardSummary> shards) {
+        this(
+                id,
+                location,
+                httpAddress,
+                peerAddress,
+                heartbeat,
+                heartbeat,
+                configurationVersion,
+                storeReachable,
+                leaving,
+                shards);
+    }
+
     /**
      * Returns whether this row is newer than {@code other}, a row of an entry with the same name.
      */
@@ -36,7 +62,51 @@
         if (id.incarnation() != other.id.incarnation()) {
             return id.incarnation() > other.id.incarnation();
         }
-        return heartbeat > other.heartbeat;
+        return revision > other.revision || heartbeat > other.heartbeat;
+    }
+
+    /** Returns the newer content of this row and {@code other} with the newer heartbeat. */
+    MemberRow and(MemberRow other) {
+        if (id.incarnation() != other.id.incarnation()) {
+            return id.incarnation() > other.id.incarnation() ? this : other;
+        }
+        MemberRow content = other.revision > revision ? other : this;
+        return content.at(Math.max(heartbeat, other.heartbeat));
+    }
+
+    /** Returns this row with another heartbeat. */
+    MemberRow at(long newest) {
+        return at(newest, revision);
+    }
+
+    /** Returns this row with another heartbeat and revision. */
+    MemberRow at(long newest, long changedAt) {
+        return new MemberRow(
+                id,
+                location,
+                httpAddress,
+                peerAddress,
+                newest,
+                changedAt,
+                configurationVersion,
+                storeReachable,
+                leaving,
+                shards);
+    }
+
+    /** Returns this row with other shards. */
+    MemberRow withShards(PSortedMap<ShardId, ShardSummary> value) {
+        return new MemberRow(
+                id,
+                location,
+                httpAddress,
+                peerAddress,
+                heartbeat,
+                revision,
+                configurationVersion,
+                storeReachable,
+                leaving,
+                value);
     }
 
     /** Returns the summary of {@code shard}, if the entry owns it. */
--- a/core/src/main/java/org/jujubefork/core/membership/MembershipState.java
+++ b/core/src/main/java/org/jujubefork/core/membership/MembershipState.java
@@ -4,8 +4,10 @@
 import org.jujubefork.core.model.EntryId;
 import org.pcollections.PSortedMap;
 import org.pcollections.PSortedSet;
+import org.pcollections.PVector;
 import org.pcollections.TreePMap;
 import org.pcollections.TreePSet;
+import org.pcollections.TreePVector;
 
 /**
  * What an entry knows of other entries and of its own contact with the store.
@@ -13,36 +15,40 @@
  * @param startedAtMillis when this entry started
  * @param members other entries by name
  * @param addresses peer addresses from settings and store
- * @param heartbeat counts the rows that this entry has sent
- * @param gossipedAtMillis when the last round of gossip was sent
- * @param probedAtMillis when the last round of probes was sent
+ * @param gossip what was sent, and what other entries have
+ * @param probeRounds send times of the last rounds of probes, the newest last
  * @param storeContactMillis send time of the newest read that the store answered
  * @param verified whether this run has once had a store contact or a majority of answers from
  *     others
  * @param fetchedAtMillis when the configuration was last asked for
+ * @param expectedBefore {@code expectedEntries} of the configuration that was in force before; 0 if
+ *     there was none
  */
 public record MembershipState(
         long startedAtMillis,
         PSortedMap<String, Member> members,
         PSortedSet<String> addresses,
-        long heartbeat,
-        long gossipedAtMillis,
-        long probedAtMillis,
+        GossipState gossip,
+        PVector<Long> probeRounds,
         long storeContactMillis,
         boolean verified,
-        long fetchedAtMillis) {
+        long fetchedAtMillis,
+        int expectedBefore) {
+    /** Rounds of probes of which answers are accepted; older ones have lost their validity. */
+    private static final int PROBE_ROUNDS = 4;
+
     /** Returns the state of an entry that has just started. */
     public static MembershipState initial(long nowMillis) {
         return new MembershipState(
                 nowMillis,
                 TreePMap.empty(),
                 TreePSet.empty(),
-                0,
-                Member.NEVER,
-                Member.NEVER,
+                GossipState.EMPTY,
+                TreePVector.empty(),
                 Member.NEVER,
                 false,
-                Member.NEVER);
+                Member.NEVER,
+                0);
     }
 
     /** Returns the member that runs as {@code id}, if that run is known. */
@@ -50,6 +56,11 @@
         return Optional.ofNullable(members.get(id.name())).filter(m -> m.row().id().equals(id));
     }
 
+    /** Returns when the last round of probes was sent. */
+    public long probedAtMillis() {
+        return probeRounds.isEmpty() ? Member.NEVER : probeRounds.get(probeRounds.size() - 1);
+    }
+
     /** Returns this state with {@code member} added or replaced. */
     public MembershipState withMember(Member member) {
         return withMembers(members.plus(member.row().id().name(), member));
@@ -61,12 +72,12 @@
                 startedAtMillis,
                 value,
                 addresses,
-                heartbeat,
-                gossipedAtMillis,
-                probedAtMillis,
+                gossip,
+                probeRounds,
                 storeContactMillis,
                 verified,
-                fetchedAtMillis);
+                fetchedAtMillis,
+                expectedBefore);
     }
 
     /** Returns this state with more peer addresses. */
@@ -75,40 +86,41 @@
                 startedAtMillis,
                 members,
                 value,
-                heartbeat,
-                gossipedAtMillis,
-                probedAtMillis,
+                gossip,
+                probeRounds,
                 storeContactMillis,
                 verified,
-                fetchedAtMillis);
+                fetchedAtMillis,
+                expectedBefore);
     }
 
-    /** Returns this state after a round of gossip. */
-    public MembershipState gossiped(long nowMillis) {
+    /** Returns this state with another state of gossip. */
+    public MembershipState withGossip(GossipState value) {
         return new MembershipState(
                 startedAtMillis,
                 members,
                 addresses,
-                heartbeat + 1,
-                nowMillis,
-                probedAtMillis,
+                value,
+                probeRounds,
                 storeContactMillis,
                 verified,
-                fetchedAtMillis);
+                fetchedAtMillis,
+                expectedBefore);
     }
 
     /** Returns this state after a round of probes. */
     public MembershipState probed(long nowMillis) {
+        PVector<Long> rounds = probeRounds.plus(nowMillis);
         return new MembershipState(
                 startedAtMillis,
                 members,
                 addresses,
-                heartbeat,
-                gossipedAtMillis,
-                nowMillis,
+                gossip,
+                rounds.size() > PROBE_ROUNDS ? rounds.minus(0) : rounds,
                 storeContactMillis,
                 verified,
-                fetchedAtMillis);
+                fetchedAtMillis,
+                expectedBefore);
     }
 
     /** Returns this state after the store answered a read that was sent at {@code sentAtMillis}. */
@@ -117,12 +129,12 @@
                 startedAtMillis,
                 members,
                 addresses,
-                heartbeat,
-                gossipedAtMillis,
-                probedAtMillis,
+                gossip,
+                probeRounds,
                 Math.max(storeContactMillis, sentAtMillis),
                 verified,
-                fetchedAtMillis);
+                fetchedAtMillis,
+                expectedBefore);
     }
 
     /** Returns this state with the configuration known to be the one that a majority has. */
@@ -131,12 +143,12 @@
                 startedAtMillis,
                 members,
                 addresses,
-                heartbeat,
-                gossipedAtMillis,
-                probedAtMillis,
+                gossip,
+                probeRounds,
                 storeContactMillis,
                 true,
-                fetchedAtMillis);
+                fetchedAtMillis,
+                expectedBefore);
     }
 
     /** Returns this state after the configuration was asked for. */
@@ -145,11 +157,46 @@
                 startedAtMillis,
                 members,
                 addresses,
-                heartbeat,
-                gossipedAtMillis,
-                probedAtMillis,
+                gossip,
+                probeRounds,
                 storeContactMillis,
                 verified,
-                nowMillis);
+                nowMillis,
+                expectedBefore);
+    }
+
+    /** Returns this state after a configuration that expected {@code entries} was replaced. */
+    public MembershipState replacedConfiguration(int entries) {
+        return new MembershipState(
+                startedAtMillis,
+                members,
+                addresses,
+                gossip,
+                probeRounds,
+                storeContactMillis,
+                verified,
+                fetchedAtMillis,
+                entries);
+    }
+
+    /**
+     * Returns this state after a pause of {@code gapMillis}: the silence of other entries is
+     * counted without the pause, and earlier answers of them and of the store prove nothing.
+     */
+    public MembershipState resumed(long gapMillis) {
+        PSortedMap<String, Member> shifted = members;
+        for (var entry : members.entrySet()) {
+            shifted = shifted.plus(entry.getKey(), entry.getValue().resumed(gapMillis));
+        }
+        return new MembershipState(
+                startedAtMillis,
+                shifted,
+                addresses,
+                gossip,
+                TreePVector.empty(),
+                Member.NEVER,
+                verified,
+                fetchedAtMillis,
+                expectedBefore);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/membership/OwnRow.java
@@ -0,0 +1,91 @@
+package org.jujubefork.core.membership;
+
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.placement.ShardSummaries;
+import org.pcollections.PSortedMap;
+
+/** Builds this entry's own row, and keeps it unchanged while nothing relevant changes. */
+final class OwnRow {
+    /** Time between two updates of team loads, which are the largest part of a row. */
+    static final long TEAM_LOAD_INTERVAL_MILLIS = 4_000;
+
+    /** Rounds after which an unchanged row is sent again, because a message can be lost. */
+    static final long REFRESH_ROUNDS = 10;
+
+    /** Entries per round that may publish changed loads. */
+    private static final int ENTRIES_PER_ROUND = 8;
+
+    private OwnRow() {}
+
+    /** Returns {@code gossip} with the row to be sent in this round. */
+    static GossipState publish(State state, GossipState gossip) {
+        long round = gossip.heartbeat();
+        MemberRow current = build(state, round);
+        if (gossip.own().isEmpty()) {
+            return gossip.publish(current, state.nowMillis());
+        }
+        MemberRow last = gossip.own().get();
+        boolean urgent = !essentials(current).equals(essentials(last));
+        boolean loadsDue =
+                urgent
+                        || isDemandChanged(current, last)
+                        || state.nowMillis() - gossip.loadsAtMillis() >= TEAM_LOAD_INTERVAL_MILLIS;
+        MemberRow candidate = loadsDue ? current : withLoads(current, last);
+        boolean changed = !candidate.at(0, 0).equals(last.at(0, 0));
+        long silent = round - last.revision();
+        long period = 1 + state.membership().members().size() / ENTRIES_PER_ROUND;
+        boolean publish = urgent || silent >= REFRESH_ROUNDS || (changed && silent >= period);
+        return publish
+                ? gossip.publish(candidate, loadsDue ? state.nowMillis() : gossip.loadsAtMillis())
+                : gossip.publish(last.at(round), gossip.loadsAtMillis());
+    }
+
+    /** Returns the row as it is now. */
+    static MemberRow build(State state, long heartbeat) {
+        return new MemberRow(
+                state.self().id(),
+                state.self().location(),
+                state.self().httpAddress(),
+                state.self().peerAddress(),
+                heartbeat,
+                heartbeat,
+                state.configuration().map(Configuration::version).orElse(0L),
+                Freshness.isStoreContactFresh(state),
+                state.draining(),
+                ShardSummaries.of(state));
+    }
+
+    /** Returns {@code row} with only that which other entries must learn at once. */
+    private static MemberRow essentials(MemberRow row) {
+        PSortedMap<ShardId, ShardSummary> shards = row.shards();
+        for (var entry : shards.entrySet()) {
+            shards = shards.plus(entry.getKey(), entry.getValue().withoutLoad());
+        }
+        return row.at(0, 0).withShards(shards);
+    }
+
+    private static boolean isDemandChanged(MemberRow current, MemberRow last) {
+        for (var entry : current.shards().entrySet()) {
+            ShardSummary before = last.shards().get(entry.getKey());
+            for (var team : entry.getValue().teams().entrySet()) {
+                TeamLoad load = before == null ? null : before.teams().get(team.getKey());
+                boolean waited = load != null && !load.waiting().isZero();
+                if (waited == team.getValue().waiting().isZero()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private static MemberRow withLoads(MemberRow current, MemberRow last) {
+        PSortedMap<ShardId, ShardSummary> shards = current.shards();
+        for (var entry : shards.entrySet()) {
+            ShardSummary before = last.shards().get(entry.getKey());
+            shards = shards.plus(entry.getKey(), entry.getValue().withTeams(before.teams()));
+        }
+        return current.withShards(shards);
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/membership/ShardSummary.java
+++ b/core/src/main/java/org/jujubefork/core/membership/ShardSummary.java
@@ -5,6 +5,7 @@
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TeamId;
 import org.pcollections.PSortedMap;
+import org.pcollections.TreePMap;
 
 /**
  * The load of a shard as its owner reports it in gossip.
@@ -28,4 +29,32 @@
         Resources free,
         Resources largestFree,
         PSortedMap<TeamId, TeamLoad> teams,
-        Optional<String> handoverTo) {}
+        Optional<String> handoverTo) {
+    /** Returns this summary with other team loads. */
+    ShardSummary withTeams(PSortedMap<TeamId, TeamLoad> value) {
+        return new ShardSummary(
+                epoch,
+                workers,
+                freeSlots,
+                queuedRequests,
+                capacity,
+                free,
+                largestFree,
+                value,
+                handoverTo);
+    }
+
+    /** Returns this summary with only the owner's authority and the handover. */
+    ShardSummary withoutLoad() {
+        return new ShardSummary(
+                epoch,
+                0,
+                0,
+                0,
+                Resources.ZERO,
+                Resources.ZERO,
+                Resources.ZERO,
+                TreePMap.empty(),
+                handoverTo);
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/placement/ShardState.java
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardState.java
@@ -21,6 +21,7 @@
  * @param tasks tasks placed on its workers
  * @param usage declared sizes of placed tasks by team
  * @param capacity what its workers hold in all
+ * @param charged what the workers hold that are not acquired; an earlier owner may use it
  * @param queue what waits
  */
 public record ShardState(
@@ -32,6 +33,7 @@
         PSortedMap<TaskId, RunningTask> tasks,
         PSortedMap<TeamId, Resources> usage,
         Resources capacity,
+        Resources charged,
         WorkQueue queue) {
     /** Returns a shard that has just been claimed, without workers. */
     public static ShardState claimed(ShardId id, Epoch epoch, long nowMillis) {
@@ -44,6 +46,7 @@
                 TreePMap.empty(),
                 TreePMap.empty(),
                 Resources.ZERO,
+                Resources.ZERO,
                 WorkQueue.EMPTY);
     }
 
@@ -68,6 +71,7 @@
         WorkerState before = workers.get(worker.id());
         WorkerIndex without = before == null ? index : index.minus(before);
         Resources base = before == null ? capacity : capacity.minus(before.capacity());
+        Resources uncharged = before == null ? charged : charged.minus(chargeOf(before));
         return new ShardState(
                 id,
                 epoch,
@@ -77,6 +81,7 @@
                 tasks,
                 usage,
                 base.plus(worker.capacity()),
+                uncharged.plus(chargeOf(worker)),
                 queue);
     }
 
@@ -99,6 +104,7 @@
                 tasks,
                 usage,
                 capacity.minus(before.capacity()),
+                charged.minus(chargeOf(before)),
                 queue);
     }
 
@@ -134,18 +140,22 @@
     /** Returns this shard with another queue. */
     public ShardState withQueue(WorkQueue value) {
         return new ShardState(
-                id, epoch, claimedAtMillis, workers, index, tasks, usage, capacity, value);
+                id, epoch, claimedAtMillis, workers, index, tasks, usage, capacity, charged, value);
     }
 
     /** Returns this shard under another epoch. */
     public ShardState withEpoch(Epoch value) {
         return new ShardState(
-                id, value, claimedAtMillis, workers, index, tasks, usage, capacity, queue);
+                id, value, claimedAtMillis, workers, index, tasks, usage, capacity, charged, queue);
+    }
+
+    private static Resources chargeOf(WorkerState worker) {
+        return worker.phase() == WorkerPhase.ACQUIRING ? worker.capacity() : Resources.ZERO;
     }
 
     private ShardState withTasks(
             PSortedMap<TaskId, RunningTask> placed, PSortedMap<TeamId, Resources> used) {
         return new ShardState(
-                id, epoch, claimedAtMillis, workers, index, placed, used, capacity, queue);
+                id, epoch, claimedAtMillis, workers, index, placed, used, capacity, charged, queue);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/ShardSummaries.java
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardSummaries.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.jujubefork.core.control.State;
+import org.jujubefork.core.limits.Demands;
 import org.jujubefork.core.membership.ShardSummary;
 import org.jujubefork.core.membership.TeamLoad;
 import org.jujubefork.core.model.Resources;
@@ -19,13 +20,15 @@
     public static PSortedMap<ShardId, ShardSummary> of(State state) {
         PSortedMap<ShardId, ShardSummary> summaries = TreePMap.empty();
         for (ShardState shard : state.shards().values()) {
-            summaries = summaries.plus(shard.id(), of(shard, Handover.target(state, shard.id())));
+            summaries =
+                    summaries.plus(
+                            shard.id(), of(state, shard, Handover.target(state, shard.id())));
         }
         return summaries;
     }
 
     /** Returns the summary of {@code shard}. */
-    public static ShardSummary of(ShardState shard, Optional<String> handoverTo) {
+    public static ShardSummary of(State state, ShardState shard, Optional<String> handoverTo) {
         Resources free = Resources.ZERO;
         Resources largest = Resources.ZERO;
         int slots = 0;
@@ -42,11 +45,11 @@
                 shard.capacity(),
                 free,
                 largest,
-                teams(shard),
+                teams(state, shard),
                 handoverTo);
     }
 
-    private static PSortedMap<TeamId, TeamLoad> teams(ShardState shard) {
+    private static PSortedMap<TeamId, TeamLoad> teams(State state, ShardState shard) {
         PSortedMap<TeamId, TeamLoad> teams = TreePMap.empty();
         for (var entry : shard.usage().entrySet()) {
             teams = teams.plus(entry.getKey(), new TeamLoad(entry.getValue(), Resources.ZERO, 0));
@@ -55,7 +58,9 @@
             TeamId team = lane.getKey().team();
             TeamLoad known = teams.containsKey(team) ? teams.get(team) : TeamLoad.NONE;
             int queued = known.queued() + lane.getValue().size();
-            teams = teams.plus(team, new TeamLoad(known.running(), known.waiting(), queued));
+            Resources unmet =
+                    known.queued() > 0 ? known.waiting() : Demands.unmet(state, shard, team);
+            teams = teams.plus(team, new TeamLoad(known.running(), unmet, queued));
         }
         return teams;
     }
--- a/core/src/main/java/org/jujubefork/core/placement/Workers.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -58,6 +58,18 @@
                 state.withShard(state.shards().get(shard).withWorker(worker)), shard, worker.id());
     }
 
+    /** Renews the leases of all workers of {@code shard} at once. */
+    public static Transition renewAll(State state, ShardId shard) {
+        Transition result = Transition.of(state);
+        for (WorkerState worker : state.shards().get(shard).workers().values()) {
+            result =
+                    worker.phase() == WorkerPhase.ACQUIRING
+                            ? result
+                            : result.then(s -> ask(s, shard, worker.id()));
+        }
+        return result;
+    }
+
     /** Returns the owned shard that {@code worker} belongs to. */
     public static Optional<ShardState> shardOf(State state, WorkerId worker) {
         return state.shards().values().stream()
