Bound how often a shard changes hands, and balance shards over entries

Two sides of a partition that both reach a worker took each other for dead and claimed the shard again at once, without end. An entry now claims again at once only if it has not lost the shard lately. Entries that rank lower wait longer instead of for ever, shards without workers are given up, and an entry with at least two shards more than an equally close one offers one of them.

--- a/core/src/main/java/org/jujubefork/core/ownership/Candidates.java
+++ b/core/src/main/java/org/jujubefork/core/ownership/Candidates.java
@@ -34,11 +34,8 @@
                     .thenComparing(Candidate::hash, Long::compareUnsigned)
                     .thenComparing(Candidate::name);
 
-    /** Returns whether this entry is the best live candidate for {@code shard}. */
-    public static boolean isBest(State state, ShardId shard) {
-        if (state.draining()) {
-            return false;
-        }
+    /** Returns how many live entries rank before this entry as owners of {@code shard}. */
+    public static int rank(State state, ShardId shard) {
         Candidate self =
                 candidate(
                         state,
@@ -46,7 +43,20 @@
                         state.self().location(),
                         state.shards().size(),
                         shard);
-        return others(state, shard).stream().allMatch(c -> BEST_FIRST.compare(self, c) < 0);
+        return (int)
+                others(state, shard).stream().filter(c -> BEST_FIRST.compare(c, self) < 0).count();
+    }
+
+    /**
+     * Returns the name of the entry that is as close to {@code shard} as this entry and owns the
+     * fewest shards, if it owns at least two fewer than this entry.
+     */
+    static Optional<String> lessLoaded(State state, ShardId shard) {
+        Distance own = distance(state, state.self().location(), shard);
+        return others(state, shard).stream()
+                .filter(c -> c.distance() == own && c.owned() + 2 <= state.shards().size())
+                .min(BEST_FIRST)
+                .map(Candidate::name);
     }
 
     /** Returns the name of the best live candidate for {@code shard} other than this entry. */
--- a/core/src/main/java/org/jujubefork/core/ownership/Handover.java
+++ b/core/src/main/java/org/jujubefork/core/ownership/Handover.java
@@ -5,35 +5,52 @@
 import org.jujubefork.core.membership.Member;
 import org.jujubefork.core.membership.Membership;
 import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.placement.ShardState;
 
 /** Decides to which entry an owned shard should go while this entry is alive. */
 public final class Handover {
-    /** How long an entry must have been known before it is asked to take a shard over. */
+    /** How long this entry must have run, and owned a shard, before it offers the shard. */
     static final long SETTLE_MILLIS = 5_000;
 
     private Handover() {}
 
     /**
      * Returns the name of the entry that is to take {@code shard} over: the best other candidate
-     * while this entry is stopping, or one in the shard's availability zone if this entry stands
-     * elsewhere.
+     * while this entry is stopping, one in the shard's availability zone if this entry stands
+     * elsewhere, or an equally close one that owns at least two shards fewer.
      */
     public static Optional<String> target(State state, ShardId shard) {
         if (state.draining()) {
             return Candidates.bestOther(state, shard);
         }
-        String zone = Sharding.zoneOf(shard);
-        boolean settled = state.nowMillis() - state.membership().startedAtMillis() >= SETTLE_MILLIS;
-        if (!settled || zone.equals(state.self().location().zone())) {
+        ShardState owned = state.shards().get(shard);
+        boolean settled =
+                state.nowMillis() - state.membership().startedAtMillis() >= SETTLE_MILLIS
+                        && owned != null
+                        && state.nowMillis() - owned.claimedAtMillis() >= SETTLE_MILLIS;
+        if (!settled) {
             return Optional.empty();
         }
-        return Candidates.bestOther(state, shard).filter(name -> standsIn(state, name, zone));
+        String zone = Sharding.zoneOf(shard);
+        if (!zone.equals(state.self().location().zone())) {
+            Optional<String> inZone =
+                    Candidates.bestOther(state, shard).filter(name -> standsIn(state, name, zone));
+            if (inZone.isPresent()) {
+                return inZone;
+            }
+        }
+        return shard.equals(state.shards().lastKey())
+                ? Candidates.lessLoaded(state, shard).filter(name -> isResponsive(state, name))
+                : Optional.empty();
+    }
+
+    private static boolean isResponsive(State state, String name) {
+        Member member = state.membership().members().get(name);
+        return member != null && Membership.isResponsive(state, member);
     }
 
     private static boolean standsIn(State state, String name, String zone) {
         Member member = state.membership().members().get(name);
-        return member != null
-                && Membership.isResponsive(state, member)
-                && member.row().location().zone().equals(zone);
+        return isResponsive(state, name) && member.row().location().zone().equals(zone);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/ownership/Ownership.java
+++ b/core/src/main/java/org/jujubefork/core/ownership/Ownership.java
@@ -33,6 +33,15 @@
     /** How long a shard must be without a live owner before it is claimed. */
     static final long VACANT_MILLIS = 300;
 
+    /**
+     * How much longer an entry waits for each live entry that ranks before it. The best candidate
+     * may be waiting after a loss, or may know the shard as owned.
+     */
+    static final long RANK_MILLIS = 3_000;
+
+    /** How long a shard must be held before earlier losses no longer lengthen the back-off. */
+    static final long STABLE_MILLIS = 60_000;
+
     private Ownership() {}
 
     /** Claims or gives up shards as gossip and the VM list demand. */
@@ -41,16 +50,29 @@
         for (ShardId shard : state.fleet().byShard().keySet()) {
             result = result.then(s -> review(s, shard));
         }
+        for (ShardState shard : state.shards().values()) {
+            if (!state.fleet().byShard().containsKey(shard.id())) {
+                result = result.then(s -> reviewVanished(s, shard.id()));
+            }
+        }
         return result;
     }
 
+    /** Gives up a shard once none of its workers can run anything any more. */
+    private static Transition reviewVanished(State state, ShardId shard) {
+        ShardState owned = state.shards().get(shard);
+        return owned == null || !owned.workers().isEmpty()
+                ? Transition.of(state)
+                : giveUp(state, shard, owned.epoch(), "all its workers are gone");
+    }
+
     private static Transition review(State state, ShardId shard) {
         Optional<Claim> other = highestOtherClaim(state, shard);
         ShardState owned = state.shards().get(shard);
         if (owned != null) {
             return other.isPresent() && other.get().epoch().isAbove(owned.epoch())
                     ? giveUp(state, shard, other.get().epoch(), "another entry has a higher epoch")
-                    : Transition.of(state);
+                    : Transition.of(noteHeld(state, owned));
         }
         ShardView view = state.ownership().view(shard);
         if (other.isPresent()) {
@@ -70,18 +92,27 @@
         }
         view = view.vacant(state.nowMillis());
         State noted = state.withOwnership(state.ownership().with(shard, view));
-        return mayClaim(noted, view) && Candidates.isBest(noted, shard)
+        return mayClaim(noted, shard, view)
                 ? claim(noted, shard, "no live owner")
                 : Transition.of(noted);
     }
 
-    private static boolean mayClaim(State state, ShardView view) {
+    private static State noteHeld(State state, ShardState owned) {
+        ShardView view = state.ownership().view(owned.id());
+        boolean stable = state.nowMillis() - owned.claimedAtMillis() >= STABLE_MILLIS;
+        return stable && view.losses() > 0
+                ? state.withOwnership(state.ownership().with(owned.id(), view.held()))
+                : state;
+    }
+
+    private static boolean mayClaim(State state, ShardId shard, ShardView view) {
         long now = state.nowMillis();
         return !state.draining()
                 && state.configuration().isPresent()
                 && now - state.membership().startedAtMillis() >= LISTEN_MILLIS
-                && now - view.vacantSinceMillis() >= VACANT_MILLIS
-                && now >= view.backoffUntilMillis();
+                && now >= view.backoffUntilMillis()
+                && now - view.vacantSinceMillis()
+                        >= VACANT_MILLIS + Candidates.rank(state, shard) * RANK_MILLIS;
     }
 
     private static Transition claim(State state, ShardId shard, String reason) {
@@ -108,7 +139,10 @@
      * shard.
      *
      * <p>If the holder is alive, or is not known to be dead, this entry steps back. If the holder
-     * is dead, this entry claims the shard again with a still higher epoch.
+     * is dead, this entry claims the shard again with a still higher epoch, but only if it has not
+     * lost the shard before. In a network partition in which both sides reach some workers, each
+     * side takes the other for dead; the back-off, which doubles with each loss, bounds how often
+     * the shard changes hands.
      */
     public static Transition outranked(State state, ShardId shard, Epoch current) {
         ShardState owned = state.shards().get(shard);
@@ -117,7 +151,9 @@
         if (owned == null || !current.isAbove(owned.epoch())) {
             return Transition.of(noted);
         }
-        if (isSelfEarlier(noted, current) || isKnownDead(noted, current)) {
+        boolean first = noted.ownership().view(shard).losses() == 0;
+        boolean mayHold = !noted.draining() && noted.fleet().byShard().containsKey(shard);
+        if (mayHold && (isSelfEarlier(noted, current) || (first && isKnownDead(noted, current)))) {
             return giveUp(noted, shard, current, "outranked by an entry that is gone")
                     .then(s -> claimAt(s, shard, current.number() + 1, "holder is gone"));
         }
--- a/core/src/main/java/org/jujubefork/core/ownership/ShardView.java
+++ b/core/src/main/java/org/jujubefork/core/ownership/ShardView.java
@@ -33,6 +33,13 @@
                 : new ShardView(highestNumber, OWNED, backoffUntilMillis, losses);
     }
 
+    /** Returns this view of a shard that this entry has held without being outranked for long. */
+    public ShardView held() {
+        return losses == 0
+                ? this
+                : new ShardView(highestNumber, vacantSinceMillis, backoffUntilMillis, 0);
+    }
+
     /** Returns this view of a shard without a live owner. */
     public ShardView vacant(long nowMillis) {
         return vacantSinceMillis == OWNED
