--- a/core/src/main/java/org/jujubefork/core/jobs/Rooms.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Rooms.java
@@ -105,7 +105,7 @@
             }
         }
         for (ShardState shard : state.shards().values()) {
-            result = result.plus(shard.id(), ShardSummaries.of(shard, Optional.empty()));
+            result = result.plus(shard.id(), ShardSummaries.of(state, shard, Optional.empty()));
         }
         return result;
     }
--- a/core/src/main/java/org/jujubefork/core/placement/ShardState.java
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardState.java
@@ -20,6 +20,7 @@
  * @param index the workers that take work, by what is free
  * @param book tasks placed on its workers
  * @param capacity what its workers hold in all
+ * @param charged what the workers hold that are not acquired; an earlier owner may use it
  * @param queue what waits
  * @param scheduling what the scheduler remembers between events
  */
@@ -31,6 +32,7 @@
         WorkerIndex index,
         TaskBook book,
         Resources capacity,
+        Resources charged,
         WorkQueue queue,
         Scheduling scheduling) {
     /** Returns a shard that has just been claimed, without workers. */
@@ -43,6 +45,7 @@
                 WorkerIndex.EMPTY,
                 TaskBook.EMPTY,
                 Resources.ZERO,
+                Resources.ZERO,
                 WorkQueue.EMPTY,
                 Scheduling.INITIAL);
     }
@@ -77,6 +80,7 @@
         WorkerState before = workers.get(worker.id());
         WorkerIndex changed = before == null ? index.plus(worker) : index.replace(before, worker);
         Resources base = before == null ? capacity : capacity.minus(before.capacity());
+        Resources uncharged = before == null ? charged : charged.minus(chargeOf(before));
         boolean room = before == null ? worker.isEligible() : worker.hasMoreRoomThan(before);
         return new ShardState(
                 id,
@@ -86,6 +90,7 @@
                 changed,
                 book,
                 base.plus(worker.capacity()),
+                uncharged.plus(chargeOf(worker)),
                 queue,
                 room ? scheduling.withRecheck(true) : scheduling);
     }
@@ -108,6 +113,7 @@
                 index.minus(before),
                 book,
                 capacity.minus(before.capacity()),
+                charged.minus(chargeOf(before)),
                 queue,
                 scheduling);
     }
@@ -121,13 +127,13 @@
     /** Returns this shard with the placed task of the same id replaced by {@code task}. */
     public ShardState update(RunningTask task) {
         RunningTask before = book.tasks().get(task.spec().id());
-        ShardState charged =
+        ShardState recharged =
                 before.charge().equals(task.charge())
                         ? this
                         : withWorker(
                                 workers.get(task.worker())
                                         .recharged(before.charge(), task.charge()));
-        return charged.withBook(book.updated(task));
+        return recharged.withBook(book.updated(task));
     }
 
     /** Returns this shard without the task {@code id}, whose resources are free again. */
@@ -143,13 +149,31 @@
     /** Returns this shard with another queue. */
     public ShardState withQueue(WorkQueue value) {
         return new ShardState(
-                id, epoch, claimedAtMillis, workers, index, book, capacity, value, scheduling);
+                id,
+                epoch,
+                claimedAtMillis,
+                workers,
+                index,
+                book,
+                capacity,
+                charged,
+                value,
+                scheduling);
     }
 
     /** Returns this shard under another epoch. */
     public ShardState withEpoch(Epoch value) {
         return new ShardState(
-                id, value, claimedAtMillis, workers, index, book, capacity, queue, scheduling);
+                id,
+                value,
+                claimedAtMillis,
+                workers,
+                index,
+                book,
+                capacity,
+                charged,
+                queue,
+                scheduling);
     }
 
     /** Returns this shard with other notes of the scheduler. */
@@ -157,12 +181,34 @@
         return value == scheduling
                 ? this
                 : new ShardState(
-                        id, epoch, claimedAtMillis, workers, index, book, capacity, queue, value);
+                        id,
+                        epoch,
+                        claimedAtMillis,
+                        workers,
+                        index,
+                        book,
+                        capacity,
+                        charged,
+                        queue,
+                        value);
     }
 
     private ShardState withBook(TaskBook value) {
         return new ShardState(
-                id, epoch, claimedAtMillis, workers, index, value, capacity, queue, scheduling);
+                id,
+                epoch,
+                claimedAtMillis,
+                workers,
+                index,
+                value,
+                capacity,
+                charged,
+                queue,
+                scheduling);
+    }
+
+    private static Resources chargeOf(WorkerState worker) {
+        return worker.phase() == WorkerPhase.ACQUIRING ? worker.capacity() : Resources.ZERO;
     }
 
     /** Returns the rack of {@code worker}; it does not change while tasks are placed there. */
