--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -18,6 +18,7 @@
 import org.jujubefork.core.event.DrainRequested;
 import org.jujubefork.core.event.MembershipEvent;
 import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.ownership.Drain;
 import org.jujubefork.entry.control.Clock;
 import org.jujubefork.entry.control.ControlLoop;
 import org.jujubefork.entry.control.EffectRouter;
@@ -220,10 +221,7 @@
 
     private boolean isDrained() {
         State now = loop.state();
-        return now.draining()
-                && now.requests().active().isEmpty()
-                && now.shards().isEmpty()
-                && now.detached().isEmpty();
+        return now.draining() && Drain.isComplete(now);
     }
 
     private void ready(Exchange exchange) throws IOException {
--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
@@ -102,7 +102,10 @@
         switch (message) {
             case PeerMessage.Hello m ->
                     out.packString(m.from().toString()).packString(m.peerAddress());
-            case PeerMessage.Gossip m -> RowCodec.writeAll(out, m.rows());
+            case PeerMessage.Gossip m -> {
+                RowCodec.writeAll(out, m.rows());
+                RowCodec.writeHeartbeats(out, m.heartbeats());
+            }
             case PeerMessage.Probe m -> out.packLong(m.probeId());
             case PeerMessage.ProbeReply m ->
                     out.packLong(m.probeId()).packLong(m.configurationVersion());
@@ -124,7 +127,8 @@
         return switch (type) {
             case HELLO ->
                     new PeerMessage.Hello(EntryId.parse(in.unpackString()), in.unpackString());
-            case GOSSIP -> new PeerMessage.Gossip(RowCodec.readAll(in));
+            case GOSSIP ->
+                    new PeerMessage.Gossip(RowCodec.readAll(in), RowCodec.readHeartbeats(in));
             case PROBE -> new PeerMessage.Probe(in.unpackLong());
             case PROBE_REPLY -> new PeerMessage.ProbeReply(in.unpackLong(), in.unpackLong());
             case FORWARD -> readForward(in);
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
@@ -73,7 +73,7 @@
     public void execute(GossipEffect effect) {
         switch (effect) {
             case GossipEffect.SendGossip e ->
-                    send(e.peerAddress(), new PeerMessage.Gossip(e.rows()));
+                    send(e.peerAddress(), new PeerMessage.Gossip(e.rows(), e.heartbeats()));
             case GossipEffect.SendProbe e ->
                     send(e.peerAddress(), new PeerMessage.Probe(e.probeId()));
             case GossipEffect.SendProbeReply e ->
@@ -186,7 +186,9 @@
         long now = clock.millis();
         switch (frame.message()) {
             case PeerMessage.Gossip m ->
-                    events.post(new MembershipEvent.GossipReceived(now, sender.from(), m.rows()));
+                    events.post(
+                            new MembershipEvent.GossipReceived(
+                                    now, sender.from(), m.rows(), m.heartbeats()));
             case PeerMessage.Probe m ->
                     events.post(
                             new MembershipEvent.ProbeReceived(
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.jujubefork.entry.peer;
 
+import org.jujubefork.core.membership.Heartbeat;
 import org.jujubefork.core.membership.MemberRow;
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.EntryId;
@@ -20,11 +21,12 @@
     record Hello(EntryId from, String peerAddress) implements PeerMessage {}
 
     /**
-     * Rows of the sender and of other entries.
+     * Rows and signs of life of the sender and of other entries.
      *
      * @param rows the rows
+     * @param heartbeats the signs of life
      */
-    record Gossip(PVector<MemberRow> rows) implements PeerMessage {}
+    record Gossip(PVector<MemberRow> rows, PVector<Heartbeat> heartbeats) implements PeerMessage {}
 
     /**
      * Asks which configuration is in force.
--- a/entry/src/main/java/org/jujubefork/entry/peer/RowCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/RowCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import org.jujubefork.core.membership.Heartbeat;
 import org.jujubefork.core.membership.MemberRow;
 import org.jujubefork.core.membership.ShardSummary;
 import org.jujubefork.core.membership.TeamLoad;
@@ -41,6 +42,26 @@
         return rows;
     }
 
+    static void writeHeartbeats(MessagePacker out, PVector<Heartbeat> heartbeats)
+            throws IOException {
+        out.packArrayHeader(heartbeats.size());
+        for (Heartbeat heartbeat : heartbeats) {
+            out.packString(heartbeat.id().toString());
+            out.packLong(heartbeat.heartbeat());
+            out.packLong(heartbeat.ageMillis());
+        }
+    }
+
+    static PVector<Heartbeat> readHeartbeats(MessageUnpacker in) throws IOException {
+        int count = count(in.unpackArrayHeader());
+        PVector<Heartbeat> heartbeats = TreePVector.empty();
+        for (int i = 0; i < count; i++) {
+            EntryId id = EntryId.parse(in.unpackString());
+            heartbeats = heartbeats.plus(new Heartbeat(id, in.unpackLong(), in.unpackLong()));
+        }
+        return heartbeats;
+    }
+
     private static int count(int elements) throws ProtocolException {
         if (elements > MAX_ELEMENTS) {
             throw new ProtocolException("a list has " + elements + " elements");
@@ -55,6 +76,7 @@
         out.packString(row.httpAddress());
         out.packString(row.peerAddress());
         out.packLong(row.heartbeat());
+        out.packLong(row.revision());
         out.packLong(row.configurationVersion());
         out.packBoolean(row.storeReachable());
         out.packBoolean(row.leaving());
@@ -75,6 +97,7 @@
                 in.unpackString(),
                 in.unpackLong(),
                 in.unpackLong(),
+                in.unpackLong(),
                 in.unpackBoolean(),
                 in.unpackBoolean(),
                 readSummaries(in));
--- a/entry/src/main/java/org/jujubefork/entry/platform/ConfigurationApplier.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/ConfigurationApplier.java
@@ -20,7 +20,7 @@
 import org.jujubefork.config.cell.InvalidDocumentException;
 import org.jujubefork.config.source.Finding;
 import org.jujubefork.core.control.State;
-import org.jujubefork.core.membership.Member;
+import org.jujubefork.core.membership.ConfigurationAcceptance;
 import org.jujubefork.core.model.Outcome;
 
 /**
@@ -213,15 +213,11 @@
     }
 
     private static Result.Stored status(State now, long version) {
-        java.util.ArrayList<String> inForce = new java.util.ArrayList<>();
-        java.util.ArrayList<String> pending = new java.util.ArrayList<>();
-        boolean own = now.configuration().map(c -> c.version() >= version).orElse(false);
-        (own ? inForce : pending).add(now.self().id().name());
-        for (Member member : now.membership().members().values()) {
-            boolean reported = member.row().configurationVersion() >= version;
-            (reported ? inForce : pending).add(member.row().id().name());
-        }
-        int majority = now.configuration().map(c -> c.majority()).orElse(Integer.MAX_VALUE);
-        return new Result.Stored(version, inForce.size() >= majority, inForce, pending);
+        ConfigurationAcceptance.Status status = ConfigurationAcceptance.status(now, version);
+        return new Result.Stored(
+                version,
+                status.isAccepted(),
+                List.copyOf(status.inForceOn()),
+                List.copyOf(status.pending()));
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
@@ -61,9 +61,11 @@
     private void carryOut(StoreEffect effect) {
         switch (effect) {
             case StoreEffect.CreateClaim e -> createClaim(e);
+            case StoreEffect.ReadClaim e -> readClaim(e);
             case StoreEffect.SettleClaim e -> settleClaim(e);
             case StoreEffect.ReleaseClaim e -> releaseClaim(e);
             case StoreEffect.WriteJob e -> writeJob(e);
+            case StoreEffect.DeleteJob e -> deleteJob(e);
             case StoreEffect.WriteLedger e -> writeLedger(e);
             case StoreEffect.ReadLedger e -> readLedger();
         }
@@ -128,6 +130,34 @@
         }
     }
 
+    private void readClaim(StoreEffect.ReadClaim effect) {
+        RequestId request = effect.request();
+        try {
+            Optional<KeyValue> found = get(effect.claimKey());
+            if (found.isEmpty()) {
+                events.post(new ClaimEvent.ClaimGone(clock.millis(), request));
+                return;
+            }
+            ClaimRecord existing =
+                    ClaimCodec.decode(StoreText.decode(found.get().value())).record();
+            events.post(new ClaimEvent.ClaimExists(clock.millis(), request, existing));
+        } catch (StoreException | MalformedRecordException e) {
+            events.post(new ClaimEvent.ClaimFailed(clock.millis(), request, false));
+        }
+    }
+
+    private void deleteJob(StoreEffect.DeleteJob effect) {
+        metrics.countStoreCall("delete");
+        WriteResult result =
+                store.delete(
+                        StoreKeys.JOBS + effect.job(),
+                        OptionalLong.of(effect.expectedRevision()),
+                        TIMEOUT);
+        if (!(result instanceof WriteResult.Written)) {
+            log.debugf("event=job-record-not-removed job=%s", effect.job());
+        }
+    }
+
     private void settleClaim(StoreEffect.SettleClaim effect) {
         Optional<AnswerChannel> channel = registry.channel(effect.request());
         Optional<byte[]> body =
