--- a/core/src/main/java/org/jujubefork/core/placement/LearnedSize.java
+++ b/core/src/main/java/org/jujubefork/core/placement/LearnedSize.java
@@ -49,14 +49,22 @@
         if (peaks.size() < ENOUGH_PEAKS) {
             return declared;
         }
-        Resources padded =
-                new Resources(
-                        (long) Math.ceil(estimate.cpuMillis() * MARGIN),
-                        (long) Math.ceil(estimate.memoryMb() * MARGIN),
+        return new Resources(
+                        withMargin(estimate.cpuMillis(), declared.cpuMillis()),
+                        withMargin(estimate.memoryMb(), declared.memoryMb()),
                         // Accelerators are held whole, so a margin would ask for one that no task
                         // uses.
-                        estimate.accelerators());
-        return padded.max(declared.scaled(SMALLEST_PART));
+                        estimate.accelerators())
+                .max(declared.scaled(SMALLEST_PART));
+    }
+
+    /**
+     * Returns the percentile with margin. The margin does not lift it above the declared size, or
+     * tasks that use exactly what they declare would be packed less densely than declared.
+     */
+    private static long withMargin(long used, long declared) {
+        long padded = (long) Math.ceil(used * MARGIN);
+        return used <= declared ? Math.min(padded, declared) : padded;
     }
 
     private static long percentile(PVector<Resources> all, ToLongFunction<Resources> component) {
--- a/core/src/test/java/org/jujubefork/core/control/Cell.java
+++ b/core/src/test/java/org/jujubefork/core/control/Cell.java
@@ -13,6 +13,7 @@
 import org.jujubefork.core.event.Event;
 import org.jujubefork.core.event.FleetEvent;
 import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.event.TaskEvent;
 import org.jujubefork.core.event.Tick;
 import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.EndedTask;
@@ -227,6 +228,17 @@
                 task.worker(), List.of(new EndedTask(task.spec(), reason, "", 1)), Resources.ZERO);
     }
 
+    /** Has workers confirm the starts of tasks of jobs. */
+    public void acceptStarts() {
+        for (var start : effects(WorkerEffect.StartTask.class)) {
+            if (start.request().isEmpty()) {
+                apply(
+                        new TaskEvent.StartAccepted(
+                                state.nowMillis(), start.worker(), start.task().id()));
+            }
+        }
+    }
+
     /** Returns placed tasks of {@code team} and {@code kind}. */
     public List<RunningTask> placed(WorkKind kind, int team) {
         return shard().tasks().values().stream()
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/placement/GangTest.java
@@ -0,0 +1,109 @@
+package org.jujubefork.core.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.jujubefork.core.configuration.Tuning;
+import org.jujubefork.core.control.Cell;
+import org.jujubefork.core.model.EndReason;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.WorkKind;
+import org.testng.annotations.Test;
+
+/** Jobs that need all their tasks at once. */
+public class GangTest {
+    private static final Resources BATCH = Resources.of(3_000, 2_900, 0);
+    private static final Resources LARGE = Resources.of(8_000, 8_000, 0);
+
+    /** Guards against a gang of which only some tasks start. */
+    @Test
+    public void gangStartsWholeOrNotAtAll() {
+        Cell cell = Cell.of(3, 2, Tuning.DEFAULT);
+        cell.gang("too-large", 0, 4, LARGE);
+        assertTrue(cell.placed(WorkKind.GANG, 0).isEmpty());
+        cell.gang("fits", 1, 3, LARGE);
+        assertEquals(cell.placed(WorkKind.GANG, 1).size(), 3);
+    }
+
+    /** Guards against a gang that starves because small tasks take each part that becomes free. */
+    @Test
+    public void gangIsNotStarvedBySmallTasks() {
+        Cell cell = Cell.of(4, 2, Tuning.DEFAULT);
+        cell.enqueue("stream", WorkKind.BATCH, 0, 400, BATCH);
+        cell.gang("gang", 1, 2, LARGE);
+        int rounds = 0;
+        int ended = 0;
+        while (cell.placed(WorkKind.GANG, 1).isEmpty() && rounds++ < 60) {
+            List<RunningTask> running = cell.placed(WorkKind.BATCH, 0);
+            cell.end(running.get(rounds % running.size()), EndReason.SUCCEEDED);
+            ended++;
+            cell.run(1_000);
+        }
+        assertEquals(cell.placed(WorkKind.GANG, 1).size(), 2, "after " + ended + " ends");
+    }
+
+    /** Guards against a reservation that stops work elsewhere, or work that fits beside it. */
+    @Test
+    public void otherWorkRunsBesideAReservation() {
+        Cell cell = Cell.of(4, 2, Tuning.DEFAULT);
+        cell.enqueue("fill", WorkKind.BATCH, 0, 12, BATCH);
+        cell.gang("gang", 1, 2, LARGE);
+        cell.run(11_000);
+        var parts = cell.shard().scheduling().reservation().orElseThrow().parts();
+        assertEquals(parts.size(), 2);
+        cell.enqueue("more", WorkKind.BATCH, 0, 8, BATCH);
+        for (RunningTask task : cell.placed(WorkKind.BATCH, 0)) {
+            if (!parts.containsKey(task.worker())) {
+                cell.end(task, EndReason.SUCCEEDED);
+            }
+        }
+        assertEquals(cell.shard().queue().size(), 3, "two tasks and the gang wait");
+        cell.enqueue("tiny", WorkKind.BATCH, 0, 2, Resources.of(500, 500, 0));
+        assertTrue(cell.placed(WorkKind.GANG, 1).isEmpty());
+    }
+
+    /** Guards against a reservation that outlives its gang and keeps workers idle. */
+    @Test
+    public void reservationEndsWithItsGang() {
+        Cell cell = Cell.of(2, 2, Tuning.DEFAULT);
+        cell.enqueue("fill", WorkKind.BATCH, 0, 6, BATCH);
+        cell.gang("gang", 1, 2, LARGE);
+        cell.run(11_000);
+        var position = cell.shard().scheduling().reservation().orElseThrow().position();
+        ShardState shard = cell.shard();
+        cell.state = cell.state.withShard(shard.withQueue(shard.queue().minus(position)));
+        cell.tick(100);
+        assertTrue(cell.shard().scheduling().reservation().isEmpty());
+        assertEquals(cell.workerState(0).reserved(), Resources.ZERO);
+    }
+
+    /** Guards against two gangs that hold parts of the workers that the other one needs. */
+    @Test
+    public void gangsReserveInOrderOfArrival() {
+        Cell cell = Cell.of(3, 3, Tuning.DEFAULT);
+        cell.enqueue("fill", WorkKind.BATCH, 0, 9, BATCH);
+        cell.gang("first", 1, 3, LARGE);
+        cell.tick(1);
+        cell.gang("second", 2, 3, LARGE);
+        cell.run(12_000);
+        for (RunningTask task : cell.placed(WorkKind.BATCH, 0)) {
+            cell.end(task, EndReason.SUCCEEDED);
+        }
+        cell.run(200);
+        assertEquals(cell.placed(WorkKind.GANG, 1).size(), 3);
+        for (RunningTask task : cell.placed(WorkKind.GANG, 1)) {
+            cell.end(task, EndReason.SUCCEEDED);
+        }
+        cell.run(200);
+        assertEquals(cell.placed(WorkKind.GANG, 2).size(), 3);
+    }
+
+    /** Guards against a cost of large gangs that grows with the square of their size. */
+    @Test
+    public void largeGangIsPlacedInOneEvent() {
+        Cell cell = Cell.of(500, 1, Tuning.DEFAULT);
+        cell.gang("large", 0, 1_000, Resources.of(4_000, 4_000, 0));
+        assertEquals(cell.placed(WorkKind.GANG, 0).size(), 1_000);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/placement/WorkerHealthTest.java
@@ -0,0 +1,147 @@
+package org.jujubefork.core.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.jujubefork.core.configuration.Tuning;
+import org.jujubefork.core.control.Cell;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.TaskEvent;
+import org.jujubefork.core.model.EndReason;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkKind;
+import org.testng.annotations.Test;
+
+/** Workers that fail what they start. */
+public class WorkerHealthTest {
+    private static WorkerHealth fail(WorkerHealth health, int task, String subject, long now) {
+        return health.failed(TaskId.of("t" + task), subject, true, now, Tuning.DEFAULT);
+    }
+
+    private static WorkerHealth quarantined() {
+        WorkerHealth health = WorkerHealth.GOOD;
+        for (int i = 0; i < 5; i++) {
+            health = fail(health, i, "job:" + i, 1_000);
+        }
+        return health;
+    }
+
+    @Test
+    public void fiveFailuresInTheWindowQuarantine() {
+        assertTrue(quarantined().isQuarantined());
+        WorkerHealth slow = WorkerHealth.GOOD;
+        for (int i = 0; i < 6; i++) {
+            slow = fail(slow, i, "job:" + i, 10_000L * i);
+        }
+        assertFalse(slow.isQuarantined(), "failures outside of the window count");
+    }
+
+    /** Guards against a worker that fails slowly, but most of what it starts. */
+    @Test
+    public void moreThanHalfOfTheLastTwentyQuarantine() {
+        WorkerHealth health = WorkerHealth.GOOD;
+        for (int i = 0; i < 10; i++) {
+            health = fail(health, i, "job:" + i, 40_000L * i);
+            health = health.succeeded(TaskId.of("ok-" + i));
+            assertFalse(health.isQuarantined(), "at " + i);
+        }
+        health = fail(health, 20, "job:20", 2_000_000);
+        assertFalse(health.isQuarantined(), "10 of the last 20 failed");
+        health = fail(health, 21, "job:21", 2_040_000);
+        assertTrue(health.isQuarantined(), "11 of the last 20 failed");
+    }
+
+    /** Guards against a job that fails everywhere and takes all workers out of service with it. */
+    @Test
+    public void badJobDoesNotQuarantineWorkers() {
+        WorkerHealth health = WorkerHealth.GOOD;
+        for (int i = 0; i < 50; i++) {
+            health = health.failed(TaskId.of("t" + i), "job:bad", false, i, Tuning.DEFAULT);
+        }
+        assertFalse(health.isQuarantined());
+    }
+
+    @Test
+    public void probeIntervalDoublesUpToItsBoundAndSuccessEndsTheQuarantine() {
+        WorkerHealth health = quarantined();
+        long now = 1_000;
+        long[] expected = {10_000, 20_000, 40_000, 80_000, 160_000, 300_000, 300_000};
+        for (long interval : expected) {
+            assertFalse(health.elapsed(now + interval - 1).takesWork());
+            now += interval;
+            TaskId probe = TaskId.of("probe-" + now);
+            health = health.elapsed(now).started(probe);
+            assertFalse(health.takesWork(), "more than one probe");
+            assertFalse(health.succeeded(TaskId.of("older")).takesWork());
+            health = health.failed(probe, "job:x", true, now, Tuning.DEFAULT);
+        }
+        TaskId last = TaskId.of("last");
+        assertTrue(health.elapsed(now + 300_000).started(last).succeeded(last).takesWork());
+    }
+
+    /** Guards against an idle-looking worker that fails quickly and so attracts most requests. */
+    @Test
+    public void workerThatFailsQuicklyDoesNotAttractRequests() {
+        Cell cell = Cell.of(4, 1, Tuning.DEFAULT);
+        int failed = 0;
+        for (int i = 0; i < 400; i++) {
+            cell.effects.clear();
+            cell.request("r" + i, Cell.queue(WorkKind.LOOKUP, 0));
+            for (var start : cell.effects(WorkerEffect.StartTask.class)) {
+                boolean bad = start.worker().equals(Cell.worker(3));
+                failed += bad ? 1 : 0;
+                cell.apply(
+                        new TaskEvent.RequestFinished(
+                                cell.state.nowMillis(),
+                                start.worker(),
+                                start.task().id(),
+                                !bad,
+                                1));
+            }
+            cell.tick(10);
+        }
+        assertTrue(cell.workerState(3).quarantined());
+        assertTrue(failed <= 5, "failed " + failed);
+    }
+
+    /** Guards against a worker that is packed past its capacity by what tasks really use. */
+    @Test
+    public void learnedSizesLimitPackingBothWays() {
+        Cell cell = Cell.of(6, 1, Tuning.DEFAULT);
+        Resources declared = Resources.of(1_000, 1_000, 0);
+        cell.enqueue("probe", WorkKind.BATCH, 0, 6, declared);
+        for (int i = 0; i < 6; i++) {
+            cell.report(Cell.worker(i), List.of(), Resources.of(4_000, 1_000, 0));
+        }
+        for (RunningTask task : cell.placed(WorkKind.BATCH, 0)) {
+            cell.end(task, EndReason.SUCCEEDED);
+        }
+        cell.enqueue("next", WorkKind.BATCH, 0, 60, declared);
+        assertEquals(cell.placed(WorkKind.BATCH, 0).size(), 12, "two of 4.4 cores a worker");
+        LearnedSize small = LearnedSize.UNKNOWN;
+        for (int i = 0; i < 10; i++) {
+            small = small.plus(Resources.of(10, 10, 0));
+        }
+        assertEquals(small.of(declared), Resources.of(500, 500, 0), "below half of declared");
+    }
+
+    /** Guards against more declared work than a worker holds, even if tasks use little. */
+    @Test
+    public void declaredSizesCountEvenIfTasksUseLess() {
+        Cell cell = Cell.of(1, 1, Tuning.DEFAULT);
+        Resources declared = Resources.of(1_000, 1_000, 0);
+        for (int round = 0; round < 3; round++) {
+            cell.enqueue("job-" + round, WorkKind.BATCH, 0, 9, declared);
+            for (RunningTask task : cell.placed(WorkKind.BATCH, 0)) {
+                cell.report(task.worker(), List.of(), Resources.of(100, 100, 0));
+                cell.end(task, EndReason.SUCCEEDED);
+            }
+        }
+        cell.enqueue("last", WorkKind.BATCH, 0, 20, declared);
+        assertTrue(cell.workerState(0).committed().fitsIn(Cell.WORKER));
+        assertTrue(cell.placed(WorkKind.BATCH, 0).size() <= 9);
+    }
+}
