--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/requests/ClaimsTest.java
@@ -0,0 +1,141 @@
+package org.jujubefork.core.requests;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jujubefork.core.configuration.Tuning;
+import org.jujubefork.core.control.Cell;
+import org.jujubefork.core.effect.RequestEffect;
+import org.jujubefork.core.effect.StoreEffect;
+import org.jujubefork.core.event.ClaimEvent;
+import org.jujubefork.core.event.TaskEvent;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.WorkKind;
+import org.testng.annotations.Test;
+
+/** Non-idempotent requests that are retried, and claims that the store did not confirm. */
+public class ClaimsTest {
+    private static final RequestId RETRY = RequestId.of("retry");
+
+    private static Cell withRetry() {
+        Cell cell = Cell.of(1, 1, Tuning.DEFAULT);
+        cell.request(RETRY.value(), Cell.queue(WorkKind.COMMAND, 0), Optional.of("key"));
+        return cell;
+    }
+
+    private static void found(Cell cell, ClaimState claim, EntryId by) {
+        cell.apply(
+                new ClaimEvent.ClaimExists(
+                        cell.state.nowMillis(),
+                        RETRY,
+                        new ClaimRecord(RequestId.of("first"), by, claim)));
+    }
+
+    /** Guards against a retry that is refused although the first request is about to end. */
+    @Test
+    public void retryWaitsForTheOutcomeOfTheFirstRequest() {
+        Cell cell = withRetry();
+        EntryId self = cell.state.self().id();
+        found(cell, ClaimState.CLAIMED, self);
+        assertTrue(cell.effects(RequestEffect.Refuse.class).isEmpty());
+        cell.run(200);
+        assertEquals(cell.effects(StoreEffect.ReadClaim.class).size(), 1);
+        found(cell, ClaimState.DONE, self);
+        assertEquals(cell.effects(RequestEffect.ReplayAnswer.class).size(), 1);
+        assertTrue(cell.state.requests().active().isEmpty());
+    }
+
+    /** Guards against a retry that never ends, or reads the store without bound. */
+    @Test
+    public void waitEndsAtTheDeadlineWithBoundedReads() {
+        Cell cell = withRetry();
+        found(cell, ClaimState.CLAIMED, cell.state.self().id());
+        for (int i = 0; i < 120; i++) {
+            int reads = cell.effects(StoreEffect.ReadClaim.class).size();
+            cell.run(100);
+            if (cell.effects(StoreEffect.ReadClaim.class).size() > reads) {
+                found(cell, ClaimState.CLAIMED, cell.state.self().id());
+            }
+        }
+        var refusals = cell.effects(RequestEffect.Refuse.class);
+        assertEquals(refusals.size(), 1);
+        assertEquals(refusals.get(0).result().reason(), RefusalReason.IN_PROGRESS);
+        assertEquals(refusals.get(0).result().outcome(), Outcome.UNKNOWN);
+        assertTrue(cell.effects(StoreEffect.ReadClaim.class).size() <= PendingClaims.MAX_READS);
+        assertTrue(cell.effects(StoreEffect.SettleClaim.class).isEmpty(), "not its claim");
+        assertTrue(cell.effects(StoreEffect.ReleaseClaim.class).isEmpty(), "not its claim");
+    }
+
+    /** Guards against a retry that waits for an entry that is gone. */
+    @Test
+    public void claimOfADeadRunIsUnknownAtOnce() {
+        Cell cell = withRetry();
+        found(cell, ClaimState.CLAIMED, new EntryId("entry-a", 1));
+        var refusals = cell.effects(RequestEffect.Refuse.class);
+        assertEquals(refusals.size(), 1);
+        assertEquals(refusals.get(0).result().reason(), RefusalReason.EARLIER_OUTCOME_UNKNOWN);
+    }
+
+    /** Guards against a retry that gives up although the first request did not run. */
+    @Test
+    public void retryClaimsAnewWhenTheFirstRequestDidNotRun() {
+        Cell cell = withRetry();
+        found(cell, ClaimState.CLAIMED, cell.state.self().id());
+        cell.effects.clear();
+        cell.apply(new ClaimEvent.ClaimGone(cell.state.nowMillis(), RETRY));
+        assertEquals(cell.effects(StoreEffect.CreateClaim.class).size(), 1);
+    }
+
+    /**
+     * Guards against outcomes that are lost in a store outage of an hour, and against a flood of
+     * writes when the store returns.
+     */
+    @Test
+    public void outcomesSurviveAnOutageAndAreWrittenSpreadOut() {
+        Cell cell = Cell.of(30, 1, Tuning.DEFAULT);
+        int count = 100;
+        for (int i = 0; i < count; i++) {
+            RequestId id = RequestId.of("r" + i);
+            cell.request(id.value(), Cell.queue(WorkKind.COMMAND, 0), Optional.of("k" + i));
+            cell.apply(new ClaimEvent.ClaimCreated(cell.state.nowMillis(), id, 1));
+        }
+        for (var task : cell.placed(WorkKind.COMMAND, 0)) {
+            cell.apply(
+                    new TaskEvent.RequestFinished(
+                            cell.state.nowMillis(), task.worker(), task.spec().id(), true, 1));
+        }
+        assertEquals(cell.effects(StoreEffect.SettleClaim.class).size(), count);
+        long outage = cell.state.nowMillis() + 3_600_000;
+        int writes = 0;
+        while (cell.state.nowMillis() < outage) {
+            writes += settle(cell, false);
+            cell.tick(500);
+        }
+        assertEquals(cell.effects(RequestEffect.ReleaseAnswer.class).size(), 0);
+        assertTrue(writes < count * 130, "writes in the outage: " + writes);
+        Map<Long, Integer> perSecond = new HashMap<>();
+        for (int i = 0; i < 140; i++) {
+            perSecond.merge(cell.state.nowMillis() / 1_000, settle(cell, true), Integer::sum);
+            cell.tick(500);
+        }
+        assertTrue(cell.state.requests().claims().writes().isEmpty(), "not all were written");
+        int most = perSecond.values().stream().max(Integer::compare).orElseThrow();
+        assertTrue(most <= 20, "writes in one second: " + most);
+    }
+
+    private static int settle(Cell cell, boolean works) {
+        var calls = cell.effects(StoreEffect.SettleClaim.class);
+        cell.effects.clear();
+        for (var call : calls) {
+            cell.apply(new ClaimEvent.ClaimSettled(cell.state.nowMillis(), call.request(), works));
+        }
+        cell.effects.clear();
+        return calls.size();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/requests/RoutingTest.java
@@ -0,0 +1,181 @@
+package org.jujubefork.core.requests;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jujubefork.core.configuration.Tuning;
+import org.jujubefork.core.control.Cell;
+import org.jujubefork.core.control.Reducer;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Timing;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.RequestEffect;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.membership.MemberRow;
+import org.jujubefork.core.membership.ShardSummary;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.Location;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.model.WorkerListing;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePVector;
+import org.testng.annotations.Test;
+
+/** The choice of a shard by an entry that owns none. */
+public class RoutingTest {
+    private static final String[] ZONES = {"zone-b", "zone-c", "zone-far"};
+
+    private static State state(int... queued) {
+        Cell cell = Cell.of(0, 1, Tuning.DEFAULT);
+        State state =
+                State.initial(cell.state.self(), Timing.DEFAULT, 0)
+                        .withConfiguration(cell.state.configuration().orElseThrow());
+        List<WorkerListing> listings = new ArrayList<>();
+        List<MemberRow> rows = new ArrayList<>();
+        for (int i = 0; i < ZONES.length; i++) {
+            String region = i < 2 ? "region-a" : "region-b";
+            Location location = new Location(region, ZONES[i], "rack");
+            listings.add(new WorkerListing(Cell.worker(i), "h:1", location, Cell.WORKER, 8, false));
+            EntryId id = new EntryId("entry-" + i, 1);
+            ShardSummary summary =
+                    new ShardSummary(
+                            Epoch.of(1, id),
+                            1,
+                            8,
+                            queued[i],
+                            Cell.WORKER,
+                            Cell.WORKER,
+                            Cell.WORKER,
+                            TreePMap.empty(),
+                            Optional.empty());
+            rows.add(
+                    new MemberRow(
+                            id,
+                            location,
+                            "h:" + i,
+                            "p:" + i,
+                            1,
+                            1,
+                            true,
+                            false,
+                            TreePMap.singleton(ShardId.of(ZONES[i]), summary)));
+        }
+        state =
+                Reducer.reduce(state, new FleetEvent.WorkersListed(0, TreePVector.from(listings)))
+                        .state();
+        return Reducer.reduce(
+                        state,
+                        new MembershipEvent.GossipReceived(
+                                0, new EntryId("entry-0", 1), TreePVector.from(rows)))
+                .state();
+    }
+
+    private static Transition arrive(State state, int number) {
+        return Reducer.reduce(
+                state,
+                new RequestEvent.RequestArrived(
+                        10,
+                        RequestId.of("r" + number),
+                        Cell.queue(WorkKind.LOOKUP, 0),
+                        Optional.empty(),
+                        Optional.empty(),
+                        number));
+    }
+
+    private static RequestEffect.Forward forward(Transition transition) {
+        return transition.effects().stream()
+                .filter(RequestEffect.Forward.class::isInstance)
+                .map(RequestEffect.Forward.class::cast)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static Map<String, Integer> targets(State state) {
+        Map<String, Integer> targets = new HashMap<>();
+        for (int i = 0; i < 100; i++) {
+            targets.merge(forward(arrive(state, i)).forwarded().shard().value(), 1, Integer::sum);
+        }
+        return targets;
+    }
+
+    /** Guards against stale gossip that sends all entries to the same shard. */
+    @Test
+    public void nearEqualRoutesAreChosenAtRandom() {
+        Map<String, Integer> targets = targets(state(0, 0, 0));
+        assertEquals(targets.keySet(), java.util.Set.of("zone-b", "zone-c"));
+        assertTrue(targets.values().stream().allMatch(n -> n >= 30), "uneven: " + targets);
+    }
+
+    /** Guards against lookups that wait in a full region while another one is idle. */
+    @Test
+    public void longWaitOutweighsDistance() {
+        assertEquals(targets(state(200, 200, 0)).keySet(), java.util.Set.of("zone-far"));
+        assertEquals(targets(state(200, 0, 0)).keySet(), java.util.Set.of("zone-c"));
+    }
+
+    /** Guards against billed traffic that is not worth the time it saves. */
+    @Test
+    public void largeAnswersStayInTheRegion() {
+        State state = state(10, 10, 0);
+        assertEquals(targets(state).keySet(), java.util.Set.of("zone-far"));
+        State large = Requests.answered(state, Cell.queue(WorkKind.LOOKUP, 0), 4 << 20);
+        assertEquals(targets(large).keySet(), java.util.Set.of("zone-b", "zone-c"));
+    }
+
+    /** Guards against requests that keep going to an owner that cannot be reached. */
+    @Test
+    public void failedRouteIsAvoidedForAMoment() {
+        State state = state(0, 0, 0);
+        Transition sent = arrive(state, 1);
+        RequestEffect.Forward first = forward(sent);
+        Transition failed =
+                Reducer.reduce(
+                        sent.state(),
+                        new RequestEvent.ForwardFailed(20, first.request(), first.to(), false));
+        assertNotEquals(forward(failed).forwarded().shard(), first.forwarded().shard());
+        for (int i = 10; i < 40; i++) {
+            assertNotEquals(
+                    forward(arrive(failed.state(), i)).forwarded().shard(),
+                    first.forwarded().shard());
+        }
+    }
+
+    /** Guards against retries that multiply the load after an outage. */
+    @Test
+    public void retriesStayWithinTheBudget() {
+        State state = state(0, 0, 0);
+        int retries = 0;
+        for (int i = 0; i < 500; i++) {
+            Transition sent = arrive(state, i);
+            state = sent.state();
+            var forward = Optional.of(forward(sent));
+            for (int attempt = 0; forward.isPresent() && attempt < 50; attempt++) {
+                Transition failed =
+                        Reducer.reduce(
+                                state,
+                                new RequestEvent.ForwardFailed(
+                                        20, forward.get().request(), forward.get().to(), false));
+                state = failed.state();
+                forward =
+                        failed.effects().stream()
+                                .filter(RequestEffect.Forward.class::isInstance)
+                                .map(RequestEffect.Forward.class::cast)
+                                .findFirst();
+                retries += forward.isPresent() ? 1 : 0;
+            }
+        }
+        assertTrue(retries <= 60, "10% of 500 and a burst of 10: " + retries);
+        assertEquals(state.requests().active().size(), 0);
+    }
+}
