--- a/bench/src/main/java/org/jujubefork/bench/Bench.java
+++ b/bench/src/main/java/org/jujubefork/bench/Bench.java
@@ -20,6 +20,7 @@
         int status =
                 switch (command) {
                     case "decisions" -> Decisions.run(rest);
+                    case "policies" -> PolicyReport.run(rest);
                     default -> usage();
                 };
         System.exit(status);
--- a/core/src/main/java/org/jujubefork/core/placement/Gangs.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Gangs.java
@@ -179,7 +179,7 @@
             WorkerState worker = reserved.workers().get(part.getKey());
             reserved = reserved.withWorker(worker.reserving(demand.size().times(part.getValue())));
         }
-        Reservation made = new Reservation(position, gang.job(), parts);
+        Reservation made = new Reservation(position, gang.job(), state.nowMillis(), parts);
         return state.withShard(
                 reserved.withScheduling(reserved.scheduling().withReservation(Optional.of(made))));
     }
--- a/core/src/main/java/org/jujubefork/core/placement/Reclaim.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reclaim.java
@@ -43,7 +43,33 @@
                 oldestDue(state, owned, List.of(Lane.URGENT), URGENT_WAIT_MILLIS);
         Transition result =
                 urgent.map(key -> forUrgent(state, shard, key)).orElse(Transition.of(state));
-        return result.then(s -> forShare(s, shard));
+        return result.then(s -> forShare(s, shard)).then(s -> forReservation(s, shard));
+    }
+
+    /**
+     * Checkpoints the last batch tasks on reserved workers after the time for reclaiming. Without
+     * that a few long tasks keep all the other reserved room idle.
+     */
+    private static Transition forReservation(State state, ShardId shard) {
+        ShardState owned = state.shards().get(shard);
+        Optional<Reservation> reservation = owned.scheduling().reservation();
+        long after = state.configuration().orElseThrow().tuning().reclaimAfterMillis();
+        if (reservation.isEmpty()
+                || reservation.get().sinceMillis() + after > state.nowMillis()
+                || owned.scheduling()
+                        .isReclaiming(reservation.get().position().lane(), state.nowMillis())) {
+            return Transition.of(state);
+        }
+        List<RunningTask> victims = Victims.lastOnReserved(state, owned, reservation.get());
+        return victims.isEmpty()
+                ? Transition.of(state)
+                : stop(
+                        state,
+                        shard,
+                        reservation.get().position().lane(),
+                        victims,
+                        StopMode.CHECKPOINT,
+                        PASS_MILLIS);
     }
 
     private static Transition forUrgent(State state, ShardId shard, LaneKey key) {
--- a/core/src/main/java/org/jujubefork/core/placement/Reports.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reports.java
@@ -88,7 +88,8 @@
     /** Counts the peak of {@code task}, at most the capacity of its worker. */
     private static ShardState learn(ShardState shard, RunningTask task) {
         Resources peak = task.peak().min(shard.workers().get(task.worker()).capacity());
-        return shard.withScheduling(shard.scheduling().withPeak(task.spec().queue(), peak));
+        return shard.withScheduling(
+                shard.scheduling().withPeak(task.spec().queue(), peak, task.spec().size()));
     }
 
     private static Transition ended(State state, ShardId shard, WorkerId worker, EndedTask task) {
--- a/core/src/main/java/org/jujubefork/core/placement/Scheduling.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Scheduling.java
@@ -93,7 +93,7 @@
                         drain);
     }
 
-    Scheduling withPeak(QueueId queue, Resources peak) {
+    Scheduling withPeak(QueueId queue, Resources peak, Resources declared) {
         LearnedSize known = learned.getOrDefault(queue, LearnedSize.UNKNOWN);
         return new Scheduling(
                 recheck,
@@ -101,7 +101,7 @@
                 reclaiming,
                 preempted,
                 succeeded,
-                learned.plus(queue, known.plus(peak)),
+                learned.plus(queue, known.plus(peak, declared)),
                 drain);
     }
 
--- a/core/src/main/java/org/jujubefork/core/placement/Victims.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Victims.java
@@ -87,6 +87,37 @@
         return chosen;
     }
 
+    /**
+     * Returns the batch tasks that still keep reserved workers from being free, if they are at most
+     * as many as the tasks of the gang and if the gang then fits.
+     */
+    static List<RunningTask> lastOnReserved(
+            State state, ShardState shard, Reservation reservation) {
+        QueuedWork gang = shard.queue().at(reservation.position()).orElse(null);
+        if (gang == null) {
+            return List.of();
+        }
+        Demand demand = Scheduler.demand(state, shard, gang);
+        List<RunningTask> chosen = new ArrayList<>();
+        int tasks = 0;
+        for (var part : reservation.parts().entrySet()) {
+            tasks += part.getValue();
+            WorkerState worker = shard.workers().get(part.getKey());
+            Resources free = worker.free();
+            for (RunningTask task : newestOn(state, shard, worker)) {
+                if (Gangs.fitting(free, demand) >= part.getValue()) {
+                    break;
+                }
+                free = free.plus(task.spec().size());
+                chosen.add(task);
+            }
+            if (Gangs.fitting(free, demand) < part.getValue()) {
+                return List.of();
+            }
+        }
+        return chosen.size() <= tasks ? chosen : List.of();
+    }
+
     /**
      * Returns batch tasks that use more than they declare, on a worker where the work fits by
      * declared sizes and would fit by observed ones if these tasks kept to theirs.
--- a/core/src/test/java/org/jujubefork/core/placement/WorkerHealthTest.java
+++ b/core/src/test/java/org/jujubefork/core/placement/WorkerHealthTest.java
@@ -123,7 +123,7 @@
         assertEquals(cell.placed(WorkKind.BATCH, 0).size(), 12, "two of 4.4 cores a worker");
         LearnedSize small = LearnedSize.UNKNOWN;
         for (int i = 0; i < 10; i++) {
-            small = small.plus(Resources.of(10, 10, 0));
+            small = small.plus(Resources.of(10, 10, 0), declared);
         }
         assertEquals(small.of(declared), Resources.of(500, 500, 0), "below half of declared");
     }
