Relay rows over one path, and wait longer for a shard that was given up

A shard that a live owner gives up looks vacant until the row of its new owner arrives, so it is claimed only after 5 s.

--- a/core/src/main/java/org/jujubefork/core/membership/Gossip.java
+++ b/core/src/main/java/org/jujubefork/core/membership/Gossip.java
@@ -21,9 +21,6 @@
  * any n. Silence limits grow with T, so that up to 16 entries are found dead after 5 s.
  */
 final class Gossip {
-    /** Peers that get gossip in one round. */
-    static final int FANOUT = 3;
-
     /** Most rows in a message; others follow in later rounds. */
     static final int MAX_ROWS = 8;
 
@@ -41,14 +38,15 @@
         }
         GossipState round = OwnRow.publish(state, gossip.round(state.nowMillis()));
         State sending = state.withMembership(state.membership().withGossip(round));
+        Targets targets = Targets.of(sending, tick.random());
         Transition result = Transition.of(sending);
-        for (String address : targets(sending, tick.random())) {
-            result = result.then(s -> send(s, address, tick.random()));
+        for (String address : targets.addresses()) {
+            result = result.then(s -> send(s, address, targets, tick.random()));
         }
         return result;
     }
 
-    private static Transition send(State state, String address, long random) {
+    private static Transition send(State state, String address, Targets targets, long random) {
         GossipState gossip = state.membership().gossip();
         MemberRow own = gossip.own().orElseThrow();
         PVector<MemberRow> rows = TreePVector.empty();
@@ -67,7 +65,10 @@
                 continue;
             }
             Known has = gossip.known(address, row.id().name());
-            boolean sendRow = lacksRow(has, row) && rows.size() < MAX_ROWS;
+            boolean sendRow =
+                    lacksRow(has, row)
+                            && rows.size() < MAX_ROWS
+                            && (hasNone(has, row) || targets.relays(row.peerAddress(), address));
             boolean sendBeat = lacksBeat(has, row) && beats.size() < MAX_HEARTBEATS;
             if (!sendRow && !sendBeat) {
                 continue;
@@ -89,6 +90,11 @@
         return new Known(row.id(), row.heartbeat(), withRow ? row.revision() : -1);
     }
 
+    /** Returns whether the peer has no row at all of this run; it is then sent on every path. */
+    private static boolean hasNone(Known has, MemberRow row) {
+        return has.id().incarnation() < row.id().incarnation() || has.revision() < 0;
+    }
+
     private static boolean lacksRow(Known has, MemberRow row) {
         return has.id().incarnation() < row.id().incarnation()
                 || (has.id().incarnation() == row.id().incarnation()
@@ -178,54 +184,4 @@
         }
         return state.withMembership(state.membership().withGossip(gossip));
     }
-
-    /**
-     * Returns whom to send to in this round.
-     *
-     * <p>Live entries form a ring by name. With base b, the square root of their number rounded up,
-     * an entry sends to those 1 to b - 1 places ahead in even rounds, and b to (b - 1) * b places
-     * ahead in odd rounds. So each entry is reached over at most two hops, and hears of each other
-     * one within four rounds. Targets that are left over are drawn at random; among them are
-     * addresses of which no entry is known yet.
-     */
-    private static List<String> targets(State state, long random) {
-        List<String> ring = ring(state);
-        int base = (int) Math.ceil(Math.sqrt(ring.size()));
-        int stride = state.membership().gossip().heartbeat() % 2 == 0 ? 1 : base;
-        List<String> targets = new ArrayList<>();
-        for (int digit = 1; digit < base && targets.size() < FANOUT; digit++) {
-            String address = ring.get(digit * stride % ring.size());
-            if (digit * stride < ring.size()) {
-                targets.add(address);
-            }
-        }
-        List<String> others = new ArrayList<>(state.membership().addresses());
-        others.addAll(ring.subList(1, ring.size()));
-        others.removeAll(targets);
-        long remaining = random & Long.MAX_VALUE;
-        while (!others.isEmpty() && targets.size() < FANOUT) {
-            int index = (int) (remaining % others.size());
-            remaining /= others.size();
-            String address = others.get(index);
-            others.removeIf(address::equals);
-            targets.add(address);
-        }
-        return targets;
-    }
-
-    /** Returns the addresses of live entries in the order of their names, this entry's first. */
-    private static List<String> ring(State state) {
-        List<String> before = new ArrayList<>();
-        List<String> ring = new ArrayList<>();
-        String self = state.self().id().name();
-        ring.add(state.self().peerAddress());
-        for (var entry : state.membership().members().entrySet()) {
-            if (Membership.isAlive(state, entry.getValue())) {
-                boolean later = entry.getKey().compareTo(self) > 0;
-                (later ? ring : before).add(entry.getValue().row().peerAddress());
-            }
-        }
-        ring.addAll(before);
-        return ring;
-    }
 }
--- a/core/src/main/java/org/jujubefork/core/membership/OwnRow.java
+++ b/core/src/main/java/org/jujubefork/core/membership/OwnRow.java
@@ -12,7 +12,7 @@
     static final long TEAM_LOAD_INTERVAL_MILLIS = 4_000;
 
     /** Rounds after which an unchanged row is sent again, because a message can be lost. */
-    static final long REFRESH_ROUNDS = 10;
+    static final long REFRESH_ROUNDS = 20;
 
     /** Entries per round that may publish changed loads. */
     private static final int ENTRIES_PER_ROUND = 8;
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/membership/Targets.java
@@ -0,0 +1,86 @@
+package org.jujubefork.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jujubefork.core.control.State;
+
+/**
+ * Whom an entry sends gossip to in a round, and whose rows it relays.
+ *
+ * <p>Live entries form a ring by name. With base b, the square root of their number rounded up, an
+ * entry sends to those 1 to b - 1 places ahead in even rounds, and b to (b - 1) * b places ahead in
+ * odd rounds. So each entry is reached over at most two hops, and hears of each other one within
+ * four rounds. A row goes the long hop first, so that it arrives once and not over each path.
+ * Targets that are left over are drawn at random and get everything that they may lack; among them
+ * are addresses of which no entry is known yet.
+ *
+ * @param ring addresses of live entries by name, this entry's first
+ * @param base places that a short hop can cover, plus one; 0 in a round of long hops
+ * @param regular targets by their place in the ring
+ * @param drawn targets drawn at random
+ */
+record Targets(List<String> ring, int base, List<String> regular, List<String> drawn) {
+    /** Peers that get gossip in one round. */
+    static final int FANOUT = 3;
+
+    /** Returns the targets of the round that is being sent. */
+    static Targets of(State state, long random) {
+        List<String> ring = ring(state);
+        int base = (int) Math.ceil(Math.sqrt(ring.size()));
+        int stride = isShort(state) ? 1 : base;
+        List<String> regular = new ArrayList<>();
+        for (int digit = 1; digit < base && regular.size() < FANOUT; digit++) {
+            if (digit * stride < ring.size()) {
+                regular.add(ring.get(digit * stride));
+            }
+        }
+        List<String> others = new ArrayList<>(state.membership().addresses());
+        others.addAll(ring.subList(1, ring.size()));
+        others.removeAll(regular);
+        List<String> drawn = new ArrayList<>();
+        long remaining = random & Long.MAX_VALUE;
+        while (!others.isEmpty() && regular.size() + drawn.size() < FANOUT) {
+            int index = (int) (remaining % others.size());
+            remaining /= others.size();
+            String address = others.get(index);
+            others.removeIf(address::equals);
+            drawn.add(address);
+        }
+        return new Targets(ring, isShort(state) ? base : 0, regular, drawn);
+    }
+
+    private static boolean isShort(State state) {
+        return state.membership().gossip().heartbeat() % 2 == 0;
+    }
+
+    /** Returns all targets. */
+    List<String> addresses() {
+        List<String> all = new ArrayList<>(regular);
+        all.addAll(drawn);
+        return all;
+    }
+
+    /** Returns whether the row of the entry at {@code origin} is passed on to {@code target}. */
+    boolean relays(String origin, String target) {
+        if (drawn.contains(target)) {
+            return true;
+        }
+        int behind = ring.size() - ring.indexOf(origin);
+        return base > 0 && behind % base == 0;
+    }
+
+    private static List<String> ring(State state) {
+        List<String> before = new ArrayList<>();
+        List<String> ring = new ArrayList<>();
+        String self = state.self().id().name();
+        ring.add(state.self().peerAddress());
+        for (var entry : state.membership().members().entrySet()) {
+            if (Membership.isAlive(state, entry.getValue())) {
+                boolean later = entry.getKey().compareTo(self) > 0;
+                (later ? ring : before).add(entry.getValue().row().peerAddress());
+            }
+        }
+        ring.addAll(before);
+        return ring;
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/ownership/Ownership.java
+++ b/core/src/main/java/org/jujubefork/core/ownership/Ownership.java
@@ -33,6 +33,12 @@
     /** How long a shard must be without a live owner before it is claimed. */
     static final long VACANT_MILLIS = 300;
 
+    /**
+     * How long a shard must be without a live owner if the last one is alive. It gave the shard up
+     * for another owner, whose row may take four rounds of gossip to arrive.
+     */
+    static final long RELEASED_MILLIS = 5_000;
+
     /**
      * How much longer an entry waits for each live entry that ranks before it. The best candidate
      * may be waiting after a loss, or may know the shard as owned.
@@ -81,7 +87,9 @@
                     other.get().handoverTo().equals(Optional.of(state.self().id().name()));
             if (!offered) {
                 return Transition.of(
-                        state.withOwnership(state.ownership().with(shard, view.owned())));
+                        state.withOwnership(
+                                state.ownership()
+                                        .with(shard, view.ownedBy(other.get().epoch().holder()))));
             }
             return state.draining()
                     ? Transition.of(state)
@@ -105,6 +113,15 @@
                 : state;
     }
 
+    private static long vacantMillis(State state, ShardView view) {
+        boolean released =
+                view.owner()
+                        .flatMap(o -> state.membership().member(o))
+                        .map(m -> Membership.isAlive(state, m))
+                        .orElse(false);
+        return released ? RELEASED_MILLIS : VACANT_MILLIS;
+    }
+
     private static boolean mayClaim(State state, ShardId shard, ShardView view) {
         long now = state.nowMillis();
         return !state.draining()
@@ -112,7 +129,7 @@
                 && now - state.membership().startedAtMillis() >= LISTEN_MILLIS
                 && now >= view.backoffUntilMillis()
                 && now - view.vacantSinceMillis()
-                        >= VACANT_MILLIS + Candidates.rank(state, shard) * RANK_MILLIS;
+                        >= vacantMillis(state, view) + Candidates.rank(state, shard) * RANK_MILLIS;
     }
 
     private static Transition claim(State state, ShardId shard, String reason) {
--- a/core/src/test/java/org/jujubefork/core/ownership/OwnershipTest.java
+++ b/core/src/test/java/org/jujubefork/core/ownership/OwnershipTest.java
@@ -154,6 +154,7 @@
                                                 view.getValue().highestNumber(),
                                                 view.getValue().vacantSinceMillis(),
                                                 0,
+                                                view.getValue().owner(),
                                                 0);
                                 calm =
                                         calm.withOwnership(
