--- a/core/src/main/java/org/jujubefork/core/membership/Gossip.java
+++ b/core/src/main/java/org/jujubefork/core/membership/Gossip.java
@@ -15,15 +15,12 @@
  * Sends and merges rows of entries.
  *
  * <p>A message holds the rows that changed since the peer last had them, and a heartbeat of each
- * live entry that the peer has not seen yet. With n entries, fanout f, interval T, b bytes per
- * heartbeat and r bytes per row, an entry sends at most {@code f / T * (min(n, 64) * b + min(n, 8)
- * * r)} bytes a second, which no longer grows from 64 entries on. Rows whose loads change are
- * published every n / 8 rounds, so that rows cost about {@code 8 * r / T} a second at any n.
+ * live entry that the peer has not seen yet. With n entries, at most 3 messages a round, a round
+ * every {@code T = ceil(n / 16)} seconds, b bytes per heartbeat and r bytes per row, an entry sends
+ * at most {@code 3 / T * (n * b + 8 * r)} bytes a second: no more than {@code 48 * b + 24 * r} at
+ * any n. Silence limits grow with T, so that up to 16 entries are found dead after 5 s.
  */
 final class Gossip {
-    /** Peers that get gossip in one round. */
-    static final int FANOUT = 3;
-
     /** Most rows in a message; others follow in later rounds. */
     static final int MAX_ROWS = 8;
 
@@ -35,19 +32,21 @@
     /** Sends a round of gossip if one is due. */
     static Transition sendIfDue(State state, Tick tick) {
         GossipState gossip = state.membership().gossip();
-        if (state.nowMillis() - gossip.sentAtMillis() < state.timing().gossipIntervalMillis()) {
+        long interval = state.timing().gossipIntervalMillis() * Membership.scale(state);
+        if (state.nowMillis() - gossip.sentAtMillis() < interval) {
             return Transition.of(state);
         }
         GossipState round = OwnRow.publish(state, gossip.round(state.nowMillis()));
         State sending = state.withMembership(state.membership().withGossip(round));
+        Targets targets = Targets.of(sending, tick.random());
         Transition result = Transition.of(sending);
-        for (String address : targets(sending, tick.random())) {
-            result = result.then(s -> send(s, address, tick.random()));
+        for (String address : targets.addresses()) {
+            result = result.then(s -> send(s, address, targets, tick.random()));
         }
         return result;
     }
 
-    private static Transition send(State state, String address, long random) {
+    private static Transition send(State state, String address, Targets targets, long random) {
         GossipState gossip = state.membership().gossip();
         MemberRow own = gossip.own().orElseThrow();
         PVector<MemberRow> rows = TreePVector.empty();
@@ -66,7 +65,10 @@
                 continue;
             }
             Known has = gossip.known(address, row.id().name());
-            boolean sendRow = lacksRow(has, row) && rows.size() < MAX_ROWS;
+            boolean sendRow =
+                    lacksRow(has, row)
+                            && rows.size() < MAX_ROWS
+                            && (hasNone(has, row) || targets.relays(row.peerAddress(), address));
             boolean sendBeat = lacksBeat(has, row) && beats.size() < MAX_HEARTBEATS;
             if (!sendRow && !sendBeat) {
                 continue;
@@ -88,6 +90,11 @@
         return new Known(row.id(), row.heartbeat(), withRow ? row.revision() : -1);
     }
 
+    /** Returns whether the peer has no row at all of this run; it is then sent on every path. */
+    private static boolean hasNone(Known has, MemberRow row) {
+        return has.id().incarnation() < row.id().incarnation() || has.revision() < 0;
+    }
+
     private static boolean lacksRow(Known has, MemberRow row) {
         return has.id().incarnation() < row.id().incarnation()
                 || (has.id().incarnation() == row.id().incarnation()
@@ -177,33 +184,4 @@
         }
         return state.withMembership(state.membership().withGossip(gossip));
     }
-
-    /** Returns one peer in turn and others at random, so that no peer is left out for long. */
-    private static List<String> targets(State state, long random) {
-        List<String> addresses = addresses(state);
-        List<String> targets = new ArrayList<>();
-        if (addresses.isEmpty()) {
-            return targets;
-        }
-        long round = state.membership().gossip().heartbeat();
-        targets.add(addresses.remove((int) (round % addresses.size())));
-        long remaining = random & Long.MAX_VALUE;
-        while (!addresses.isEmpty() && targets.size() < FANOUT) {
-            int index = (int) (remaining % addresses.size());
-            remaining /= addresses.size();
-            targets.add(addresses.remove(index));
-        }
-        return targets;
-    }
-
-    private static List<String> addresses(State state) {
-        List<String> addresses = new ArrayList<>(state.membership().addresses());
-        for (Member member : state.membership().members().values()) {
-            String address = member.row().peerAddress();
-            if (Membership.isAlive(state, member) && !addresses.contains(address)) {
-                addresses.add(address);
-            }
-        }
-        return addresses;
-    }
 }
