Remove a task from the queue when it is found on a worker

A gang that waited again was forgotten as queued when a task of an earlier run was found on a worker, and was then queued twice. The item now leaves the queue.

--- a/core/src/main/java/org/jujubefork/core/jobs/Ends.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Ends.java
@@ -200,16 +200,18 @@
             return Closing.stop(
                     state, shard, task.spec().id(), "already placed as " + other.task());
         }
+        // A task that is found on a worker may wait in the queue at the same time.
         int queuedAs = task.spec().kind() == WorkKind.GANG ? 0 : what.index();
+        State taken = JobQueue.unqueue(state, shard, what.job(), queuedAs);
+        PartState left = JobQueue.shardJobs(taken, shard).part(what.job());
         PlacedTask placed = new PlacedTask(task.spec().id(), what.attempt(), state.nowMillis());
         PartState after =
-                part.withPlaced(part.placed().plus(what.index(), placed))
-                        .withQueued(part.queued().minus(queuedAs))
-                        .withTodo(part.todo().minus(what.index()));
-        ShardJobs known = jobs.with(what.job(), after);
+                left.withPlaced(left.placed().plus(what.index(), placed))
+                        .withTodo(left.todo().minus(what.index()));
+        ShardJobs known = JobQueue.shardJobs(taken, shard).with(what.job(), after);
         boolean low = after.queued().size() < JobQueue.WINDOW / 2 && !after.todo().isEmpty();
         State noted =
-                JobQueue.withShardJobs(state, shard, low ? known.refilling(what.job()) : known);
+                JobQueue.withShardJobs(taken, shard, low ? known.refilling(what.job()) : known);
         Optional<JobRecord> view = state.jobs().view(what.job());
         boolean unwanted =
                 view.isPresent()
