--- a/core/src/test/java/org/jujubefork/core/jobs/JobSequenceTest.java
+++ b/core/src/test/java/org/jujubefork/core/jobs/JobSequenceTest.java
@@ -62,6 +62,8 @@
         calm(world, entries);
         world.run(60_000);
         jobs.add(world.submit(entries.get(0), "last", WorkKind.BATCH, 60, JobsFixtures.CORE));
+        world.run(5_000);
+        assertTrue(world.store.jobs.containsKey(JobId.of("last")), "seed " + seed + ": refused");
         boolean ended = world.runUntil(() -> allDone(world, jobs), QUIET_MILLIS);
         assertTrue(ended, "seed " + seed + ": not ended: " + open(world, jobs));
         checkEnds(world, seed);
