Explain why work waits and sum up the fleet

Operators need the reasons for which a request, job or team waits, and which workers were rejected. The answers are typed records, computed from the state when asked. ExplainTest checks unsettled shards, missing owners, full, small and unreachable workers, gangs and the fleet status.

--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/explain/FleetStatuses.java
@@ -0,0 +1,88 @@
+package org.jujubefork.core.explain;
+
+import java.util.Optional;
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.membership.Freshness;
+import org.jujubefork.core.membership.Member;
+import org.jujubefork.core.membership.Membership;
+import org.jujubefork.core.membership.ShardSummary;
+import org.jujubefork.core.membership.TeamLoad;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkerListing;
+import org.pcollections.PSortedMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePSet;
+import org.pcollections.TreePVector;
+
+/** Sums up the fleet as this entry sees it. */
+public final class FleetStatuses {
+    private FleetStatuses() {}
+
+    /** Returns the status of the fleet. */
+    public static FleetStatus of(State state) {
+        PVector<FleetStatus.MemberStatus> members = TreePVector.empty();
+        for (Member member : state.membership().members().values()) {
+            members = members.plus(member(state, member));
+        }
+        PVector<FleetStatus.ShardStatus> shards = TreePVector.empty();
+        for (ShardId shard : state.fleet().byShard().keySet()) {
+            shards = shards.plus(shard(state, shard));
+        }
+        PVector<TeamExplanation> teams = TreePVector.empty();
+        if (state.configuration().isPresent()) {
+            for (TeamId team : TreePSet.from(state.configuration().get().teams().keySet())) {
+                teams = teams.plus(Explain.team(state, team).orElseThrow());
+            }
+        }
+        int ended = state.jobs().ended().size();
+        return new FleetStatus(
+                state.self().id(),
+                state.nowMillis(),
+                state.draining(),
+                state.configuration().map(Configuration::version).orElse(0L),
+                Freshness.isFresh(state),
+                Freshness.isStoreContactFresh(state),
+                members,
+                shards,
+                teams,
+                state.jobs().records().size() - ended,
+                ended,
+                state.jobs().work().size());
+    }
+
+    private static FleetStatus.MemberStatus member(State state, Member member) {
+        return new FleetStatus.MemberStatus(
+                member.row().id(),
+                member.row().location().zone(),
+                Membership.isAlive(state, member),
+                member.row().leaving(),
+                member.row().configurationVersion(),
+                member.lastHeardMillis());
+    }
+
+    private static FleetStatus.ShardStatus shard(State state, ShardId shard) {
+        PSortedMap<?, WorkerListing> listed = state.fleet().byShard().get(shard);
+        Optional<Owners.Owned> owned = Owners.of(state, shard);
+        Optional<ShardSummary> summary = owned.map(Owners.Owned::summary);
+        Resources listedCapacity =
+                listed.values().stream()
+                        .map(WorkerListing::capacity)
+                        .reduce(Resources.ZERO, Resources::plus);
+        return new FleetStatus.ShardStatus(
+                shard,
+                owned.map(Owners.Owned::owner),
+                summary.map(ShardSummary::epoch),
+                listed.size(),
+                summary.map(ShardSummary::workers).orElse(0),
+                summary.map(ShardSummary::capacity).orElse(listedCapacity),
+                summary.map(ShardSummary::free).orElse(Resources.ZERO),
+                summary.map(FleetStatuses::queued).orElse(0));
+    }
+
+    private static int queued(ShardSummary summary) {
+        return summary.teams().values().stream().mapToInt(TeamLoad::queued).sum();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/explain/Waits.java
@@ -0,0 +1,97 @@
+package org.jujubefork.core.explain;
+
+import org.jujubefork.core.configuration.Configuration;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.limits.Limits;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.placement.Demand;
+import org.jujubefork.core.placement.LaneKey;
+import org.jujubefork.core.placement.QueuedWork;
+import org.jujubefork.core.placement.Scheduler;
+import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.WorkerKey;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/** Finds out why an item of a shard's queue waits. */
+final class Waits {
+    private Waits() {}
+
+    /** Returns why {@code work} waits in {@code shard}, which this entry owns. */
+    static PVector<Wait> of(
+            State state, Configuration configuration, ShardState shard, QueuedWork work) {
+        Demand demand = Demand.of(work, configuration.tuning());
+        Rejections rejections = Rejections.of(shard, demand);
+        PVector<Wait> waits = TreePVector.empty();
+        if (work instanceof QueuedWork.Gang gang) {
+            long now = fittingNow(shard, demand);
+            waits =
+                    now < gang.tasks()
+                            ? waits.plus(new Wait(WaitReason.GANG_WAITS, now, gang.tasks()))
+                            : waits;
+        }
+        if (rejections.fitting() == 0) {
+            waits = waits.plus(noWorker(rejections));
+        }
+        Resources wanted =
+                work instanceof QueuedWork.Gang gang
+                        ? work.size().times(gang.tasks())
+                        : work.size();
+        if (!Limits.allows(state, shard, work.team(), wanted)) {
+            waits = waits.plus(Wait.of(WaitReason.LIMIT_REACHED));
+        }
+        return waits.plusAll(order(state, shard, work));
+    }
+
+    private static Wait noWorker(Rejections rejections) {
+        if (rejections.tooSmall() == rejections.considered()) {
+            return new Wait(WaitReason.NO_WORKER_LARGE_ENOUGH, 0, rejections.considered());
+        }
+        return rejections.full() + rejections.withoutSlot() == 0
+                ? new Wait(WaitReason.WORKERS_UNAVAILABLE, 0, rejections.unavailable())
+                : new Wait(WaitReason.NO_FREE_WORKER, 0, 1);
+    }
+
+    /** Returns how many tasks of {@code demand} fit beside what runs now. */
+    static long fittingNow(ShardState shard, Demand demand) {
+        long fitting = 0;
+        for (WorkerKey worker : shard.index().byFree()) {
+            Resources left = worker.free().minus(demand.keepFree());
+            while (demand.size().fitsIn(left) && !demand.size().isZero()) {
+                fitting++;
+                left = left.minus(demand.size());
+            }
+        }
+        return fitting;
+    }
+
+    private static PVector<Wait> order(State state, ShardState shard, QueuedWork work) {
+        LaneKey own = new LaneKey(work.lane(), work.team());
+        int before = 0;
+        for (QueuedWork other : shard.queue().lane(own).values()) {
+            if (other.equals(work)) {
+                break;
+            }
+            before++;
+        }
+        PVector<Wait> waits = TreePVector.empty();
+        double share = Scheduler.weightedShare(state, work.team());
+        int teams = 0;
+        for (LaneKey key : shard.queue().lanes().keySet()) {
+            if (key.lane().compareTo(own.lane()) < 0) {
+                before += shard.queue().lane(key).size();
+            } else if (key.lane() == own.lane() && isBefore(state, key.team(), own, share)) {
+                teams++;
+            }
+        }
+        if (before > 0) {
+            waits = waits.plus(new Wait(WaitReason.BEHIND_EARLIER_WORK, 0, before));
+        }
+        return teams > 0 ? waits.plus(new Wait(WaitReason.BEHIND_OTHER_TEAMS, 0, teams)) : waits;
+    }
+
+    private static boolean isBefore(State state, TeamId team, LaneKey own, double share) {
+        return !team.equals(own.team()) && Scheduler.weightedShare(state, team) < share;
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/jobs/ShardJobs.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/ShardJobs.java
@@ -44,7 +44,8 @@
                 Long.MIN_VALUE / 2);
     }
 
-    PartState part(JobId job) {
+    /** Returns what is known of {@code job} in the shard. */
+    public PartState part(JobId job) {
         PartState part = parts.get(job);
         return part == null ? PartState.EMPTY : part;
     }
