--- a/core/src/main/java/org/jujubefork/core/explain/Explain.java
+++ b/core/src/main/java/org/jujubefork/core/explain/Explain.java
@@ -12,10 +12,10 @@
 import org.jujubefork.core.model.WorkerId;
 import org.jujubefork.core.model.WorkerListing;
 import org.jujubefork.core.ownership.Sharding;
-import org.jujubefork.core.placement.Demand;
 import org.jujubefork.core.placement.FleetUsage;
 import org.jujubefork.core.placement.QueuedWork;
 import org.jujubefork.core.placement.RunningTask;
+import org.jujubefork.core.placement.Scheduler;
 import org.jujubefork.core.placement.ShardState;
 import org.jujubefork.core.placement.WorkerPhase;
 import org.jujubefork.core.placement.WorkerState;
@@ -66,9 +66,9 @@
                 Optional.empty(),
                 Optional.empty(),
                 configuration
-                        .map(c -> Waits.of(state, c, shard, work))
+                        .map(c -> Waits.of(state, shard, work))
                         .orElse(TreePVector.singleton(Wait.of(WaitReason.NO_CONFIGURATION))),
-                configuration.map(c -> Rejections.of(shard, Demand.of(work, c.tuning()))));
+                configuration.map(c -> Rejections.of(shard, Scheduler.demand(state, shard, work))));
     }
 
     private static RequestExplanation placed(
@@ -89,7 +89,7 @@
     private static RequestExplanation elsewhere(State state, FrontRequest request) {
         RequestExplanation.Stage stage =
                 switch (request.phase()) {
-                    case CLAIMING -> RequestExplanation.Stage.CLAIMING;
+                    case CLAIMING, WAITING -> RequestExplanation.Stage.CLAIMING;
                     case SETTLING -> RequestExplanation.Stage.SETTLING;
                     case FORWARDED, LOCAL -> RequestExplanation.Stage.FORWARDED;
                 };
--- a/core/src/main/java/org/jujubefork/core/explain/JobExplanations.java
+++ b/core/src/main/java/org/jujubefork/core/explain/JobExplanations.java
@@ -8,8 +8,8 @@
 import org.jujubefork.core.jobs.ShardJobs;
 import org.jujubefork.core.model.JobId;
 import org.jujubefork.core.model.WorkKind;
-import org.jujubefork.core.placement.Demand;
 import org.jujubefork.core.placement.QueuedWork;
+import org.jujubefork.core.placement.Scheduler;
 import org.jujubefork.core.placement.ShardState;
 import org.jujubefork.core.placement.WorkQueue;
 import org.pcollections.PSortedMap;
@@ -70,9 +70,7 @@
         if (!record.state().isFinal()) {
             waits = jobWaits(jobs, part, delayed, todo);
             if (oldest.isPresent() && state.configuration().isPresent()) {
-                waits =
-                        waits.plusAll(
-                                Waits.of(state, state.configuration().get(), owned, oldest.get()));
+                waits = waits.plusAll(Waits.of(state, owned, oldest.get()));
             }
         }
         return new PartExplanation(
@@ -88,7 +86,8 @@
     }
 
     private static Optional<Rejections> rejections(State state, ShardState owned, QueuedWork work) {
-        return state.configuration().map(c -> Rejections.of(owned, Demand.of(work, c.tuning())));
+        return state.configuration()
+                .map(c -> Rejections.of(owned, Scheduler.demand(state, owned, work)));
     }
 
     private static PVector<Wait> jobWaits(ShardJobs jobs, JobPart part, int delayed, int todo) {
--- a/core/src/main/java/org/jujubefork/core/explain/Owners.java
+++ b/core/src/main/java/org/jujubefork/core/explain/Owners.java
@@ -25,7 +25,7 @@
     static Optional<Owned> of(State state, ShardId shard) {
         ShardState own = state.shards().get(shard);
         if (own != null) {
-            ShardSummary summary = ShardSummaries.of(own, Optional.empty());
+            ShardSummary summary = ShardSummaries.of(state, own, Optional.empty());
             return Optional.of(new Owned(state.self().id(), summary));
         }
         Optional<Owned> best = Optional.empty();
--- a/core/src/main/java/org/jujubefork/core/explain/Waits.java
+++ b/core/src/main/java/org/jujubefork/core/explain/Waits.java
@@ -1,6 +1,5 @@
 package org.jujubefork.core.explain;
 
-import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.limits.Limits;
 import org.jujubefork.core.model.Resources;
@@ -19,9 +18,8 @@
     private Waits() {}
 
     /** Returns why {@code work} waits in {@code shard}, which this entry owns. */
-    static PVector<Wait> of(
-            State state, Configuration configuration, ShardState shard, QueuedWork work) {
-        Demand demand = Demand.of(work, configuration.tuning());
+    static PVector<Wait> of(State state, ShardState shard, QueuedWork work) {
+        Demand demand = Scheduler.demand(state, shard, work);
         Rejections rejections = Rejections.of(shard, demand);
         PVector<Wait> waits = TreePVector.empty();
         if (work instanceof QueuedWork.Gang gang) {
@@ -56,8 +54,9 @@
     /** Returns how many tasks of {@code demand} fit beside what runs now. */
     static long fittingNow(ShardState shard, Demand demand) {
         long fitting = 0;
+        Resources keepFree = demand.needed().minus(demand.size());
         for (WorkerKey worker : shard.index().byFree()) {
-            Resources left = worker.free().minus(demand.keepFree());
+            Resources left = worker.free().minus(keepFree);
             while (demand.size().fitsIn(left) && !demand.size().isZero()) {
                 fitting++;
                 left = left.minus(demand.size());
--- a/core/src/main/java/org/jujubefork/core/placement/Workers.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -21,6 +21,9 @@
     /** Time between two attempts to reach a worker that does not answer. */
     static final long RETRY_MILLIS = 1_000;
 
+    /** Least time between two renewals of a worker with tasks that end by themselves. */
+    static final long MIN_RENEW_MILLIS = 500;
+
     private Workers() {}
 
     /** Reduces news of workers. */
@@ -113,12 +116,25 @@
 
     private static boolean isDue(State state, WorkerState worker) {
         long interval =
-                worker.phase() == WorkerPhase.ACTIVE
-                        ? state.timing().renewIntervalMillis()
-                        : RETRY_MILLIS;
+                worker.phase() == WorkerPhase.ACTIVE ? interval(state, worker) : RETRY_MILLIS;
         return state.nowMillis() - worker.askedAtMillis() >= interval;
     }
 
+    /**
+     * Returns the time between two renewals. The end of a task is learned from a renewal, so a
+     * worker with tasks that end by themselves is asked more often: after a quarter of the age of
+     * the newest one, which bounds the time in which its room stays unused without many renewals
+     * for long tasks.
+     */
+    private static long interval(State state, WorkerState worker) {
+        long longest = state.timing().renewIntervalMillis();
+        if (worker.load().finite() == 0) {
+            return longest;
+        }
+        long age = state.nowMillis() - worker.load().newestFiniteMillis();
+        return Math.clamp(age / 4, Math.min(MIN_RENEW_MILLIS, longest), longest);
+    }
+
     private static boolean isLeaseOver(State state, WorkerState worker) {
         return worker.phase() != WorkerPhase.ACTIVE
                 && state.nowMillis() - worker.leaseSentMillis()
--- a/core/src/test/java/org/jujubefork/core/control/Cell.java
+++ b/core/src/test/java/org/jujubefork/core/control/Cell.java
@@ -12,9 +12,12 @@
 import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.event.Event;
 import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.event.LimitEvent;
 import org.jujubefork.core.event.RequestEvent;
 import org.jujubefork.core.event.TaskEvent;
 import org.jujubefork.core.event.Tick;
+import org.jujubefork.core.limits.BudgetRow;
+import org.jujubefork.core.limits.Ledger;
 import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.EndedTask;
 import org.jujubefork.core.model.EntryId;
@@ -77,10 +80,21 @@
                 cell.report(lease.worker(), List.of(), Resources.ZERO);
             }
         }
+        cell.apply(new LimitEvent.LedgerLoaded(cell.state.nowMillis(), 1, wholeLimits(cell)));
         cell.effects.clear();
         return cell;
     }
 
+    /** Returns a ledger that gives the shard each team's whole limit. */
+    private static Ledger wholeLimits(Cell cell) {
+        Ledger ledger = Ledger.EMPTY;
+        for (Team team : cell.state.configuration().orElseThrow().teams().values()) {
+            BudgetRow row = new BudgetRow(cell.shard().epoch(), team.limit());
+            ledger = ledger.with(team.id(), SHARD, row);
+        }
+        return ledger;
+    }
+
     private static Configuration configuration(
             int teams, Tuning tuning, PMap<WorkKind, KindPolicy> policies) {
         PMap<TeamId, Team> teamMap = HashTreePMap.empty();
--- a/core/src/test/java/org/jujubefork/core/explain/ExplainTest.java
+++ b/core/src/test/java/org/jujubefork/core/explain/ExplainTest.java
@@ -17,12 +17,15 @@
 import org.jujubefork.core.event.Event;
 import org.jujubefork.core.event.FleetEvent;
 import org.jujubefork.core.event.JobEvent;
+import org.jujubefork.core.event.LimitEvent;
 import org.jujubefork.core.event.StoreEvent;
 import org.jujubefork.core.event.Tick;
 import org.jujubefork.core.jobs.JobPart;
 import org.jujubefork.core.jobs.JobRecord;
 import org.jujubefork.core.jobs.JobState;
 import org.jujubefork.core.jobs.StoredJob;
+import org.jujubefork.core.limits.BudgetRow;
+import org.jujubefork.core.limits.Ledger;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.JobId;
 import org.jujubefork.core.model.Location;
@@ -105,6 +108,8 @@
     }
 
     private void grant() {
+        BudgetRow row = new BudgetRow(state.shards().get(SHARD).epoch(), CORE.times(100));
+        apply(new LimitEvent.LedgerLoaded(now, 1, Ledger.EMPTY.with(TEAM, SHARD, row)));
         WorkerReport report =
                 new WorkerReport(
                         1, false, CORE.times(5), 8, TreePVector.empty(), TreePVector.empty());
