--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.glassfish.grizzly.http.Method;
 import org.jboss.logging.Logger;
@@ -27,6 +28,7 @@
 import org.jujubefork.entry.http.HttpFrontEnd;
 import org.jujubefork.entry.http.JobEndpoint;
 import org.jujubefork.entry.http.OperatorAccess;
+import org.jujubefork.entry.http.OperatorEndpoint;
 import org.jujubefork.entry.http.RequestEndpoint;
 import org.jujubefork.entry.http.RequestIds;
 import org.jujubefork.entry.http.Route;
@@ -147,17 +149,24 @@
         RequestIds ids = RequestIds.of(context.id());
         JobEndpoint jobs =
                 new JobEndpoint(ids, context.registry(), loop::state, context.clock(), loop);
-        return List.of(
-                Route.open(Method.POST, ApiPaths.QUEUES, "/requests", requests(context, ids)),
-                Route.exact(Method.POST, ApiPaths.JOBS, jobs::submit),
-                Route.open(Method.GET, ApiPaths.JOBS + "/", "/wait", jobs::await),
-                Route.open(Method.GET, ApiPaths.JOBS + "/", "", jobs::show),
-                Route.open(Method.DELETE, ApiPaths.JOBS + "/", "", jobs::cancel),
-                Route.exact(Method.GET, ApiPaths.CONFIG, access.protect(configuration::show)),
-                Route.exact(Method.PUT, ApiPaths.CONFIG, configuration::apply),
-                Route.exact(Method.GET, "/metrics", (e, v) -> metrics(e, context.metrics())),
-                Route.exact(Method.GET, "/healthz", (e, v) -> text(e, 200, "ok")),
-                Route.exact(Method.GET, "/readyz", (e, v) -> ready(e)));
+        OperatorEndpoint operators = new OperatorEndpoint(loop::state, this::requestStop, access);
+        List<Route> routes = new ArrayList<>(operators.routes());
+        routes.addAll(
+                List.of(
+                        Route.open(
+                                Method.POST, ApiPaths.QUEUES, "/requests", requests(context, ids)),
+                        Route.exact(Method.POST, ApiPaths.JOBS, jobs::submit),
+                        Route.open(Method.GET, ApiPaths.JOBS + "/", "/wait", jobs::await),
+                        Route.open(Method.GET, ApiPaths.JOBS + "/", "", jobs::show),
+                        Route.open(Method.DELETE, ApiPaths.JOBS + "/", "", jobs::cancel),
+                        Route.exact(
+                                Method.GET, ApiPaths.CONFIG, access.protect(configuration::show)),
+                        Route.exact(Method.PUT, ApiPaths.CONFIG, configuration::apply),
+                        Route.exact(
+                                Method.GET, "/metrics", (e, v) -> metrics(e, context.metrics())),
+                        Route.exact(Method.GET, "/healthz", (e, v) -> text(e, 200, "ok")),
+                        Route.exact(Method.GET, "/readyz", (e, v) -> ready(e))));
+        return routes;
     }
 
     private RequestEndpoint requests(DaemonContext context, RequestIds ids) {
@@ -186,6 +195,11 @@
         return daemon;
     }
 
+    /** Has the process stop as it does on a termination signal. */
+    private void requestStop() {
+        Thread.ofPlatform().name("drain").start(() -> System.exit(0));
+    }
+
     /**
      * Hands over the shards, answers what was accepted and stops, within the drain time of the
      * settings.
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/ExplainViews.java
@@ -0,0 +1,163 @@
+package org.jujubefork.entry.http;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.jujubefork.client.api.ExplainView;
+import org.jujubefork.client.api.RejectedView;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.explain.Explain;
+import org.jujubefork.core.explain.JobExplanation;
+import org.jujubefork.core.explain.JobExplanations;
+import org.jujubefork.core.explain.PartExplanation;
+import org.jujubefork.core.explain.Rejections;
+import org.jujubefork.core.explain.RequestExplanation;
+import org.jujubefork.core.explain.TeamExplanation;
+import org.jujubefork.core.explain.Wait;
+import org.jujubefork.core.explain.WorkerExplanation;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkerId;
+
+/** The API's form of explanations. */
+final class ExplainViews {
+    private ExplainViews() {}
+
+    /**
+     * Returns the explanation of the request, job, team or worker {@code id}; empty if this entry
+     * does not know it.
+     *
+     * @throws IllegalArgumentException if {@code subject} is none of these, or {@code id} is not an
+     *     identifier
+     */
+    static Optional<ExplainView> of(State state, String subject, String id) {
+        return switch (subject) {
+            case "request" -> Explain.request(state, RequestId.of(id)).map(e -> request(state, e));
+            case "job" -> JobExplanations.of(state, JobId.of(id)).map(e -> job(state, e));
+            case "team" -> Explain.team(state, TeamId.of(id)).map(ExplainViews::team);
+            case "worker" -> Explain.worker(state, WorkerId.of(id)).map(e -> worker(state, e));
+            default ->
+                    throw new IllegalArgumentException(
+                            "subject must be request, job, team or worker: " + subject);
+        };
+    }
+
+    private static ExplainView request(State state, RequestExplanation request) {
+        List<String> reasons = new ArrayList<>(texts(request.waits()));
+        request.shard().ifPresent(s -> reasons.add("shard " + s));
+        request.worker().ifPresent(w -> reasons.add("worker " + w));
+        request.owner().ifPresent(o -> reasons.add("owner " + o));
+        return new ExplainView(
+                "request " + request.request(),
+                name(request.stage()),
+                wallClock(state, request.sinceMillis()),
+                reasons,
+                request.rejections().map(ExplainViews::rejected).orElse(List.of()),
+                remedies(request.waits()));
+    }
+
+    private static ExplainView job(State state, JobExplanation job) {
+        List<String> reasons = new ArrayList<>();
+        List<Wait> waits = new ArrayList<>();
+        List<RejectedView> rejected = new ArrayList<>();
+        if (!job.record().reason().isEmpty()) {
+            reasons.add(job.record().reason());
+        }
+        for (PartExplanation part : job.parts()) {
+            reasons.add(
+                    "shard %s: %d of %d tasks run, %d wait"
+                            .formatted(part.shard(), part.running(), part.tasks(), part.queued()));
+            texts(part.waits()).forEach(t -> reasons.add("shard " + part.shard() + ": " + t));
+            waits.addAll(part.waits());
+            part.rejections().ifPresent(r -> rejected.addAll(rejected(r)));
+        }
+        return new ExplainView(
+                "job " + job.record().id(),
+                name(job.record().state()),
+                job.record().submittedAtEpochMillis(),
+                reasons,
+                rejected,
+                remedies(waits));
+    }
+
+    private static ExplainView team(TeamExplanation team) {
+        List<String> reasons = new ArrayList<>();
+        reasons.add(
+                String.format(
+                        Locale.ROOT,
+                        "uses %.3f of the fleet, entitled to %.3f",
+                        team.dominantShare(),
+                        team.entitledShare()));
+        reasons.add("running " + team.usage() + " of limit " + team.limit());
+        reasons.add(team.queued() + " requests and tasks wait");
+        reasons.addAll(texts(team.waits()));
+        return new ExplainView(
+                "team " + team.team(),
+                team.queued() > 0 ? "waiting" : "served",
+                0,
+                reasons,
+                List.of(),
+                remedies(team.waits()));
+    }
+
+    private static ExplainView worker(State state, WorkerExplanation worker) {
+        List<String> reasons = new ArrayList<>();
+        reasons.add("shard " + worker.shard());
+        worker.owner().ifPresent(o -> reasons.add("owner " + o));
+        reasons.add(
+                worker.tasks() + " tasks take " + worker.committed() + " of " + worker.capacity());
+        return new ExplainView(
+                "worker " + worker.worker(),
+                name(worker.condition()),
+                worker.leaseSentMillis().map(m -> wallClock(state, m)).orElse(0L),
+                reasons,
+                List.of(),
+                "");
+    }
+
+    private static List<String> texts(Collection<Wait> waits) {
+        return waits.stream().map(ExplainViews::text).toList();
+    }
+
+    private static String text(Wait wait) {
+        String reason = name(wait.reason());
+        return wait.need() == 0 ? reason : reason + " (" + wait.have() + " of " + wait.need() + ")";
+    }
+
+    private static String remedies(Collection<Wait> waits) {
+        return waits.stream()
+                .map(w -> w.reason().remedy())
+                .distinct()
+                .collect(Collectors.joining("; "));
+    }
+
+    private static List<RejectedView> rejected(Rejections counts) {
+        List<RejectedView> views = new ArrayList<>();
+        add(views, "unreachable", counts.unreachable());
+        add(views, "leaving", counts.leaving());
+        add(views, "quarantined", counts.quarantined());
+        add(views, "too small", counts.tooSmall());
+        add(views, "no free request slot", counts.withoutSlot());
+        add(views, "not enough free", counts.full());
+        return views;
+    }
+
+    private static void add(List<RejectedView> views, String reason, int count) {
+        if (count > 0) {
+            views.add(new RejectedView(reason, count));
+        }
+    }
+
+    private static String name(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
+    /** Converts a time of this entry's monotonic clock to milliseconds since 1970. */
+    private static long wallClock(State state, long monotonicMillis) {
+        return System.currentTimeMillis() - (state.nowMillis() - monotonicMillis);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/http/OperatorEndpoint.java
@@ -0,0 +1,99 @@
+package org.jujubefork.entry.http;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.http.Method;
+import org.jujubefork.client.api.ApiPaths;
+import org.jujubefork.client.api.DrainView;
+import org.jujubefork.client.api.ErrorCodes;
+import org.jujubefork.client.api.ErrorView;
+import org.jujubefork.client.api.ExplainView;
+import org.jujubefork.client.api.TaskView;
+import org.jujubefork.client.api.TasksView;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.model.Outcome;
+
+/** Shows operators the state of the cell, and starts the planned stop of this entry. */
+public final class OperatorEndpoint {
+    private final Supplier<State> state;
+    private final Runnable stop;
+    private final OperatorAccess access;
+
+    /**
+     * Creates an endpoint.
+     *
+     * @param state the newest control state
+     * @param stop starts the planned stop; returns at once
+     * @param access checks the operator's key
+     */
+    public OperatorEndpoint(Supplier<State> state, Runnable stop, OperatorAccess access) {
+        this.state = state;
+        this.stop = stop;
+        this.access = access;
+    }
+
+    /** Returns the routes, all of which need an operator's key. */
+    public List<Route> routes() {
+        return List.of(
+                Route.exact(Method.GET, ApiPaths.STATUS, access.protect(this::status)),
+                Route.exact(Method.GET, ApiPaths.WORKERS, access.protect(this::workers)),
+                Route.exact(Method.GET, ApiPaths.TASKS, access.protect(this::tasks)),
+                Route.exact(Method.GET, ApiPaths.EXPLAIN, access.protect(this::explain)),
+                Route.exact(Method.POST, ApiPaths.DRAIN, access.protect(this::drain)));
+    }
+
+    private void status(Exchange exchange, String variable) throws IOException {
+        exchange.json(200, StatusViews.status(state.get()));
+    }
+
+    private void workers(Exchange exchange, String variable) throws IOException {
+        exchange.json(200, StatusViews.workers(state.get()));
+    }
+
+    private void tasks(Exchange exchange, String variable) throws IOException {
+        List<TaskView> all = StatusViews.tasks(state.get()).tasks();
+        exchange.json(
+                200,
+                new TasksView(
+                        all.stream()
+                                .filter(t -> matches(exchange, "team", t.team()))
+                                .filter(t -> matches(exchange, "queue", t.queue()))
+                                .filter(t -> matches(exchange, "job", t.job()))
+                                .filter(t -> matches(exchange, "worker", t.worker()))
+                                .toList()));
+    }
+
+    private static boolean matches(Exchange exchange, String parameter, String value) {
+        return exchange.parameter(parameter).map(value::equals).orElse(true);
+    }
+
+    private void explain(Exchange exchange, String variable) throws IOException {
+        String subject = exchange.parameter("subject").orElse("");
+        String id = exchange.parameter("id").orElse("");
+        try {
+            Optional<ExplainView> view = ExplainViews.of(state.get(), subject, id);
+            if (view.isPresent()) {
+                exchange.json(200, view.get());
+                return;
+            }
+            exchange.error(
+                    404,
+                    ErrorView.of(
+                            ErrorCodes.NOT_FOUND,
+                            "this entry knows no " + subject + " " + id,
+                            Outcome.NOT_RUN));
+        } catch (IllegalArgumentException e) {
+            Refusals.invalid(exchange, e.getMessage());
+        }
+    }
+
+    private void drain(Exchange exchange, String variable) throws IOException {
+        State now = state.get();
+        exchange.json(
+                200,
+                new DrainView(now.self().id().name(), "draining", now.requests().active().size()));
+        stop.run();
+    }
+}
