--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Controls.java
@@ -0,0 +1,43 @@
+package org.jujubefork.standins.cell;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+/** Calls the control endpoints of stand-ins. */
+final class Controls {
+    private static final HttpClient HTTP =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+
+    private Controls() {}
+
+    /** Posts without a body and returns the answer. */
+    static JsonNode post(int port, String pathAndQuery) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + pathAndQuery))
+                        .timeout(LIMIT)
+                        .POST(HttpRequest.BodyPublishers.noBody())
+                        .build();
+        HttpResponse<byte[]> response =
+                HTTP.send(request, HttpResponse.BodyHandlers.ofByteArray());
+        if (response.statusCode() != 200) {
+            throw new IOException(pathAndQuery + " gave " + response.statusCode());
+        }
+        return new ObjectMapper().readTree(response.body());
+    }
+
+    /** Returns the text at a path. */
+    static String text(String address, String path) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(URI.create("http://" + address + path))
+                        .timeout(LIMIT)
+                        .build();
+        return HTTP.send(request, HttpResponse.BodyHandlers.ofString()).body();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
@@ -0,0 +1,160 @@
+package org.jujubefork.standins.cell;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeoutException;
+import org.jujubefork.entry.EntryMain;
+import org.jujubefork.standins.Await;
+import org.jujubefork.standins.process.ManagedProcess;
+import org.jujubefork.standins.process.TcpRelay;
+
+/** An entry's VM: its settings, its relay to the store and its process, which can be replaced. */
+public final class EntryVm implements AutoCloseable {
+    // The same bounds as in bin/jujube-entry.
+    private static final int HEAP_MB = 48;
+    private static final List<String> JVM_FLAGS =
+            List.of(
+                    "-Xms24m",
+                    "-XX:MaxMetaspaceSize=40m",
+                    "-XX:ReservedCodeCacheSize=16m",
+                    "-XX:MaxDirectMemorySize=8m",
+                    "-Xss512k",
+                    "--sun-misc-unsafe-memory-access=allow",
+                    "-XX:CICompilerCount=2",
+                    "-Djdk.virtualThreadScheduler.parallelism=2",
+                    "-Djava.util.logging.manager=org.jboss.logmanager.LogManager");
+
+    private final CellPlan.Entry spec;
+    private final int httpPort;
+    private final int peerPort;
+    private final TcpRelay store;
+    private final Path settings;
+    private final ManagedProcess.Spec command;
+    private final boolean pausable;
+    private ManagedProcess process;
+    private int controlPort;
+
+    private EntryVm(
+            CellPlan.Entry spec,
+            int httpPort,
+            int peerPort,
+            TcpRelay store,
+            Path settings,
+            boolean pausable) {
+        this.spec = spec;
+        this.httpPort = httpPort;
+        this.peerPort = peerPort;
+        this.store = store;
+        this.settings = settings;
+        this.pausable = pausable;
+        this.command =
+                new ManagedProcess.Spec(
+                        pausable
+                                ? PausablePeersEntryMain.class.getName()
+                                : EntryMain.class.getName(),
+                        "",
+                        HEAP_MB,
+                        JVM_FLAGS,
+                        pausable
+                                ? List.of(settings.toString())
+                                : List.of("--settings", settings.toString()));
+    }
+
+    /** Takes ports and opens the relay to the store; starts no process. */
+    static EntryVm of(CellPlan.Entry spec, Path directory, int storePort, boolean pausable)
+            throws IOException {
+        return new EntryVm(
+                spec,
+                FreePorts.next(),
+                FreePorts.next(),
+                TcpRelay.start(0, storePort),
+                directory.resolve(spec.name() + ".jsonc"),
+                pausable);
+    }
+
+    /** Writes the settings file. */
+    void writeSettings(CellPlan plan, int vmListPort, List<String> seeds) throws IOException {
+        ObjectMapper mapper = new ObjectMapper();
+        ObjectNode node =
+                mapper.createObjectNode()
+                        .put("name", spec.name())
+                        .put("region", spec.region())
+                        .put("zone", spec.zone())
+                        .put("httpAddress", httpAddress())
+                        .put("peerAddress", peerAddress())
+                        .put("storeAddress", "127.0.0.1:" + store.port())
+                        .put("vmListAddress", "127.0.0.1:" + vmListPort);
+        seeds.forEach(node.putArray("seeds")::add);
+        plan.settings().forEach(node::put);
+        Files.writeString(settings, mapper.writeValueAsString(node));
+    }
+
+    /** Starts the process, again after a kill or an end. */
+    public void start() throws IOException {
+        process = ManagedProcess.start(command);
+    }
+
+    /** Waits until the entry serves. */
+    public void awaitReady() throws IOException, InterruptedException, TimeoutException {
+        String line = process.awaitLine("ready ", Await.LIMIT);
+        if (pausable) {
+            controlPort = Integer.parseInt(line.substring(line.indexOf("port=") + 5));
+        }
+    }
+
+    public String name() {
+        return spec.name();
+    }
+
+    public String zone() {
+        return spec.zone();
+    }
+
+    public String httpAddress() {
+        return "127.0.0.1:" + httpPort;
+    }
+
+    String peerAddress() {
+        return "127.0.0.1:" + peerPort;
+    }
+
+    public ManagedProcess process() {
+        return process;
+    }
+
+    public void kill() throws InterruptedException {
+        process.kill();
+    }
+
+    public int terminate(Duration limit) throws InterruptedException, TimeoutException {
+        return process.terminate(limit);
+    }
+
+    /** Cuts the entry from the store, or connects it again. */
+    public void cutStore(boolean cut) throws IOException {
+        if (cut) {
+            store.refuse();
+            store.cut();
+        } else {
+            store.restore();
+        }
+    }
+
+    /** Stops the delivery of all peer traffic to this entry, or lets it go on. */
+    public void pausePeers(boolean on) throws IOException, InterruptedException {
+        Controls.post(controlPort, "/peers?on=" + on);
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (process != null) {
+            process.close();
+        }
+        store.close();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/cell/FreePorts.java
@@ -0,0 +1,39 @@
+package org.jujubefork.standins.cell;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Hands out free loopback ports below the range that the kernel gives to outgoing connections, so
+ * that no connection takes a port between its choice and its use.
+ */
+final class FreePorts {
+    private static final int FIRST = 10_000;
+    private static final int COUNT = 10_000;
+
+    private static final AtomicInteger NEXT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 97 % COUNT));
+
+    private FreePorts() {}
+
+    /** Returns a port that was free at the time of the call. */
+    static int next() throws IOException {
+        for (int tried = 0; tried < COUNT; tried++) {
+            int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), COUNT);
+            if (isFree(port)) {
+                return port;
+            }
+        }
+        throw new IOException("no free port in " + FIRST + " to " + (FIRST + COUNT - 1));
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Load.java
@@ -0,0 +1,90 @@
+package org.jujubefork.standins.cell;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Requests at a steady pace, each by a thread of its own through an entry chosen by seed. */
+public final class Load implements AutoCloseable {
+    /** Chooses the request with a number. */
+    @FunctionalInterface
+    public interface Source {
+        Caller.Request request(int number, SplittableRandom random);
+    }
+
+    private static final Duration LAST_ANSWER = Duration.ofSeconds(60);
+
+    private final TestCell cell;
+    private final Caller caller;
+    private final Queue<CallRecord> records = new ConcurrentLinkedQueue<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private final Thread pace;
+    private volatile boolean stopped;
+
+    private Load(TestCell cell, Caller caller, int perSecond, long seed, Source source) {
+        this.cell = cell;
+        this.caller = caller;
+        this.pace = Thread.ofVirtual().unstarted(() -> run(perSecond, seed, source));
+    }
+
+    public static Load start(
+            TestCell cell, Caller caller, int perSecond, long seed, Source source) {
+        Load load = new Load(cell, caller, perSecond, seed, source);
+        load.pace.start();
+        return load;
+    }
+
+    private void run(int perSecond, long seed, Source source) {
+        SplittableRandom random = new SplittableRandom(seed);
+        long pauseMillis = Math.max(1, TimeUnit.SECONDS.toMillis(1) / perSecond);
+        try {
+            for (int number = 0; !stopped; number++) {
+                Caller.Request request = source.request(number, random);
+                List<String> addresses =
+                        cell.addressesFrom(random.nextInt(cell.entries().size()));
+                threads.add(Thread.ofVirtual().start(() -> send(request, addresses)));
+                Thread.sleep(pauseMillis);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void send(Caller.Request request, List<String> addresses) {
+        try {
+            records.add(caller.call(request, addresses));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Returns what the callers saw so far. */
+    public List<CallRecord> records() {
+        return List.copyOf(records);
+    }
+
+    /**
+     * Sends no more and waits for all answers.
+     *
+     * @throws AssertionError if a caller has none after 60 s
+     */
+    public List<CallRecord> stop() throws InterruptedException {
+        stopped = true;
+        pace.join();
+        for (Thread thread : threads) {
+            if (!thread.join(LAST_ANSWER)) {
+                throw new AssertionError("a caller has no answer after " + LAST_ANSWER);
+            }
+        }
+        return records();
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        stop();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/cell/TestCell.java
@@ -0,0 +1,259 @@
+package org.jujubefork.standins.cell;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.jujubefork.client.api.ApiClient;
+import org.jujubefork.client.api.ApiClientSettings;
+import org.jujubefork.client.api.ApplyResult;
+import org.jujubefork.client.api.ConfigApply;
+import org.jujubefork.standins.Await;
+import org.jujubefork.standins.fleet.WorkerFleetMain;
+import org.jujubefork.standins.history.HistoryEvent;
+import org.jujubefork.standins.history.HistoryReader;
+import org.jujubefork.standins.process.ManagedProcess;
+import org.jujubefork.standins.process.TcpRelay;
+import org.jujubefork.standins.store.StoreMain;
+import org.jujubefork.standins.vms.VmListMain;
+
+/** A running cell of processes; closing ends all of them and deletes its files. */
+public final class TestCell implements AutoCloseable {
+    private static final int STANDIN_HEAP_MB = 96;
+    private static final int CONNECTIONS = 64;
+
+    private final CellPlan plan;
+    private final Path directory;
+    private final Deque<AutoCloseable> opened = new ArrayDeque<>();
+    private final List<EntryVm> entries = new ArrayList<>();
+    private final Map<String, TcpRelay> workerRelays = new HashMap<>();
+    private int storePort;
+    private int fleetPort;
+    private int vmListPort;
+
+    private TestCell(CellPlan plan) throws IOException {
+        this.plan = plan;
+        this.directory = Files.createTempDirectory("cluster-cell");
+    }
+
+    /** Starts a cell, applies its configuration and waits until every worker has an owner. */
+    public static TestCell start(CellPlan plan) throws Exception {
+        return start(plan, false);
+    }
+
+    /** Starts a cell whose entries can be cut from each other. */
+    public static TestCell startWithPausablePeers(CellPlan plan) throws Exception {
+        return start(plan, true);
+    }
+
+    private static TestCell start(CellPlan plan, boolean pausable) throws Exception {
+        TestCell cell = new TestCell(plan);
+        try {
+            cell.startStandins();
+            cell.startEntries(pausable);
+            cell.apply(0, plan.configuration());
+            cell.awaitOwners();
+            return cell;
+        } catch (Exception | AssertionError e) {
+            cell.close();
+            throw e;
+        }
+    }
+
+    private ManagedProcess standin(Class<?> main, String... arguments) throws IOException {
+        ManagedProcess process =
+                ManagedProcess.start(ManagedProcess.Spec.of(main, STANDIN_HEAP_MB, arguments));
+        opened.push(process);
+        return process;
+    }
+
+    private void startStandins() throws Exception {
+        ManagedProcess store =
+                standin(StoreMain.class, "--history", directory.resolve("store.jsonl").toString());
+        Map<String, Integer> ports = new HashMap<>();
+        Map<String, Integer> listed = new HashMap<>();
+        for (CellPlan.Worker worker : plan.workers()) {
+            int port = FreePorts.next();
+            ports.put(worker.id(), port);
+            listed.put(worker.id(), plan.workerRelays() ? relay(worker.id(), port) : port);
+        }
+        List<String> flags = new ArrayList<>();
+        flags.addAll(List.of("--fleet", fleetFile("fleet.json", ports).toString()));
+        flags.addAll(List.of("--history", fleetHistoryFile().toString()));
+        flags.addAll(plan.fleetFlags());
+        ManagedProcess fleet = standin(WorkerFleetMain.class, flags.toArray(String[]::new));
+        ManagedProcess vms =
+                standin(
+                        VmListMain.class, "--fleet", fleetFile("listed.json", listed).toString());
+        storePort = store.awaitPort(Await.LIMIT);
+        fleetPort = fleet.awaitPort(Await.LIMIT);
+        vmListPort = vms.awaitPort(Await.LIMIT);
+    }
+
+    private int relay(String worker, int port) throws IOException {
+        TcpRelay relay = TcpRelay.start(0, port);
+        opened.push(relay);
+        workerRelays.put(worker, relay);
+        return relay.port();
+    }
+
+    private void startEntries(boolean pausable) throws Exception {
+        for (CellPlan.Entry spec : plan.entries()) {
+            EntryVm entry = EntryVm.of(spec, directory, storePort, pausable);
+            opened.push(entry);
+            entries.add(entry);
+        }
+        List<String> seeds = entries.stream().map(EntryVm::peerAddress).toList();
+        for (EntryVm entry : entries) {
+            entry.writeSettings(plan, vmListPort, seeds);
+            entry.start();
+        }
+        for (EntryVm entry : entries) {
+            entry.awaitReady();
+        }
+    }
+
+    private Path fleetFile(String name, Map<String, Integer> ports) throws IOException {
+        ObjectMapper mapper = new ObjectMapper();
+        ObjectNode root = mapper.createObjectNode();
+        ArrayNode workers = root.putArray("workers");
+        for (CellPlan.Worker worker : plan.workers()) {
+            workers.addObject()
+                    .put("id", worker.id())
+                    .put("region", worker.region())
+                    .put("zone", worker.zone())
+                    .put("rack", worker.rack())
+                    .put("address", "127.0.0.1:" + ports.get(worker.id()))
+                    .put("cpuMillis", worker.capacity().cpuMillis())
+                    .put("memoryMb", worker.capacity().memoryMb())
+                    .put("accelerators", worker.capacity().accelerators())
+                    .put("slots", worker.slots())
+                    .put("connections", CONNECTIONS);
+        }
+        root.putArray("entries");
+        return Files.writeString(directory.resolve(name), mapper.writeValueAsString(root));
+    }
+
+    /** Waits until every worker runs under a lease. */
+    public void awaitOwners() throws Exception {
+        for (CellPlan.Worker worker : plan.workers()) {
+            Await.until(
+                    "lease of " + worker.id(),
+                    () ->
+                            worker(worker.id(), "state", "").path("leased").asBoolean()
+                                    && entries.stream().anyMatch(e -> e.process().isAlive()));
+        }
+    }
+
+    /** Applies a configuration through the first entry that lives. */
+    public ApplyResult apply(long ifVersion, String base) throws Exception {
+        try (ApiClient operator = client(0, Optional.of(plan.operatorKey()))) {
+            return operator.apply(new ConfigApply(ifVersion, base, plan.overlays()));
+        }
+    }
+
+    /** Returns a client that tries the entries in order, beginning with {@code first}. */
+    public ApiClient client(int first, Optional<String> key) {
+        return ApiClient.of(ApiClientSettings.of(addressesFrom(first), key));
+    }
+
+    /** Returns a client that knows only one entry. */
+    public ApiClient clientOf(EntryVm entry, Optional<String> key) {
+        return ApiClient.of(ApiClientSettings.of(List.of(entry.httpAddress()), key));
+    }
+
+    List<String> addressesFrom(int first) {
+        List<String> addresses = new ArrayList<>();
+        for (int i = 0; i < entries.size(); i++) {
+            addresses.add(entries.get((first + i) % entries.size()).httpAddress());
+        }
+        return List.copyOf(addresses);
+    }
+
+    public CellPlan plan() {
+        return plan;
+    }
+
+    public List<EntryVm> entries() {
+        return List.copyOf(entries);
+    }
+
+    public EntryVm entry(int index) {
+        return entries.get(index);
+    }
+
+    /** Returns the live entry that holds the highest epoch of a worker. */
+    public EntryVm ownerOf(String worker) throws IOException {
+        String holder =
+                fleetHistory().stream()
+                        .filter(e -> e.type() == org.jujubefork.standins.history.EventType.LEASE)
+                        .filter(e -> e.text("worker").equals(worker))
+                        .reduce((a, b) -> b)
+                        .orElseThrow()
+                        .text("holder");
+        return entries.stream()
+                .filter(e -> holder.startsWith(e.name() + "#"))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    public com.fasterxml.jackson.databind.JsonNode worker(String id, String action, String query)
+            throws IOException, InterruptedException {
+        return Controls.post(fleetPort, "/control/workers/" + id + "/" + action + query);
+    }
+
+    /** Switches a fault of the store, for example {@code outage?on=true}. */
+    public void store(String faultAndQuery) throws IOException, InterruptedException {
+        Controls.post(storePort, "/control/" + faultAndQuery);
+    }
+
+    /** Marks a VM as leaving on the VM list. */
+    public void listAsLeaving(String id) throws IOException, InterruptedException {
+        Controls.post(vmListPort, "/control/vms/leaving?id=" + id + "&on=true");
+    }
+
+    public TcpRelay workerRelay(String worker) {
+        return workerRelays.get(worker);
+    }
+
+    public Path fleetHistoryFile() {
+        return directory.resolve("fleet.jsonl");
+    }
+
+    /** Returns what the workers saw so far. */
+    public List<HistoryEvent> fleetHistory() throws IOException {
+        return HistoryReader.read(fleetHistoryFile());
+    }
+
+    public List<HistoryEvent> storeHistory() throws IOException {
+        return HistoryReader.read(directory.resolve("store.jsonl"));
+    }
+
+    /** Returns the metrics page of an entry. */
+    public String metrics(EntryVm entry) throws IOException, InterruptedException {
+        return Controls.text(entry.httpAddress(), "/metrics");
+    }
+
+    @Override
+    public void close() throws Exception {
+        while (!opened.isEmpty()) {
+            opened.pop().close();
+        }
+        try (Stream<Path> files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleetMain.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleetMain.java
@@ -19,7 +19,7 @@
                 Flags.parse(
                         args,
                         Set.of("fleet", "history", "control-port", "usage-lag-millis"),
-                        Set.of("enforce-capacity"));
+                        Set.of("enforce-capacity", "ignore-epochs"));
         FleetOptions options =
                 new FleetOptions(
                         (int) flags.number("control-port", 0),
@@ -27,7 +27,8 @@
                                 flags.number(
                                         "usage-lag-millis",
                                         FleetOptions.DEFAULT_USAGE_LAG.toMillis())),
-                        flags.isSet("enforce-capacity"));
+                        flags.isSet("enforce-capacity"),
+                        flags.isSet("ignore-epochs"));
         Optional<String> file = flags.text("history");
         HistorySink sink =
                 file.isPresent() ? HistoryWriter.append(Path.of(file.get())) : HistorySink.NONE;
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
@@ -19,15 +19,25 @@
     private static final String STALE_EPOCH = StartRefusal.STALE_EPOCH.name();
 
     private final boolean enforceCapacity;
+    private final boolean ignoreEpochs;
 
     /** With {@code enforceCapacity}, a start above the capacity is refused, not only recorded. */
     WorkerTransitions(boolean enforceCapacity) {
+        this(enforceCapacity, false);
+    }
+
+    /**
+     * With {@code ignoreEpochs}, commands of lower epochs are obeyed; tests use it to see that the
+     * checkers notice what the epochs prevent.
+     */
+    WorkerTransitions(boolean enforceCapacity, boolean ignoreEpochs) {
         this.enforceCapacity = enforceCapacity;
+        this.ignoreEpochs = ignoreEpochs;
     }
 
     /** Ends what is due and then executes the command. */
     WorkerStep apply(WorkerState before, WorkerCommand command, long nowNanos) {
-        Work work = new Work(before, nowNanos);
+        Work work = new Work(before, nowNanos, ignoreEpochs);
         work.passTime();
         WorkerOutcome outcome =
                 switch (command) {
@@ -57,14 +67,16 @@
     /** Local variables of one command. */
     private static final class Work {
         private final long now;
+        private final boolean ignoreEpochs;
         private final List<WorkerStep.Note> notes = new ArrayList<>();
         private final List<EndedTask> ended = new ArrayList<>();
         private final List<TaskId> lost = new ArrayList<>();
         private WorkerState state;
 
-        Work(WorkerState state, long now) {
+        Work(WorkerState state, long now, boolean ignoreEpochs) {
             this.state = state;
             this.now = now;
+            this.ignoreEpochs = ignoreEpochs;
         }
 
         void passTime() {
@@ -105,7 +117,7 @@
 
         WorkerOutcome lease(WorkerCommand.Lease lease) {
             Optional<Epoch> current = state.epoch();
-            if (current.isPresent() && current.get().isAbove(lease.epoch())) {
+            if (!ignoreEpochs && current.isPresent() && current.get().isAbove(lease.epoch())) {
                 return refuse("lease", "", lease.epoch(), 409, STALE_EPOCH, "higher epoch known");
             }
             state = state.withLease(lease.epoch(), OptionalLong.of(now + lease.ttlNanos()));
@@ -224,7 +236,9 @@
 
         /** Returns whether the worker obeys another epoch; one without an epoch obeys none. */
         private boolean isForeign(Epoch epoch) {
-            return state.epoch().isPresent() && !state.epoch().get().equals(epoch);
+            return !ignoreEpochs
+                    && state.epoch().isPresent()
+                    && !state.epoch().get().equals(epoch);
         }
 
         WorkerOutcome faults(boolean leaving, boolean failStarts) {
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/proof/TakeoverTest.java
@@ -0,0 +1,137 @@
+package org.jujubefork.standins.proof;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.jujubefork.core.model.Outcome;
+import org.jujubefork.standins.Await;
+import org.jujubefork.standins.cell.CallRecord;
+import org.jujubefork.standins.cell.Caller;
+import org.jujubefork.standins.cell.CellPlan;
+import org.jujubefork.standins.cell.EntryVm;
+import org.jujubefork.standins.cell.Load;
+import org.jujubefork.standins.cell.SmallCell;
+import org.jujubefork.standins.cell.TestCell;
+import org.jujubefork.standins.history.EventType;
+import org.jujubefork.standins.history.HistoryEvent;
+import org.testng.annotations.Test;
+
+/**
+ * P2 and D1. Guards against an owner that was killed or paused and whose shard is placed on by two
+ * entries, or by none for longer than 10 s.
+ */
+public final class TakeoverTest {
+    private static final String WORKER = "z1-w1";
+    private static final long TAKEOVER_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final int PER_SECOND = 60;
+
+    static Caller.Request mixed(int number, SplittableRandom random) {
+        boolean command = random.nextInt(4) == 0;
+        return new Caller.Request(
+                "r" + number,
+                command ? "red-command" : "red-lookup",
+                command,
+                Optional.of(SmallCell.key("red")),
+                random.nextInt(60),
+                random.nextInt(2_000));
+    }
+
+    private static Load load(TestCell cell, long seed) {
+        return Load.start(
+                cell,
+                Caller.of(Duration.ofSeconds(15)),
+                PER_SECOND,
+                seed,
+                TakeoverTest::mixed);
+    }
+
+    private static Optional<HistoryEvent> firstStart(
+            TestCell cell, String zone, long afterNanos, String exceptHolder) throws Exception {
+        return cell.fleetHistory().stream()
+                .filter(e -> e.type() == EventType.START && e.nanos() > afterNanos)
+                .filter(e -> e.text("worker").startsWith(zone + "-"))
+                .filter(e -> !e.text("holder").startsWith(exceptHolder + "#"))
+                .findFirst();
+    }
+
+    private static void assertTakenOver(TestCell cell, EntryVm owner, long fault)
+            throws Exception {
+        Await.until(
+                "takeover", () -> firstStart(cell, "z1", fault, owner.name()).isPresent());
+        long nanos = firstStart(cell, "z1", fault, owner.name()).orElseThrow().nanos() - fault;
+        Judgement.seen("TakeoverTest", "firstPlacementMillis=" + nanos / 1_000_000);
+        assertTrue(nanos <= TAKEOVER_NANOS, "first placement after " + nanos + " ns");
+    }
+
+    @Test
+    public void killedOwnerIsSucceeded() throws Exception {
+        long seed = Judgement.seed("TakeoverTest.killed", 201);
+        try (TestCell cell = TestCell.start(SmallCell.of(3).plan());
+                Load load = load(cell, seed)) {
+            EntryVm owner = cell.ownerOf(WORKER);
+            Thread.sleep(2_000);
+            long fault = System.nanoTime();
+            owner.kill();
+            assertTakenOver(cell, owner, fault);
+            List<CallRecord> calls = load.stop();
+            Judgement.seen("TakeoverTest.killed", Judgement.summary(calls));
+            Judgement.safe(cell.fleetHistory(), calls);
+            Judgement.none(
+                    calls.stream()
+                            .filter(c -> !c.command() && c.outcome() != Outcome.DONE)
+                            .toList());
+        }
+    }
+
+    private static List<HistoryEvent> pauseOwner(CellPlan plan, long seed, boolean judged)
+            throws Exception {
+        try (TestCell cell = TestCell.start(plan);
+                Load load = load(cell, seed)) {
+            EntryVm owner = cell.ownerOf(WORKER);
+            Thread.sleep(2_000);
+            long fault = System.nanoTime();
+            owner.process().pause();
+            try {
+                assertTakenOver(cell, owner, fault);
+            } finally {
+                owner.process().resume();
+            }
+            Thread.sleep(3_000);
+            List<CallRecord> calls = load.stop();
+            List<HistoryEvent> history = cell.fleetHistory();
+            Judgement.seen("TakeoverTest.paused", Judgement.summary(calls));
+            if (judged) {
+                Judgement.safe(history, calls);
+                assertTrue(
+                        history.stream()
+                                .anyMatch(
+                                        e ->
+                                                e.type() == EventType.REFUSAL
+                                                        && e.text("reason").equals("STALE_EPOCH")),
+                        "the resumed owner sent no late command, so that the test shows nothing");
+            }
+            return history;
+        }
+    }
+
+    @Test
+    public void pausedOwnerIsFenced() throws Exception {
+        pauseOwner(SmallCell.of(3).plan(), Judgement.seed("TakeoverTest.paused", 202), true);
+    }
+
+    /** Guards against a checker that passes whatever happens: here workers ignore epochs. */
+    @Test
+    public void checkerSeesLateStartsWithoutEpochs() throws Exception {
+        CellPlan plan = SmallCell.of(3).fleetFlag("--ignore-epochs").plan();
+        List<HistoryEvent> history =
+                pauseOwner(plan, Judgement.seed("TakeoverTest.unfenced", 203), false);
+        int found = new EpochChecker().check(history).size();
+        Judgement.seen("TakeoverTest.unfenced", "lateStarts=" + found);
+        assertFalse(found == 0, "no late start was seen");
+    }
+}
