--- a/entry/src/main/java/org/jujubefork/entry/http/JobEndpoint.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/JobEndpoint.java
@@ -69,7 +69,8 @@
             run(
                     exchange,
                     call,
-                    new JobEvent.JobSubmitted(clock.millis(), call, job, spec, hash),
+                    new JobEvent.JobSubmitted(
+                            clock.millis(), call, job, spec, hash, System.currentTimeMillis()),
                     job);
         } catch (InvalidMessageException | IllegalArgumentException e) {
             Refusals.invalid(exchange, e.getMessage());
--- a/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
 import org.jujubefork.core.jobs.JobPart;
 import org.jujubefork.core.jobs.JobRecord;
 import org.jujubefork.core.jobs.JobState;
@@ -38,15 +39,20 @@
         node.set("size", RecordJson.resources(job.size()));
         ArrayNode parts = node.putArray("parts");
         for (JobPart part : job.parts()) {
-            parts.addObject()
-                    .put("shard", part.shard().value())
-                    .put("from", part.from())
-                    .put("to", part.to());
+            ObjectNode item =
+                    parts.addObject()
+                            .put("shard", part.shard().value())
+                            .put("from", part.from())
+                            .put("to", part.to());
+            part.movingTo().ifPresent(to -> item.put("movingTo", to.value()));
         }
         ArrayNode succeeded = node.putArray("succeeded");
         job.succeeded().forEach(succeeded::add);
         ObjectNode attempts = node.putObject("attempts");
         job.attempts().forEach((index, count) -> attempts.put(Integer.toString(index), count));
+        node.put("run", job.run());
+        ObjectNode progress = node.putObject("progress");
+        job.progress().forEach((index, part) -> progress.put(Integer.toString(index), part));
         return node.toString();
     }
 
@@ -62,7 +68,9 @@
                             new JobPart(
                                     ShardId.of(RecordJson.text(part, "shard")),
                                     part.required("from").asInt(),
-                                    part.required("to").asInt()));
+                                    part.required("to").asInt(),
+                                    Optional.ofNullable(part.get("movingTo"))
+                                            .map(to -> ShardId.of(to.asText()))));
         }
         PSortedSet<Integer> succeeded = TreePSet.empty();
         for (JsonNode index : node.required("succeeded")) {
@@ -72,6 +80,10 @@
         for (var entry : node.required("attempts").properties()) {
             attempts = attempts.plus(Integer.parseInt(entry.getKey()), entry.getValue().asInt());
         }
+        PSortedMap<Integer, Double> progress = TreePMap.empty();
+        for (var entry : node.required("progress").properties()) {
+            progress = progress.plus(Integer.parseInt(entry.getKey()), entry.getValue().asDouble());
+        }
         return new JobRecord(
                 JobId.of(RecordJson.text(node, "id")),
                 TeamId.of(RecordJson.text(node, "team")),
@@ -86,6 +98,8 @@
                 RecordJson.text(node, "reason"),
                 parts,
                 succeeded,
-                attempts);
+                attempts,
+                node.required("run").asInt(),
+                progress);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
@@ -61,9 +61,15 @@
     private void carryOut(StoreEffect effect) {
         switch (effect) {
             case StoreEffect.CreateClaim e -> createClaim(e);
+            case StoreEffect.ReadClaim e -> readClaim(e);
             case StoreEffect.SettleClaim e -> settleClaim(e);
             case StoreEffect.ReleaseClaim e -> releaseClaim(e);
             case StoreEffect.WriteJob e -> writeJob(e);
+            case StoreEffect.DeleteJob e ->
+                    store.delete(
+                            StoreKeys.JOBS + e.job(),
+                            OptionalLong.of(e.expectedRevision()),
+                            TIMEOUT);
             case StoreEffect.WriteLedger e -> writeLedger(e);
             case StoreEffect.ReadLedger e -> readLedger();
         }
@@ -136,37 +142,89 @@
                         .map(AnswerChannel::content);
         String type = channel.map(AnswerChannel::contentType).orElse("");
         String text = ClaimCodec.encode(new ClaimCodec.StoredClaim(effect.claim(), type, body));
-        Long revision = claimRevisions.remove(effect.request());
-        boolean durable =
-                revision != null
-                        && put(effect.claimKey(), text, revision) instanceof WriteResult.Written;
-        if (!durable) {
+        boolean durable = write(effect, text);
+        if (durable) {
+            claimRevisions.remove(effect.request());
+        } else {
             log.warnf("event=claim-not-settled request=%s", effect.request());
         }
         events.post(new ClaimEvent.ClaimSettled(clock.millis(), effect.request(), durable));
     }
 
+    /** Writes an outcome; a revision that is not known, or that changed, is read. */
+    private boolean write(StoreEffect.SettleClaim effect, String text) {
+        try {
+            Long revision = claimRevisions.get(effect.request());
+            if (revision == null) {
+                Optional<KeyValue> found = get(effect.claimKey());
+                if (found.isEmpty() || !isOf(effect.request(), found.get())) {
+                    return false;
+                }
+                if (recordOf(found.get()).equals(effect.claim())) {
+                    return true;
+                }
+                revision = found.get().revision();
+            }
+            WriteResult result = put(effect.claimKey(), text, revision);
+            if (result instanceof WriteResult.Unknown || result instanceof WriteResult.Conflict) {
+                // The next attempt reads what stands in the store.
+                claimRevisions.remove(effect.request());
+            }
+            return result instanceof WriteResult.Written;
+        } catch (StoreException | MalformedRecordException e) {
+            log.warnf(
+                    "event=claim-unreadable request=%s reason=\"%s\"",
+                    effect.request(), e.getMessage());
+            return false;
+        }
+    }
+
+    private void readClaim(StoreEffect.ReadClaim effect) {
+        RequestId request = effect.request();
+        try {
+            Optional<KeyValue> found = get(effect.claimKey());
+            events.post(
+                    found.isEmpty()
+                            ? new ClaimEvent.ClaimGone(clock.millis(), request)
+                            : new ClaimEvent.ClaimExists(
+                                    clock.millis(), request, recordOf(found.get())));
+        } catch (StoreException | MalformedRecordException e) {
+            log.warnf("event=claim-unreadable request=%s reason=\"%s\"", request, e.getMessage());
+            events.post(new ClaimEvent.ClaimFailed(clock.millis(), request, false));
+        }
+    }
+
     private void releaseClaim(StoreEffect.ReleaseClaim effect) {
+        boolean durable = false;
         try {
             Optional<KeyValue> found = get(effect.claimKey());
-            if (found.isPresent() && isOwn(effect, found.get())) {
+            durable = found.isEmpty() || !isOf(effect.request(), found.get());
+            if (!durable) {
                 metrics.countStoreCall("delete");
-                store.delete(effect.claimKey(), OptionalLong.of(found.get().revision()), TIMEOUT);
+                durable =
+                        store.delete(
+                                        effect.claimKey(),
+                                        OptionalLong.of(found.get().revision()),
+                                        TIMEOUT)
+                                instanceof WriteResult.Written;
             }
         } catch (StoreException | MalformedRecordException e) {
             log.warnf(
                     "event=claim-not-released request=%s reason=\"%s\"",
                     effect.request(), e.getMessage());
         }
-        claimRevisions.remove(effect.request());
+        if (durable) {
+            claimRevisions.remove(effect.request());
+        }
+        events.post(new ClaimEvent.ClaimSettled(clock.millis(), effect.request(), durable));
+    }
+
+    private static boolean isOf(RequestId request, KeyValue found) throws MalformedRecordException {
+        return recordOf(found).request().equals(request);
     }
 
-    private static boolean isOwn(StoreEffect.ReleaseClaim effect, KeyValue found)
-            throws MalformedRecordException {
-        return ClaimCodec.decode(StoreText.decode(found.value()))
-                .record()
-                .request()
-                .equals(effect.request());
+    private static ClaimRecord recordOf(KeyValue found) throws MalformedRecordException {
+        return ClaimCodec.decode(StoreText.decode(found.value())).record();
     }
 
     private void writeJob(StoreEffect.WriteJob effect) {
--- a/standins/src/test/java/org/jujubefork/standins/client/WorkerClientTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/client/WorkerClientTest.java
@@ -58,7 +58,7 @@
     @BeforeMethod
     public void open() throws Exception {
         transport = Transport.create(Duration.ofSeconds(10));
-        FleetOptions options = new FleetOptions(0, Duration.ZERO, true);
+        FleetOptions options = new FleetOptions(0, Duration.ZERO, true, false);
         fleet = WorkerFleet.start(Fleets.workers(2), options, HistorySink.NONE);
         client = new WorkerClient(transport);
         worker = fleet.address("w1");
