--- a/core/src/main/java/org/jujubefork/core/control/Reducer.java
+++ b/core/src/main/java/org/jujubefork/core/control/Reducer.java
@@ -13,7 +13,8 @@
 import org.jujubefork.core.event.TaskEvent;
 import org.jujubefork.core.event.Tick;
 import org.jujubefork.core.jobs.Jobs;
-import org.jujubefork.core.limits.LimitState;
+import org.jujubefork.core.limits.Budgets;
+import org.jujubefork.core.limits.LedgerSync;
 import org.jujubefork.core.membership.Membership;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.ownership.Ownership;
@@ -38,10 +39,10 @@
 
     /** Returns the state after {@code event} and what is to be done about it. */
     public static Transition reduce(State state, Event event) {
-        State timed = state.at(event.atMillis());
+        State timed = Pause.note(state, event.atMillis()).at(event.atMillis());
         Transition reduced = dispatch(timed, event);
-        boolean tick = event instanceof Tick;
-        return placeWaiting(withTotals(state, reduced, event), tick);
+        boolean all = event instanceof Tick || event instanceof LimitEvent;
+        return placeWaiting(withTotals(state, reduced, event), all);
     }
 
     /** Sums the shards of other entries anew where the event can have changed the sums. */
@@ -65,9 +66,7 @@
             case RequestEvent e -> Requests.reduce(state, e);
             case ClaimEvent e -> Claims.reduce(state, e);
             case JobEvent e -> Jobs.reduce(state, e);
-            case LimitEvent.LedgerLoaded e ->
-                    Transition.of(state.withLimits(new LimitState(e.revision(), e.ledger())));
-            case LimitEvent.LedgerWriteFailed e -> Transition.of(state);
+            case LimitEvent e -> LedgerSync.reduce(state, e);
             case DrainRequested e -> Transition.of(state.withDraining());
         };
     }
@@ -82,7 +81,9 @@
         for (ShardId shard : state.shards().keySet()) {
             result = result.then(s -> tickShard(s, shard));
         }
-        return result.then(s -> Membership.tick(s, tick));
+        return result.then(Budgets::tick)
+                .then(s -> LedgerSync.tick(s, tick))
+                .then(s -> Membership.tick(s, tick));
     }
 
     private static Transition tickShard(State state, ShardId shard) {
