--- a/standins/src/test/java/org/jujubefork/standins/cell/Caller.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Caller.java
@@ -97,15 +97,13 @@
 
     private Attempt attempt(Request request, String address, int number, long deadline)
             throws InterruptedException {
-        String key =
-                newKeyOnRetry && number > 0 ? request.id() + "-" + number : request.id();
+        String key = newKeyOnRetry && number > 0 ? request.id() + "-" + number : request.id();
         HttpRequest.Builder message =
                 HttpRequest.newBuilder(
                                 URI.create(
                                         "http://" + address + ApiPaths.requests(request.queue())))
                         .timeout(
-                                Duration.ofNanos(
-                                        Math.max(1_000_000, deadline - System.nanoTime())))
+                                Duration.ofNanos(Math.max(1_000_000, deadline - System.nanoTime())))
                         .POST(HttpRequest.BodyPublishers.ofString(body(request)));
         request.key().ifPresent(k -> message.header("Authorization", "Bearer " + k));
         if (request.command()) {
@@ -113,8 +111,7 @@
         }
         try {
             return judge(
-                    request,
-                    http.send(message.build(), HttpResponse.BodyHandlers.ofByteArray()));
+                    request, http.send(message.build(), HttpResponse.BodyHandlers.ofByteArray()));
         } catch (ConnectException | HttpConnectTimeoutException e) {
             return new Attempt(Outcome.NOT_RUN, true, "no-connection", false);
         } catch (IOException e) {
--- a/standins/src/test/java/org/jujubefork/standins/cell/Controls.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Controls.java
@@ -24,8 +24,7 @@
                         .timeout(LIMIT)
                         .POST(HttpRequest.BodyPublishers.noBody())
                         .build();
-        HttpResponse<byte[]> response =
-                HTTP.send(request, HttpResponse.BodyHandlers.ofByteArray());
+        HttpResponse<byte[]> response = HTTP.send(request, HttpResponse.BodyHandlers.ofByteArray());
         if (response.statusCode() != 200) {
             throw new IOException(pathAndQuery + " gave " + response.statusCode());
         }
--- a/standins/src/test/java/org/jujubefork/standins/cell/Load.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Load.java
@@ -44,8 +44,7 @@
         try {
             for (int number = 0; !stopped; number++) {
                 Caller.Request request = source.request(number, random);
-                List<String> addresses =
-                        cell.addressesFrom(random.nextInt(cell.entries().size()));
+                List<String> addresses = cell.addressesFrom(random.nextInt(cell.entries().size()));
                 threads.add(Thread.ofVirtual().start(() -> send(request, addresses)));
                 Thread.sleep(pauseMillis);
             }
--- a/standins/src/test/java/org/jujubefork/standins/cell/TestCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/TestCell.java
@@ -94,8 +94,7 @@
         flags.addAll(plan.fleetFlags());
         ManagedProcess fleet = standin(WorkerFleetMain.class, flags.toArray(String[]::new));
         ManagedProcess vms =
-                standin(
-                        VmListMain.class, "--fleet", fleetFile("listed.json", listed).toString());
+                standin(VmListMain.class, "--fleet", fleetFile("listed.json", listed).toString());
         storePort = store.awaitPort(Await.LIMIT);
         fleetPort = fleet.awaitPort(Await.LIMIT);
         vmListPort = vms.awaitPort(Await.LIMIT);
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleet.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleet.java
@@ -30,7 +30,8 @@
         timer.setRemoveOnCancelPolicy(true);
         timer.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
         this.server = StandinServer.start(options.controlPort(), this::handle);
-        WorkerTransitions transitions = new WorkerTransitions(options.enforceCapacity(), options.ignoreEpochs());
+        WorkerTransitions transitions =
+                new WorkerTransitions(options.enforceCapacity(), options.ignoreEpochs());
         // The wall clock makes the incarnations of a restarted process differ from earlier ones.
         long incarnation = System.currentTimeMillis();
         for (FleetFile.Worker spec : file.workers()) {
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
@@ -236,9 +236,7 @@
 
         /** Returns whether the worker obeys another epoch; one without an epoch obeys none. */
         private boolean isForeign(Epoch epoch) {
-            return !ignoreEpochs
-                    && state.epoch().isPresent()
-                    && !state.epoch().get().equals(epoch);
+            return !ignoreEpochs && state.epoch().isPresent() && !state.epoch().get().equals(epoch);
         }
 
         WorkerOutcome faults(boolean leaving, boolean failStarts) {
--- a/standins/src/test/java/org/jujubefork/standins/proof/TakeoverTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/TakeoverTest.java
@@ -43,11 +43,7 @@
 
     private static Load load(TestCell cell, long seed) {
         return Load.start(
-                cell,
-                Caller.of(Duration.ofSeconds(15)),
-                PER_SECOND,
-                seed,
-                TakeoverTest::mixed);
+                cell, Caller.of(Duration.ofSeconds(15)), PER_SECOND, seed, TakeoverTest::mixed);
     }
 
     private static Optional<HistoryEvent> firstStart(
@@ -59,10 +55,8 @@
                 .findFirst();
     }
 
-    private static void assertTakenOver(TestCell cell, EntryVm owner, long fault)
-            throws Exception {
-        Await.until(
-                "takeover", () -> firstStart(cell, "z1", fault, owner.name()).isPresent());
+    private static void assertTakenOver(TestCell cell, EntryVm owner, long fault) throws Exception {
+        Await.until("takeover", () -> firstStart(cell, "z1", fault, owner.name()).isPresent());
         long nanos = firstStart(cell, "z1", fault, owner.name()).orElseThrow().nanos() - fault;
         Judgement.seen("TakeoverTest", "firstPlacementMillis=" + nanos / 1_000_000);
         assertTrue(nanos <= TAKEOVER_NANOS, "first placement after " + nanos + " ns");
