--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/cell/MainJob.java
@@ -0,0 +1,55 @@
+package org.jujubefork.standins.cell;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import org.jujubefork.standins.Flags;
+
+/**
+ * The main job: runs the cells of {@code examples} with stand-ins on loopback addresses, replays
+ * their recorded requests and judges what came of them. Exits with 1 if a checker fails.
+ */
+@SuppressWarnings("SystemOut") // a command's output
+public final class MainJob {
+    private MainJob() {}
+
+    public static void main(String[] args) throws Exception {
+        Flags flags =
+                Flags.parse(args, Set.of("deployment", "speed", "examples"), Set.of("kill-entry"));
+        Path examples = Path.of(flags.text("examples").orElse("examples"));
+        double speed = Double.parseDouble(flags.text("speed").orElse("1"));
+        boolean failed = false;
+        for (String name :
+                flags.text("deployment").map(List::of).orElse(List.of("plotshare", "alpenquell"))) {
+            failed |= run(name, examples.resolve(name), speed, flags.isSet("kill-entry"));
+        }
+        System.exit(failed ? 1 : 0);
+    }
+
+    private static boolean run(String name, Path folder, double speed, boolean kill)
+            throws Exception {
+        ExampleCell example = ExampleCell.read(folder);
+        System.out.println("deployment " + name + ": starting stand-ins and entries");
+        try (TestCell cell = TestCell.start(example.plan())) {
+            System.out.println("configuration applied, all workers leased; replaying");
+            Replay replay = new Replay(cell, example);
+            replay.run(speed, kill ? () -> kill(cell) : () -> {});
+            ReplayReport report = ReplayReport.of(example, replay, cell.fleetHistory());
+            report.lines().forEach(System.out::println);
+            System.out.println(
+                    "deployment " + name + ": " + (report.failed() ? "FAILED" : "passed"));
+            return report.failed();
+        }
+    }
+
+    /** Kills the second entry; the first one is asked for the ends of the jobs. */
+    private static void kill(TestCell cell) {
+        try {
+            EntryVm entry = cell.entry(1);
+            System.out.println("killing entry " + entry.name());
+            entry.kill();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Replay.java
@@ -0,0 +1,151 @@
+package org.jujubefork.standins.cell;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.jujubefork.client.api.ApiClient;
+import org.jujubefork.client.api.ApiException;
+import org.jujubefork.client.api.InvalidMessageException;
+import org.jujubefork.client.api.JobRequest;
+import org.jujubefork.client.api.JobView;
+import org.jujubefork.client.api.NotReachableException;
+
+/** Sends the recorded requests and jobs of an example at their times, spread over the entries. */
+final class Replay {
+    private static final Duration PATIENCE = Duration.ofSeconds(15);
+    private static final Duration LAST_ANSWER = Duration.ofSeconds(60);
+    private static final Duration LAST_JOB = Duration.ofSeconds(120);
+
+    private final TestCell cell;
+    private final ExampleCell example;
+    private final Caller caller = Caller.of(PATIENCE);
+    private final Queue<CallRecord> calls = new ConcurrentLinkedQueue<>();
+    private final Map<String, Job> jobs = new ConcurrentHashMap<>();
+    private final Queue<String> refusedJobs = new ConcurrentLinkedQueue<>();
+
+    Replay(TestCell cell, ExampleCell example) {
+        this.cell = cell;
+        this.example = example;
+    }
+
+    /**
+     * An accepted job.
+     *
+     * @param acceptedNanos when its caller had the answer
+     * @param state its last known state
+     */
+    record Job(String id, String team, String queue, long acceptedNanos, JobView.State state) {
+        Job in(JobView.State other) {
+            return new Job(id, team, queue, acceptedNanos, other);
+        }
+    }
+
+    List<CallRecord> calls() {
+        return List.copyOf(calls);
+    }
+
+    List<Job> jobs() {
+        return List.copyOf(jobs.values());
+    }
+
+    List<String> refusedJobs() {
+        return List.copyOf(refusedJobs);
+    }
+
+    /**
+     * Sends all lines and waits for the answers and for the ends of the jobs. Services are
+     * cancelled after the last line.
+     *
+     * @param halfway runs after half of the lines
+     */
+    void run(double speed, Runnable halfway) throws InterruptedException {
+        List<Thread> threads = new ArrayList<>();
+        long began = System.nanoTime();
+        for (int i = 0; i < example.recorded().size(); i++) {
+            JsonNode line = example.recorded().get(i);
+            if (i == example.recorded().size() / 2) {
+                halfway.run();
+            }
+            long at = (long) (line.path("atMillis").asLong() / speed);
+            long wait = at - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+            if (wait > 0) {
+                Thread.sleep(wait);
+            }
+            int number = i;
+            threads.add(Thread.ofVirtual().start(() -> send(line, number)));
+        }
+        for (Thread thread : threads) {
+            if (!thread.join(LAST_ANSWER)) {
+                throw new AssertionError("a caller has no answer after " + LAST_ANSWER);
+            }
+        }
+        awaitJobs();
+    }
+
+    private void send(JsonNode line, int number) {
+        try {
+            if (line.path("type").asText().equals("job")) {
+                submit(line, number);
+                return;
+            }
+            boolean command = line.has("idempotencyKey");
+            JsonNode body = line.path("body");
+            String id =
+                    command
+                            ? line.path("idempotencyKey").asText()
+                            : body.path("echo").asText() + "-" + number;
+            calls.add(
+                    caller.call(
+                            new Caller.Request(
+                                    id,
+                                    line.path("queue").asText(),
+                                    command,
+                                    cell.plan().key(line.path("team").asText()),
+                                    body.path("runMillis").asLong(),
+                                    body.path("answerBytes").asInt()),
+                            cell.addressesFrom(number % cell.entries().size())));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void submit(JsonNode line, int number) throws InterruptedException {
+        String team = line.path("team").asText();
+        String queue = line.path("queue").asText();
+        try (ApiClient client = cell.client(number, cell.plan().key(team))) {
+            JobView job =
+                    client.submit(
+                            new JobRequest(
+                                    queue,
+                                    line.path("body").path("echo").asText(),
+                                    line.path("tasks").asInt(1),
+                                    Optional.empty(),
+                                    line.path("body").toString(),
+                                    Optional.of(line.path("idempotencyKey").asText())));
+            jobs.put(job.id(), new Job(job.id(), team, queue, System.nanoTime(), job.state()));
+        } catch (ApiException | NotReachableException | InvalidMessageException e) {
+            refusedJobs.add(queue + ": " + e.getMessage());
+        }
+    }
+
+    private void awaitJobs() throws InterruptedException {
+        long deadline = System.nanoTime() + LAST_JOB.toNanos();
+        for (Job job : jobs()) {
+            try (ApiClient client = cell.client(0, cell.plan().key(job.team()))) {
+                boolean service = example.kinds().get(job.queue()).equals("service");
+                Duration left = Duration.ofNanos(Math.max(1_000_000, deadline - System.nanoTime()));
+                JobView end = service ? client.cancel(job.id()) : client.await(job.id(), left);
+                jobs.put(job.id(), job.in(end.state()));
+            } catch (ApiException | NotReachableException | InvalidMessageException e) {
+                refusedJobs.add("no state of job " + job.id() + ": " + e.getMessage());
+            }
+        }
+    }
+}
