--- a/standins/src/test/java/org/jujubefork/standins/cell/Caller.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Caller.java
@@ -9,9 +9,11 @@
 import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jujubefork.client.api.ApiPaths;
 import org.jujubefork.client.api.OutcomeNames;
 import org.jujubefork.core.model.Outcome;
@@ -24,8 +26,8 @@
 public final class Caller {
     private static final Duration CONNECT = Duration.ofSeconds(1);
     private static final long PAUSE_MILLIS = 100;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final ObjectMapper mapper = new ObjectMapper();
     private final HttpClient http =
             HttpClient.newBuilder()
                     .version(HttpClient.Version.HTTP_1_1)
@@ -33,20 +35,28 @@
                     .build();
     private final Duration patience;
     private final boolean newKeyOnRetry;
+    private final int maxAttempts;
+    private final AtomicLong broken = new AtomicLong();
 
-    private Caller(Duration patience, boolean newKeyOnRetry) {
+    private Caller(Duration patience, int maxAttempts, boolean newKeyOnRetry) {
         this.patience = patience;
+        this.maxAttempts = maxAttempts;
         this.newKeyOnRetry = newKeyOnRetry;
     }
 
     /** Returns a caller that repeats for up to {@code patience}. */
     public static Caller of(Duration patience) {
-        return new Caller(patience, false);
+        return new Caller(patience, Integer.MAX_VALUE, false);
+    }
+
+    /** Returns a caller that sends each request once and waits for up to {@code patience}. */
+    public static Caller once(Duration patience) {
+        return new Caller(patience, 1, false);
     }
 
     /** Returns a caller that breaks the rule: it repeats commands under a new key. */
     public static Caller withNewKeyOnRetry(Duration patience) {
-        return new Caller(patience, true);
+        return new Caller(patience, Integer.MAX_VALUE, true);
     }
 
     /**
@@ -74,7 +84,9 @@
             Attempt attempt = attempt(request, addresses.get(i % addresses.size()), i, deadline);
             unknown |= attempt.outcome() == Outcome.UNKNOWN;
             wrongBody |= attempt.wrongBody();
-            boolean late = System.nanoTime() + PAUSE_MILLIS * 1_000_000 >= deadline;
+            boolean late =
+                    i + 1 >= maxAttempts
+                            || System.nanoTime() + PAUSE_MILLIS * 1_000_000 >= deadline;
             if (attempt.outcome() == Outcome.DONE || !attempt.retry() || late) {
                 Outcome outcome =
                         attempt.outcome() != Outcome.DONE && unknown
@@ -115,6 +127,7 @@
         } catch (ConnectException | HttpConnectTimeoutException e) {
             return new Attempt(Outcome.NOT_RUN, true, "no-connection", false);
         } catch (IOException e) {
+            broken.incrementAndGet();
             return new Attempt(Outcome.UNKNOWN, true, "connection-lost", false);
         }
     }
@@ -141,7 +154,7 @@
     }
 
     private String body(Request request) {
-        return mapper.createObjectNode()
+        return MAPPER.createObjectNode()
                 .put("echo", request.id())
                 .put("idempotencyKey", request.id())
                 .put("runMillis", request.runMillis())
@@ -149,9 +162,25 @@
                 .toString();
     }
 
-    private boolean isAnswer(Request request, byte[] body) {
+    /** Returns how many connections broke after a request was sent and before its answer. */
+    public long brokenConnections() {
+        return broken.get();
+    }
+
+    /** Returns what a worker answers to a request. */
+    public static byte[] answerTo(Request request) {
+        byte[] filler = new Filler(request.id()).next(request.answerBytes());
+        return MAPPER.createObjectNode()
+                .put("echo", request.id())
+                .put("filler", new String(filler, StandardCharsets.US_ASCII))
+                .toString()
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Returns whether a body is the whole answer to a request. */
+    public static boolean isAnswer(Request request, byte[] body) {
         try {
-            JsonNode node = mapper.readTree(body);
+            JsonNode node = MAPPER.readTree(body);
             return node.path("echo").asText().equals(request.id())
                     && Filler.matches(
                             request.id(), request.answerBytes(), node.path("filler").asText());
--- a/standins/src/test/java/org/jujubefork/standins/cell/Load.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Load.java
@@ -61,6 +61,11 @@
         }
     }
 
+    /** Returns how many connections broke after a request was sent and before its answer. */
+    public long brokenConnections() {
+        return caller.brokenConnections();
+    }
+
     /** Returns what the callers saw so far. */
     public List<CallRecord> records() {
         return List.copyOf(records);
--- a/standins/src/test/java/org/jujubefork/standins/cell/TestCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/TestCell.java
@@ -162,6 +162,18 @@
         }
     }
 
+    /** Applies a configuration through the first entry that accepts connections. */
+    public ApplyResult applyThroughAny(long ifVersion, String base) throws Exception {
+        for (EntryVm entry : entries) {
+            if (entry.process().isAlive()) {
+                try (ApiClient operator = clientOf(entry, Optional.of(plan.operatorKey()))) {
+                    return operator.apply(new ConfigApply(ifVersion, base, plan.overlays()));
+                }
+            }
+        }
+        throw new IOException("no entry is alive");
+    }
+
     /** Returns a client that tries the entries in order, beginning with {@code first}. */
     public ApiClient client(int first, Optional<String> key) {
         return ApiClient.of(ApiClientSettings.of(addressesFrom(first), key));
--- /dev/null
+++ b/standins/src/test/java/org/jujubefork/standins/proof/AtMostOnceTest.java
@@ -0,0 +1,113 @@
+package org.jujubefork.standins.proof;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.jujubefork.core.model.Outcome;
+import org.jujubefork.standins.cell.CallRecord;
+import org.jujubefork.standins.cell.Caller;
+import org.jujubefork.standins.cell.Load;
+import org.jujubefork.standins.cell.SmallCell;
+import org.jujubefork.standins.cell.TestCell;
+import org.jujubefork.standins.history.HistoryEvent;
+import org.testng.annotations.Test;
+
+/**
+ * P7 and P6. Guards against a non-idempotent request that runs twice because its caller repeats it
+ * through another entry, a store answer is lost, the store is down or its front entry dies, and
+ * against "not run" for a request that a worker started.
+ */
+public final class AtMostOnceTest {
+    private static final int PER_SECOND = 40;
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    private static Caller.Request command(int number, SplittableRandom random) {
+        return new Caller.Request(
+                "c" + number,
+                "red-command",
+                true,
+                Optional.of(SmallCell.key("red")),
+                100 + random.nextInt(300),
+                random.nextInt(1_000));
+    }
+
+    /** Loses answers, kills an entry, then takes the store away for 5 s. */
+    private static List<CallRecord> disturb(TestCell cell, Load load) throws Exception {
+        Thread.sleep(1_000);
+        cell.store("lose-answers?count=10");
+        Thread.sleep(1_500);
+        cell.entry(2).kill();
+        Thread.sleep(1_500);
+        cell.store("outage?on=true");
+        Thread.sleep(5_000);
+        cell.store("outage?on=false");
+        Thread.sleep(3_000);
+        return load.stop();
+    }
+
+    @Test
+    public void commandsRunAtMostOnce() throws Exception {
+        long seed = Judgement.seed("AtMostOnceTest", 301);
+        try (TestCell cell = TestCell.start(SmallCell.of(3).plan());
+                Load load =
+                        Load.start(
+                                cell,
+                                Caller.of(PATIENCE),
+                                PER_SECOND,
+                                seed,
+                                AtMostOnceTest::command)) {
+            List<CallRecord> calls = disturb(cell, load);
+            Judgement.seen("AtMostOnceTest", Judgement.summary(calls));
+            Judgement.safe(cell.fleetHistory(), calls);
+            long done = Judgement.count(calls, c -> c.outcome() == Outcome.DONE);
+            assertTrue(done > calls.size() / 2, "only " + done + " of " + calls.size());
+        }
+    }
+
+    /** Guards against a blind checker: callers repeat under new keys. */
+    @Test
+    public void checkerSeesRepeatsUnderNewKeys() throws Exception {
+        long seed = Judgement.seed("AtMostOnceTest.newKeys", 302);
+        try (TestCell cell = TestCell.start(SmallCell.of(3).plan());
+                Load load =
+                        Load.start(
+                                cell,
+                                Caller.withNewKeyOnRetry(PATIENCE),
+                                PER_SECOND,
+                                seed,
+                                AtMostOnceTest::command)) {
+            Thread.sleep(1_500);
+            cell.entry(2).kill();
+            Thread.sleep(1_000);
+            load.stop();
+            List<HistoryEvent> history = cell.fleetHistory();
+            int twice = Judgement.atMostOnce(history).size();
+            Judgement.seen("AtMostOnceTest.newKeys", "startedTwice=" + twice);
+            assertFalse(twice == 0, "no request started twice");
+        }
+    }
+
+    /** Guards against a proof that does not depend on the claim: here the store ignores it. */
+    @Test
+    public void checkerSeesRepeatsWithoutClaims() throws Exception {
+        long seed = Judgement.seed("AtMostOnceTest.noClaims", 303);
+        try (TestCell cell = TestCell.start(SmallCell.of(3).plan())) {
+            cell.store("ignore-revisions?on=true");
+            try (Load load =
+                    Load.start(
+                            cell, Caller.of(PATIENCE), PER_SECOND, seed, AtMostOnceTest::command)) {
+                Thread.sleep(1_500);
+                cell.entry(2).kill();
+                Thread.sleep(1_000);
+                load.stop();
+            }
+            int twice = Judgement.atMostOnce(cell.fleetHistory()).size();
+            Judgement.seen("AtMostOnceTest.noClaims", "startedTwice=" + twice);
+            assertFalse(twice == 0, "no request started twice");
+        }
+    }
+}
--- a/standins/src/test/java/org/jujubefork/standins/store/KeyValueStore.java
+++ b/standins/src/test/java/org/jujubefork/standins/store/KeyValueStore.java
@@ -41,6 +41,7 @@
     private TokenBucket reads;
     private final Map<String, Long> counters = new TreeMap<>();
     private ScheduledFuture<?> expiry;
+    private boolean ignoreRevisions;
 
     private KeyValueStore(StoreOptions options, HistorySink history) throws IOException {
         this.history = history;
@@ -80,6 +81,14 @@
         locked(() -> faults = faults.withNonsense(count));
     }
 
+    /**
+     * Executes writes whatever revision they expect; tests use it to see that the checkers notice
+     * what compare-and-swap prevents.
+     */
+    public void ignoreRevisions(boolean on) {
+        locked(() -> ignoreRevisions = on);
+    }
+
     /** Returns how many calls of each kind came in, and how many were refused or failed. */
     public Map<String, Long> counters() {
         lock.lock();
@@ -173,6 +182,9 @@
             return Reply.error(413, "TOO_LARGE", "value has " + call.body().length + " bytes");
         }
         StoreCommand command = StoreHttp.command(call);
+        if (ignoreRevisions) {
+            command = StoreHttp.withoutRevision(command);
+        }
         StoreOutcome outcome = apply(command);
         if (faults.loseAnswers() > 0 && outcome instanceof StoreOutcome.Written) {
             faults = faults.withLoseAnswers(faults.loseAnswers() - 1);
--- a/standins/src/test/java/org/jujubefork/standins/store/StoreControl.java
+++ b/standins/src/test/java/org/jujubefork/standins/store/StoreControl.java
@@ -11,6 +11,8 @@
     static Reply handle(KeyValueStore store, Call call) {
         switch (call.path()) {
             case "/control/outage" -> store.outage(call.text("on").equals("true"));
+            case "/control/ignore-revisions" ->
+                    store.ignoreRevisions(call.text("on").equals("true"));
             case "/control/slow" -> store.slowMillis(call.number("millis"));
             case "/control/lose-answers" -> store.loseAnswers(call.number("count"));
             case "/control/nonsense" -> store.nonsense(call.number("count"));
--- a/standins/src/test/java/org/jujubefork/standins/store/StoreHttp.java
+++ b/standins/src/test/java/org/jujubefork/standins/store/StoreHttp.java
@@ -71,6 +71,15 @@
         };
     }
 
+    static StoreCommand withoutRevision(StoreCommand command) {
+        return switch (command) {
+            case StoreCommand.Put p ->
+                    new StoreCommand.Put(p.key(), p.value(), OptionalLong.empty(), p.lease());
+            case StoreCommand.Delete d -> new StoreCommand.Delete(d.key(), OptionalLong.empty());
+            default -> command;
+        };
+    }
+
     static Reply reply(Call call, StoreOutcome outcome) {
         return switch (outcome) {
             case StoreOutcome.Written w ->
