--- a/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
@@ -39,20 +39,12 @@
         node.set("size", RecordJson.resources(job.size()));
         ArrayNode parts = node.putArray("parts");
         for (JobPart part : job.parts()) {
-<<<<<<< HEAD
-            ObjectNode item =
-=======
             ObjectNode object =
->>>>>>> main
                     parts.addObject()
                             .put("shard", part.shard().value())
                             .put("from", part.from())
                             .put("to", part.to());
-<<<<<<< HEAD
-            part.movingTo().ifPresent(to -> item.put("movingTo", to.value()));
-=======
             part.movingTo().ifPresent(s -> object.put("movingTo", s.value()));
->>>>>>> main
         }
         ArrayNode succeeded = node.putArray("succeeded");
         job.succeeded().forEach(succeeded::add);
@@ -60,11 +52,7 @@
         job.attempts().forEach((index, count) -> attempts.put(Integer.toString(index), count));
         node.put("run", job.run());
         ObjectNode progress = node.putObject("progress");
-<<<<<<< HEAD
-        job.progress().forEach((index, part) -> progress.put(Integer.toString(index), part));
-=======
         job.progress().forEach((index, done) -> progress.put(Integer.toString(index), done));
->>>>>>> main
         return node.toString();
     }
 
@@ -82,11 +70,7 @@
                                     part.required("from").asInt(),
                                     part.required("to").asInt(),
                                     Optional.ofNullable(part.get("movingTo"))
-<<<<<<< HEAD
-                                            .map(to -> ShardId.of(to.asText()))));
-=======
                                             .map(s -> ShardId.of(s.asText()))));
->>>>>>> main
         }
         PSortedSet<Integer> succeeded = TreePSet.empty();
         for (JsonNode index : node.required("succeeded")) {
