--- a/standins/src/test/java/org/jujubefork/standins/proof/ConfigurationTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/ConfigurationTest.java
@@ -53,14 +53,12 @@
         ApplyResult result =
                 cell.apply(
                         ifVersion,
-                        ConfigurationTexts.withWeight(
-                                cell.plan().configuration(), "red", weight));
+                        ConfigurationTexts.withWeight(cell.plan().configuration(), "red", weight));
         assertEquals(result.status(), ApplyResult.Status.ACCEPTED);
         return result.version();
     }
 
-    private static void awaitVersion(TestCell cell, long version, long accepted)
-            throws Exception {
+    private static void awaitVersion(TestCell cell, long version, long accepted) throws Exception {
         for (EntryVm entry : cell.entries()) {
             Await.until(
                     "version " + version + " on " + entry.name(),
--- a/standins/src/test/java/org/jujubefork/standins/proof/JobsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/JobsTest.java
@@ -65,8 +65,7 @@
             JobView batchEnd = client.await(batch, Duration.ofSeconds(60));
             JobView gangEnd = client.await(gang, Duration.ofSeconds(60));
             List<HistoryEvent> history = cell.fleetHistory();
-            Judgement.seen(
-                    "JobsTest", "batch=" + batchEnd.state() + " gang=" + gangEnd.state());
+            Judgement.seen("JobsTest", "batch=" + batchEnd.state() + " gang=" + gangEnd.state());
             Judgement.safe(history, List.of());
             assertEquals(batchEnd.state(), JobView.State.SUCCEEDED, batchEnd.reason());
             assertEquals(gangEnd.state(), JobView.State.SUCCEEDED, gangEnd.reason());
--- a/standins/src/test/java/org/jujubefork/standins/proof/RecoverySample.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/RecoverySample.java
@@ -30,6 +30,7 @@
     private static final int PER_SECOND = 50;
     private static final Duration IDLE = Duration.ofSeconds(20);
     private static final Duration SETTLE = Duration.ofSeconds(5);
+
     /** Clock ticks per second in /proc/PID/stat, which Linux fixes for programs. */
     private static final double TICKS_PER_SECOND = 100;
 
@@ -45,8 +46,7 @@
             double peerBytesPerSecond) {}
 
     static Result measure(long seed) throws Exception {
-        CellPlan plan =
-                SmallCell.of(ENTRIES).workers(ZONES, WORKERS_PER_ZONE, SLOTS).plan();
+        CellPlan plan = SmallCell.of(ENTRIES).workers(ZONES, WORKERS_PER_ZONE, SLOTS).plan();
         try (TestCell cell = TestCell.start(plan)) {
             Thread.sleep(SETTLE);
             Idle idle = Idle.measure(cell);
@@ -70,10 +70,7 @@
     private static double change(TestCell cell) throws Exception {
         long began = System.nanoTime();
         long version =
-                cell.apply(
-                                1,
-                                ConfigurationTexts.withWeight(
-                                        cell.plan().configuration(), "red", 2))
+                cell.apply(1, ConfigurationTexts.withWeight(cell.plan().configuration(), "red", 2))
                         .version();
         for (EntryVm entry : cell.entries()) {
             Await.until("version on " + entry.name(), () -> version(cell, entry) >= version);
--- a/standins/src/test/java/org/jujubefork/standins/proof/SaturationTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/SaturationTest.java
@@ -88,8 +88,7 @@
     @Test
     public void fullWorkersHoldNoMore() throws Exception {
         long seed = Judgement.seed("SaturationTest", 701);
-        List<HistoryEvent> history =
-                saturate(SmallCell.of(3).taskSize(TASK).plan(), true, seed);
+        List<HistoryEvent> history = saturate(SmallCell.of(3).taskSize(TASK).plan(), true, seed);
         Judgement.none(new CapacityChecker().check(history));
     }
 
--- a/standins/src/test/java/org/jujubefork/standins/proof/StoreOutageTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/StoreOutageTest.java
@@ -40,8 +40,7 @@
                             Optional.empty()));
             return Optional.empty();
         } catch (ApiException e) {
-            return Optional.of(
-                    org.jujubefork.client.api.OutcomeNames.parse(e.error().outcome()));
+            return Optional.of(org.jujubefork.client.api.OutcomeNames.parse(e.error().outcome()));
         }
     }
 
@@ -88,8 +87,6 @@
     }
 
     private static List<CallRecord> between(List<CallRecord> calls, long from, long to) {
-        return calls.stream()
-                .filter(c -> c.beganNanos() >= from && c.endedNanos() <= to)
-                .toList();
+        return calls.stream().filter(c -> c.beganNanos() >= from && c.endedNanos() <= to).toList();
     }
 }
--- a/standins/src/test/java/org/jujubefork/standins/proof/TeamLimitTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/TeamLimitTest.java
@@ -43,8 +43,7 @@
             Thread.sleep(10_000);
             ApplyResult lowered =
                     cell.applyThroughAny(
-                            1,
-                            ConfigurationTexts.withLimit(plan.configuration(), "red", LOWERED));
+                            1, ConfigurationTexts.withLimit(plan.configuration(), "red", LOWERED));
             points.add(new LimitPoint("red", System.nanoTime() + CHANGE_NANOS, LOWERED));
             assertEquals(lowered.status(), ApplyResult.Status.ACCEPTED);
             Thread.sleep(9_000);
