Checkpoint the last tasks on reserved workers before other reclaiming

Cause: an attempt to reclaim that found nothing paused its lane for 15 s, and the review of the reservation waited for the same pause, so it rarely ran.

Change: the reservation is reviewed first, and an attempt in vain pauses 1 s.

--- a/bench/src/main/java/org/jujubefork/bench/DecisionBenchmark.java
+++ b/bench/src/main/java/org/jujubefork/bench/DecisionBenchmark.java
@@ -38,6 +38,7 @@
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 public class DecisionBenchmark {
     private static final int BACKLOG_PER_TEAM = 20;
+    private static final int GANG_TASKS = 500;
     private static final Resources BATCH_SIZE = Resources.of(2_000, 8_000, 0);
 
     /** Workers of the cell. */
@@ -157,6 +158,31 @@
         return result;
     }
 
+    /** A gang of 500 tasks is placed at once on a fleet with room. */
+    @Benchmark
+    public Transition gangOf500() {
+        ShardState shard = owned(idle);
+        QueuedWork gang =
+                new QueuedWork.Gang(
+                        JobId.of("gang"),
+                        GANG_TASKS,
+                        1,
+                        Fixture.team(0),
+                        Fixture.batch(0),
+                        Resources.of(100, 100, 0),
+                        "",
+                        Fixture.NOW_MILLIS);
+        return Reducer.reduce(
+                idle.withShard(shard.withQueue(shard.queue().plus(gang))),
+                new Tick(Fixture.NOW_MILLIS, 1));
+    }
+
+    /** Time passes while batch tasks of all teams wait on a full fleet. */
+    @Benchmark
+    public Transition tickOnFullFleet() {
+        return Reducer.reduce(full, new Tick(Fixture.NOW_MILLIS, 1));
+    }
+
     private static WorkerEffect.StartTask started(Transition transition) {
         for (var effect : transition.effects()) {
             if (effect instanceof WorkerEffect.StartTask start) {
--- a/core/src/main/java/org/jujubefork/core/placement/Reclaim.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reclaim.java
@@ -28,6 +28,9 @@
     /** How long a lane waits for preempted tasks to end before more are preempted for it. */
     static final long PASS_MILLIS = 15_000;
 
+    /** How long a lane waits after an attempt that found nothing to preempt. */
+    static final long IN_VAIN_MILLIS = 1_000;
+
     /** As {@link #PASS_MILLIS}, for urgent requests. */
     static final long URGENT_PASS_MILLIS = 2_000;
 
@@ -43,7 +46,7 @@
                 oldestDue(state, owned, List.of(Lane.URGENT), URGENT_WAIT_MILLIS);
         Transition result =
                 urgent.map(key -> forUrgent(state, shard, key)).orElse(Transition.of(state));
-        return result.then(s -> forShare(s, shard)).then(s -> forReservation(s, shard));
+        return result.then(s -> forReservation(s, shard)).then(s -> forShare(s, shard));
     }
 
     /**
@@ -147,8 +150,8 @@
             StopMode mode,
             long pauseMillis) {
         ShardState owned = state.shards().get(shard);
-        Scheduling paused =
-                owned.scheduling().reclaimingUntil(lane, state.nowMillis() + pauseMillis);
+        long pause = victims.isEmpty() ? IN_VAIN_MILLIS : pauseMillis;
+        Scheduling paused = owned.scheduling().reclaimingUntil(lane, state.nowMillis() + pause);
         Transition result = Transition.of(state.withShard(owned.withScheduling(paused)));
         for (RunningTask victim : victims) {
             result = result.then(s -> stopOne(s, shard, lane.team(), victim, mode));
--- a/core/src/test/java/org/jujubefork/core/placement/GangTest.java
+++ b/core/src/test/java/org/jujubefork/core/placement/GangTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.jujubefork.core.configuration.Tuning;
 import org.jujubefork.core.control.Cell;
+import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.WorkKind;
@@ -63,6 +64,25 @@
         assertTrue(cell.placed(WorkKind.GANG, 1).isEmpty());
     }
 
+    /** Guards against one long task that keeps all the other reserved workers idle. */
+    @Test
+    public void lastLongTaskOnReservedWorkersIsCheckpointed() {
+        Cell cell = Cell.of(2, 2, Tuning.DEFAULT);
+        cell.enqueue("fill", WorkKind.BATCH, 0, 6, BATCH);
+        cell.acceptStarts();
+        cell.gang("gang", 1, 2, LARGE);
+        List<RunningTask> tasks = cell.placed(WorkKind.BATCH, 0);
+        tasks.subList(1, tasks.size()).forEach(t -> cell.end(t, EndReason.SUCCEEDED));
+        cell.effects.clear();
+        cell.run(45_000);
+        var stops = cell.effects(WorkerEffect.StopTask.class);
+        assertEquals(stops.size(), 1);
+        assertEquals(stops.get(0).task(), tasks.get(0).spec().id());
+        cell.end(tasks.get(0), EndReason.CHECKPOINTED);
+        cell.run(200);
+        assertEquals(cell.placed(WorkKind.GANG, 1).size(), 2);
+    }
+
     /** Guards against a reservation that outlives its gang and keeps workers idle. */
     @Test
     public void reservationEndsWithItsGang() {
