--- a/core/src/main/java/org/jujubefork/core/placement/Gangs.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Gangs.java
@@ -6,12 +6,14 @@
 import java.util.Optional;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.Effect;
 import org.jujubefork.core.limits.Limits;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.WorkerId;
 import org.pcollections.PSortedMap;
 import org.pcollections.TreePMap;
+import org.pcollections.TreePVector;
 
 /** Places jobs that need all their tasks at once, and keeps workers for those that wait long. */
 final class Gangs {
@@ -59,17 +61,16 @@
             State state, ShardId shard, QueuedWork.Gang gang, Demand demand) {
         PlacementPolicy policy =
                 Scheduler.placement(state.configuration().orElseThrow(), gang.kind());
-        Transition result = Transition.of(state);
+        ShardState placed = state.shards().get(shard);
+        List<Effect> effects = new ArrayList<>();
         for (int index = 0; index < gang.tasks(); index++) {
-            State current = result.state();
-            Optional<WorkerId> worker = policy.choose(current.shards().get(shard).index(), demand);
+            Optional<WorkerId> worker = policy.choose(placed.index(), demand);
             if (worker.isEmpty()) {
                 return Optional.empty();
             }
-            int next = index;
-            result = result.then(s -> Starts.gangTask(s, shard, gang, next, worker.get()));
+            placed = Starts.gangTask(placed, state.nowMillis(), gang, index, worker.get(), effects);
         }
-        return Optional.of(result);
+        return Optional.of(new Transition(state.withShard(placed), TreePVector.from(effects)));
     }
 
     private static Optional<Transition> placeReserved(
@@ -85,15 +86,18 @@
             }
         }
         State released = Scheduler.without(release(state, shard), shard, reservation.position());
-        Transition result = Transition.of(released);
+        ShardState placed = released.shards().get(shard);
+        List<Effect> effects = new ArrayList<>();
         int index = 0;
         for (var part : reservation.parts().entrySet()) {
             for (int i = 0; i < part.getValue(); i++) {
-                int next = index++;
-                result = result.then(s -> Starts.gangTask(s, shard, gang, next, part.getKey()));
+                placed =
+                        Starts.gangTask(
+                                placed, state.nowMillis(), gang, index, part.getKey(), effects);
+                index++;
             }
         }
-        return Optional.of(result);
+        return Optional.of(new Transition(released.withShard(placed), TreePVector.from(effects)));
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/placement/Starts.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Starts.java
@@ -1,9 +1,12 @@
 package org.jujubefork.core.placement;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
 import org.jujubefork.core.effect.DecisionKind;
+import org.jujubefork.core.effect.Effect;
 import org.jujubefork.core.effect.LogDecision;
 import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.model.JobTask;
@@ -12,6 +15,7 @@
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.TaskSpec;
 import org.jujubefork.core.model.WorkerId;
+import org.pcollections.TreePVector;
 
 /** Places work on a chosen worker and sends the start. */
 final class Starts {
@@ -19,81 +23,91 @@
 
     /** Starts {@code work}, which is no longer in the queue, on {@code worker}. */
     static Transition one(State state, ShardId shard, QueuedWork work, WorkerId worker) {
-        return switch (work) {
-            case QueuedWork.Request request ->
-                    start(state, shard, spec(state, shard, request), worker, work, request);
-            case QueuedWork.Task task ->
-                    start(
-                            state,
-                            shard,
-                            spec(
-                                    state,
-                                    shard,
-                                    task,
-                                    new JobTask(task.job(), task.index(), task.attempt()),
-                                    task.payload()),
-                            worker,
-                            work,
-                            null);
-            case QueuedWork.Gang gang ->
-                    throw new IllegalArgumentException(
-                            "a gang is not started as one task: " + gang.job());
-        };
+        ShardState owned = state.shards().get(shard);
+        List<Effect> effects = new ArrayList<>();
+        ShardState started =
+                switch (work) {
+                    case QueuedWork.Request request ->
+                            start(
+                                    owned,
+                                    state.nowMillis(),
+                                    spec(owned, request),
+                                    worker,
+                                    work,
+                                    effects);
+                    case QueuedWork.Task task ->
+                            start(
+                                    owned,
+                                    state.nowMillis(),
+                                    spec(
+                                            owned,
+                                            task,
+                                            new JobTask(task.job(), task.index(), task.attempt()),
+                                            task.payload()),
+                                    worker,
+                                    work,
+                                    effects);
+                    case QueuedWork.Gang gang ->
+                            throw new IllegalArgumentException(
+                                    "a gang is not started as one task: " + gang.job());
+                };
+        return new Transition(state.withShard(started), TreePVector.from(effects));
     }
 
-    /** Starts the task {@code index} of {@code gang} on {@code worker}. */
-    static Transition gangTask(
-            State state, ShardId shard, QueuedWork.Gang gang, int index, WorkerId worker) {
+    /** Returns {@code shard} with the task {@code index} of {@code gang} placed on a worker. */
+    static ShardState gangTask(
+            ShardState shard,
+            long nowMillis,
+            QueuedWork.Gang gang,
+            int index,
+            WorkerId worker,
+            List<Effect> effects) {
         JobTask task = new JobTask(gang.job(), index, gang.attempt());
-        TaskSpec spec = spec(state, shard, gang, task, gang.payload());
-        return start(state, shard, spec, worker, gang, null);
+        TaskSpec spec = spec(shard, gang, task, gang.payload());
+        return start(shard, nowMillis, spec, worker, gang, effects);
     }
 
-    private static Transition start(
-            State state,
-            ShardId shard,
+    private static ShardState start(
+            ShardState owned,
+            long nowMillis,
             TaskSpec spec,
             WorkerId worker,
             QueuedWork work,
-            QueuedWork.Request request) {
-        ShardState owned = state.shards().get(shard);
+            List<Effect> effects) {
         WorkerState chosen = owned.workers().get(worker);
-        Optional<RequestOrigin> origin =
-                Optional.ofNullable(request).map(QueuedWork.Request::origin);
+        Optional<QueuedWork.Request> request =
+                work instanceof QueuedWork.Request r ? Optional.of(r) : Optional.empty();
+        Optional<RequestOrigin> origin = request.map(QueuedWork.Request::origin);
         Resources learned = owned.scheduling().learnedSize(work.queue(), work.size());
-        RunningTask bare =
-                RunningTask.starting(spec, worker, state.nowMillis(), origin).charged(learned);
-        RunningTask task = request == null ? bare : bare.startedFor(request);
+        RunningTask bare = RunningTask.starting(spec, worker, nowMillis, origin).charged(learned);
+        RunningTask task = request.map(bare::startedFor).orElse(bare);
+        effects.add(
+                new WorkerEffect.StartTask(
+                        worker,
+                        chosen.listing().address(),
+                        owned.epoch(),
+                        chosen.incarnation(),
+                        spec,
+                        origin.map(RequestOrigin::request)));
+        effects.add(
+                new LogDecision(
+                        DecisionKind.PLACED,
+                        spec.id().value(),
+                        Optional.of(spec.team()),
+                        worker.value(),
+                        spec.kind().name(),
+                        Math.max(0, owned.index().size() - 1),
+                        nowMillis - work.sinceMillis()));
         ShardState placed = owned.place(task).withQueue(owned.queue().withNextSequence());
-        if (request != null) {
-            Scheduling noted = placed.scheduling();
-            placed =
-                    placed.withScheduling(
-                            noted.withDrain(noted.drain().plusStart(state.nowMillis())));
-        }
-        return Transition.of(state.withShard(placed))
-                .with(
-                        new WorkerEffect.StartTask(
-                                worker,
-                                chosen.listing().address(),
-                                owned.epoch(),
-                                chosen.incarnation(),
-                                spec,
-                                origin.map(RequestOrigin::request)))
-                .with(
-                        new LogDecision(
-                                DecisionKind.PLACED,
-                                spec.id().value(),
-                                Optional.of(spec.team()),
-                                worker.value(),
-                                spec.kind().name(),
-                                Math.max(0, owned.index().size() - 1),
-                                state.nowMillis() - work.sinceMillis()));
+        Scheduling noted = placed.scheduling();
+        return request.isEmpty()
+                ? placed
+                : placed.withScheduling(noted.withDrain(noted.drain().plusStart(nowMillis)));
     }
 
-    private static TaskSpec spec(State state, ShardId shard, QueuedWork.Request work) {
+    private static TaskSpec spec(ShardState shard, QueuedWork.Request work) {
         return new TaskSpec(
-                taskId(work.origin().request().value(), state.shards().get(shard)),
+                taskId(work.origin().request().value(), shard),
                 work.team(),
                 work.queue(),
                 work.kind(),
@@ -102,10 +116,9 @@
                 "");
     }
 
-    private static TaskSpec spec(
-            State state, ShardId shard, QueuedWork work, JobTask task, String payload) {
+    private static TaskSpec spec(ShardState shard, QueuedWork work, JobTask task, String payload) {
         return new TaskSpec(
-                taskId(task.job() + "/" + task.index(), state.shards().get(shard)),
+                taskId(task.job() + "/" + task.index(), shard),
                 work.team(),
                 work.queue(),
                 work.kind(),
