Preempt nothing for requests that wait for slots; remove warnings

Cause: the choice of tasks to preempt left reserved slots out of account, so that a request without a slot had batch tasks checkpointed in vain. For gangs it left observed sizes out of account.

Change: both use the same sums as placement. The new test fails without the change. Unused parameters and reference comparisons are gone.

--- a/core/src/main/java/org/jujubefork/core/placement/Gangs.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Gangs.java
@@ -114,9 +114,9 @@
             kept = release(state, shard);
         }
         for (WorkQueue.Position position : waiting(kept, kept.shards().get(shard))) {
-            State reserved = reserve(kept, shard, position);
-            if (reserved != kept) {
-                return reserved;
+            Optional<State> reserved = reserve(kept, shard, position);
+            if (reserved.isPresent()) {
+                return reserved.get();
             }
         }
         return kept;
@@ -161,7 +161,8 @@
     }
 
     /** Reserves workers on which all tasks fit once batch tasks have ended, if there are any. */
-    private static State reserve(State state, ShardId shard, WorkQueue.Position position) {
+    private static Optional<State> reserve(
+            State state, ShardId shard, WorkQueue.Position position) {
         ShardState owned = state.shards().get(shard);
         QueuedWork.Gang gang = (QueuedWork.Gang) owned.queue().at(position).orElseThrow();
         Demand demand = Scheduler.demand(state, owned, gang);
@@ -176,7 +177,7 @@
             missing -= part;
         }
         if (missing > 0) {
-            return state;
+            return Optional.empty();
         }
         ShardState reserved = owned;
         for (var part : parts.entrySet()) {
@@ -184,8 +185,8 @@
             reserved = reserved.withWorker(worker.reserving(demand.size().times(part.getValue())));
         }
         Reservation made = new Reservation(position, gang.job(), state.nowMillis(), parts);
-        return state.withShard(
-                reserved.withScheduling(reserved.scheduling().withReservation(Optional.of(made))));
+        Scheduling noted = reserved.scheduling().withReservation(Optional.of(made));
+        return Optional.of(state.withShard(reserved.withScheduling(noted)));
     }
 
     private static List<Room> rooms(ShardState shard, Demand demand) {
--- a/core/src/main/java/org/jujubefork/core/placement/ShardState.java
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardState.java
@@ -154,10 +154,8 @@
 
     /** Returns this shard with other notes of the scheduler. */
     ShardState withScheduling(Scheduling value) {
-        return value == scheduling
-                ? this
-                : new ShardState(
-                        id, epoch, claimedAtMillis, workers, index, book, capacity, queue, value);
+        return new ShardState(
+                id, epoch, claimedAtMillis, workers, index, book, capacity, queue, value);
     }
 
     private ShardState withBook(TaskBook value) {
--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -44,7 +44,7 @@
                                     : state);
             case TaskEvent.StartRefused e -> refused(state, shard, task, e);
             case TaskEvent.StartNotSent e -> notSent(state, shard, task);
-            case TaskEvent.StartUnknown e -> unknown(state, shard, task, e);
+            case TaskEvent.StartUnknown e -> unknown(state, shard, task);
             case TaskEvent.RequestFinished e -> finished(state, shard, task, e);
             case TaskEvent.StopConfirmed e -> stopConfirmed(state, shard, task);
             case TaskEvent.StopFailed e ->
@@ -93,8 +93,7 @@
         return Jobs.startRefused(released, shard.id(), task);
     }
 
-    private static Transition unknown(
-            State state, ShardState shard, RunningTask task, TaskEvent.StartUnknown event) {
+    private static Transition unknown(State state, ShardState shard, RunningTask task) {
         ShardState judged = Verdicts.failed(state, shard, task);
         State unconfirmed = state.withShard(judged.update(task.in(TaskPhase.UNCONFIRMED)));
         Transition result =
--- a/core/src/main/java/org/jujubefork/core/placement/Victims.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Victims.java
@@ -66,9 +66,9 @@
         List<RunningTask> chosen = new ArrayList<>();
         for (var part : reservation.get().parts().entrySet()) {
             WorkerState worker = shard.workers().get(part.getKey());
-            Resources free = worker.free();
+            List<RunningTask> here = new ArrayList<>();
             for (RunningTask task : newestOn(state, shard, worker)) {
-                if (Gangs.fitting(free, demand) >= part.getValue()) {
+                if (Gangs.fitting(freeAfter(worker, here), demand) >= part.getValue()) {
                     break;
                 }
                 TeamId team = task.spec().team();
@@ -76,13 +76,13 @@
                 double after = FleetUsage.weightedShare(state, team, Resources.ZERO.minus(less));
                 if (!team.equals(gang.team()) && after >= Math.max(fair, claimant)) {
                     freed.put(team, less);
-                    free = free.plus(task.spec().size());
-                    chosen.add(task);
+                    here.add(task);
                 }
             }
-            if (Gangs.fitting(free, demand) < part.getValue()) {
+            if (Gangs.fitting(freeAfter(worker, here), demand) < part.getValue()) {
                 return List.of();
             }
+            chosen.addAll(here);
         }
         return chosen;
     }
@@ -103,17 +103,17 @@
         for (var part : reservation.parts().entrySet()) {
             tasks += part.getValue();
             WorkerState worker = shard.workers().get(part.getKey());
-            Resources free = worker.free();
+            List<RunningTask> here = new ArrayList<>();
             for (RunningTask task : newestOn(state, shard, worker)) {
-                if (Gangs.fitting(free, demand) >= part.getValue()) {
+                if (Gangs.fitting(freeAfter(worker, here), demand) >= part.getValue()) {
                     break;
                 }
-                free = free.plus(task.spec().size());
-                chosen.add(task);
+                here.add(task);
             }
-            if (Gangs.fitting(free, demand) < part.getValue()) {
+            if (Gangs.fitting(freeAfter(worker, here), demand) < part.getValue()) {
                 return List.of();
             }
+            chosen.addAll(here);
         }
         return chosen.size() <= tasks ? chosen : List.of();
     }
@@ -127,7 +127,7 @@
             Resources declared = worker.capacity().minus(worker.committed());
             boolean candidate =
                     worker.isEligible()
-                            && worker.freeSlots() >= demand.slots()
+                            && hasSlots(worker, demand)
                             && demand.needed().fitsIn(declared.minus(worker.reserved()));
             if (!candidate) {
                 continue;
@@ -182,13 +182,13 @@
             }
             RunningTask task = shard.tasks().get(key.task());
             WorkerState worker = shard.workers().get(task.worker());
-            if (!mayStop(state, shard, task) || worker.freeSlots() < demand.slots()) {
+            if (!mayStop(state, shard, task) || !hasSlots(worker, demand)) {
                 continue;
             }
             List<RunningTask> chosen =
                     byWorker.computeIfAbsent(task.worker(), w -> new ArrayList<>());
             chosen.add(task);
-            if (demand.needed().fitsIn(roomAfter(worker, chosen))) {
+            if (demand.needed().fitsIn(freeAfter(worker, chosen).minus(worker.reserved()))) {
                 return chosen;
             }
         }
@@ -196,13 +196,18 @@
     }
 
     /** Returns what is free once {@code tasks} have ended, by declared and by observed sizes. */
-    private static Resources roomAfter(WorkerState worker, List<RunningTask> tasks) {
+    private static Resources freeAfter(WorkerState worker, List<RunningTask> tasks) {
         Resources declared = worker.committed().minus(sum(tasks));
         Resources observed = worker.load().observed();
         for (RunningTask task : tasks) {
             observed = observed.minus(task.charge());
         }
-        return worker.capacity().minus(declared.max(observed)).minus(worker.reserved());
+        return worker.capacity().minus(declared.max(observed));
+    }
+
+    /** Returns whether request slots are free; ending batch tasks does not free any. */
+    private static boolean hasSlots(WorkerState worker, Demand demand) {
+        return demand.slots() == 0 || worker.freeSlots() >= demand.slots() + demand.keepFreeSlots();
     }
 
     private static boolean mayStop(State state, ShardState shard, RunningTask task) {
--- a/core/src/test/java/org/jujubefork/core/control/Invariants.java
+++ b/core/src/test/java/org/jujubefork/core/control/Invariants.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -51,41 +52,28 @@
     }
 
     private static void checkIndex(ShardState shard, String context) {
-        List<String> expected = new ArrayList<>();
+        List<WorkerKey> expected = new ArrayList<>();
         Resources free = Resources.ZERO;
         for (WorkerState worker : shard.workers().values()) {
             if (worker.isEligible()) {
-                expected.add(worker.id() + " " + worker.available() + " " + worker.freeSlots());
+                expected.add(new WorkerKey(worker.available(), worker.freeSlots(), worker.id()));
                 free = free.plus(worker.available());
             }
         }
-        expected.sort(null);
-        List<String> byFree = new ArrayList<>();
-        List<String> byRack = new ArrayList<>();
-        long last = -1;
-        for (WorkerKey key : shard.index().byFree()) {
-            byFree.add(key.worker() + " " + key.free() + " " + key.slots());
-            assertTrue(key.free().cpuMillis() >= last, context + " index out of order");
-            last = key.free().cpuMillis();
+        List<WorkerKey> byFree = new ArrayList<>();
+        List<WorkerKey> bySlots = new ArrayList<>();
+        List<WorkerKey> byRack = new ArrayList<>();
+        shard.index().byFree().forEach(byFree::add);
+        shard.index().bySlots().forEach(bySlots::add);
+        shard.index().byRack().values().forEach(t -> t.forEach(byRack::add));
+        for (int i = 1; i < byFree.size(); i++) {
+            long before = byFree.get(i - 1).free().cpuMillis();
+            assertTrue(before <= byFree.get(i).free().cpuMillis(), context + " out of order");
+        }
+        for (List<WorkerKey> keys : List.of(byFree, bySlots, byRack)) {
+            keys.sort(Comparator.comparing(WorkerKey::worker));
+            assertEquals(keys, expected, context);
         }
-        shard.index()
-                .byRack()
-                .values()
-                .forEach(
-                        t ->
-                                t.forEach(
-                                        k ->
-                                                byRack.add(
-                                                        k.worker()
-                                                                + " "
-                                                                + k.free()
-                                                                + " "
-                                                                + k.slots())));
-        byFree.sort(null);
-        byRack.sort(null);
-        assertEquals(byFree, expected, context);
-        assertEquals(byRack, expected, context);
-        assertEquals(shard.index().bySlots().size(), expected.size(), context);
         assertEquals(shard.index().byFree().free(), free, context);
     }
 
--- a/core/src/test/java/org/jujubefork/core/control/RandomEventsTest.java
+++ b/core/src/test/java/org/jujubefork/core/control/RandomEventsTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.jujubefork.core.configuration.Tuning;
 import org.jujubefork.core.effect.Effect;
 import org.jujubefork.core.effect.RequestEffect;
@@ -43,11 +44,9 @@
 
     @DataProvider
     public Object[][] seeds() {
-        Object[][] seeds = new Object[12][];
-        for (int i = 0; i < seeds.length; i++) {
-            seeds[i] = new Object[] {1_000L + i};
-        }
-        return seeds;
+        return LongStream.range(1_000, 1_012)
+                .mapToObj(s -> new Object[] {s})
+                .toArray(Object[][]::new);
     }
 
     /**
@@ -70,15 +69,12 @@
     @Test
     public void replayGivesTheSameEffects() {
         World world = new World(77);
-        List<Effect> first = new ArrayList<>();
         world.cell.history.clear();
         State start = world.cell.state;
         for (int step = 0; step < 500; step++) {
-            int before = world.cell.history.size();
             world.eventStep();
-            assertTrue(world.cell.history.size() >= before);
         }
-        first.addAll(replay(start, world.cell.history));
+        List<Effect> first = replay(start, world.cell.history);
         assertEquals(replay(start, world.cell.history), first);
         assertFalse(first.isEmpty());
     }
--- a/core/src/test/java/org/jujubefork/core/placement/ReclaimTest.java
+++ b/core/src/test/java/org/jujubefork/core/placement/ReclaimTest.java
@@ -57,6 +57,23 @@
         assertTrue(cell.effects(WorkerEffect.StopTask.class).isEmpty());
     }
 
+    /** Guards against preemption for requests that wait for request slots and not for room. */
+    @Test
+    public void nothingIsPreemptedForRequestSlots() {
+        Tuning quick = new Tuning(100, 10_000, Resources.ZERO, 2, 20_000, 3, 5, 30_000, 2, 40);
+        Cell cell = Cell.of(1, 2, quick);
+        for (int i = 0; i < 7; i++) {
+            cell.request("r" + i, Cell.queue(WorkKind.LOOKUP, 1));
+        }
+        cell.enqueue("fill", WorkKind.BATCH, 0, 2, Resources.of(3_500, 3_500, 0));
+        cell.acceptStarts();
+        assertEquals(cell.placed(WorkKind.BATCH, 0).size(), 2);
+        assertEquals(cell.shard().queue().requestCount(), 1);
+        cell.effects.clear();
+        cell.run(5_000);
+        assertTrue(cell.effects(WorkerEffect.StopTask.class).isEmpty());
+    }
+
     /** Guards against two teams that preempt each other's tasks in turn. */
     @Test
     public void teamsDoNotPreemptEachOtherInTurn() {
--- a/core/src/test/java/org/jujubefork/core/requests/RoutingTest.java
+++ b/core/src/test/java/org/jujubefork/core/requests/RoutingTest.java
@@ -93,12 +93,15 @@
                         number));
     }
 
-    private static RequestEffect.Forward forward(Transition transition) {
+    private static Optional<RequestEffect.Forward> sent(Transition transition) {
         return transition.effects().stream()
                 .filter(RequestEffect.Forward.class::isInstance)
                 .map(RequestEffect.Forward.class::cast)
-                .findFirst()
-                .orElseThrow();
+                .findFirst();
+    }
+
+    private static RequestEffect.Forward forward(Transition transition) {
+        return sent(transition).orElseThrow();
     }
 
     private static Map<String, Integer> targets(State state) {
@@ -167,11 +170,7 @@
                                 new RequestEvent.ForwardFailed(
                                         20, forward.get().request(), forward.get().to(), false));
                 state = failed.state();
-                forward =
-                        failed.effects().stream()
-                                .filter(RequestEffect.Forward.class::isInstance)
-                                .map(RequestEffect.Forward.class::cast)
-                                .findFirst();
+                forward = sent(failed);
                 retries += forward.isPresent() ? 1 : 0;
             }
         }
