--- a/core/src/test/java/org/jujubefork/core/control/RandomEventsTest.java
+++ b/core/src/test/java/org/jujubefork/core/control/RandomEventsTest.java
@@ -44,7 +44,8 @@
 
     @DataProvider
     public Object[][] seeds() {
-        return LongStream.range(1_000, 1_012)
+        long first = Long.getLong("jujube.firstSeed", 1_000);
+        return LongStream.range(first, first + Integer.getInteger("jujube.seeds", 12))
                 .mapToObj(s -> new Object[] {s})
                 .toArray(Object[][]::new);
     }
