Test how budget moves and how lowered limits are reached

Budget that an idle shard kept as a margin could be the last task of another shard, so nothing is kept while other owners have unmet demand. The end of a stopped task is now read with a renewal at once, because stops were repeated until the next regular renewal.

--- a/core/src/main/java/org/jujubefork/core/limits/Caps.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Caps.java
@@ -124,7 +124,7 @@
             Resources need = servable ? Demands.need(shard, team, demand) : held;
             Resources chunk = LedgerPlan.chunk(limit);
             Resources missing = Demands.elsewhere(state, team).minus(unallocated);
-            Resources tight = need.plus(chunk.scaled(0.25)).min(budget);
+            Resources tight = need.min(budget);
             boolean wanted = hasPositiveInCommon(missing, budget.minus(tight));
             Resources loose = need.times(FAR_ABOVE).plus(chunk.times(FAR_ABOVE));
             boolean idle = !fleet.fitsIn(limit) && !budget.fitsIn(loose);
--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -131,6 +131,10 @@
     }
 
     private static Transition stopConfirmed(State state, ShardState shard, RunningTask task) {
+        if (task.phase() == TaskPhase.STOPPING) {
+            // The report says how far the task came, and frees what it held.
+            return Workers.renew(state, shard.id(), task.worker());
+        }
         if (task.phase() != TaskPhase.UNCONFIRMED) {
             return Transition.of(state);
         }
--- a/core/src/main/java/org/jujubefork/core/placement/Workers.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -62,14 +62,18 @@
     public static Transition renewAll(State state, ShardId shard) {
         Transition result = Transition.of(state);
         for (WorkerState worker : state.shards().get(shard).workers().values()) {
-            result =
-                    worker.phase() == WorkerPhase.ACQUIRING
-                            ? result
-                            : result.then(s -> ask(s, shard, worker.id()));
+            result = result.then(s -> renew(s, shard, worker.id()));
         }
         return result;
     }
 
+    /** Renews the lease of {@code worker} at once, for its report. */
+    public static Transition renew(State state, ShardId shard, WorkerId worker) {
+        return state.shards().get(shard).workers().get(worker).phase() == WorkerPhase.ACQUIRING
+                ? Transition.of(state)
+                : ask(state, shard, worker);
+    }
+
     /** Returns the owned shard that {@code worker} belongs to. */
     public static Optional<ShardState> shardOf(State state, WorkerId worker) {
         return state.shards().values().stream()
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/limits/LimitsTest.java
@@ -0,0 +1,235 @@
+package org.jujubefork.core.limits;
+
+import static org.jujubefork.core.testing.Fixtures.TASK;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jujubefork.core.control.Reducer;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.effect.StoreEffect;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.Event;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.testing.Cluster;
+import org.jujubefork.core.testing.Faults;
+import org.jujubefork.core.testing.Fixtures;
+import org.jujubefork.core.testing.Invariants;
+import org.jujubefork.core.testing.Node;
+import org.jujubefork.core.testing.Workload;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards how budget moves between shards, and what happens when a limit is lowered. */
+public class LimitsTest {
+    private static final TeamId TEAM = TeamId.of("a");
+
+    /** Time from a lower limit in the store until the running work is within it. */
+    private static final long LOWERED_MILLIS = 15_000;
+
+    private final List<Long> writeTimes = new ArrayList<>();
+    private final Map<TaskId, WorkKind> stopped = new LinkedHashMap<>();
+    private Cluster cluster;
+    private Workload workload;
+
+    @BeforeMethod
+    public void clear() {
+        writeTimes.clear();
+        stopped.clear();
+    }
+
+    private void start(long seed, int entries, int zones, int limit) {
+        cluster = new Cluster(seed, Fixtures.configuration(1, entries, Map.of("a", limit)));
+        for (int i = 0; i < entries; i++) {
+            cluster.addNode("e" + i, "z" + i % zones, this::observed);
+        }
+        for (int i = 0; i < 2 * zones; i++) {
+            cluster.addWorker("w" + i, "z" + i % zones);
+        }
+        workload = new Workload(cluster, 0.05);
+    }
+
+    private Transition observed(State state, Event event) {
+        Transition transition = Reducer.reduce(state, event);
+        for (var effect : transition.effects()) {
+            if (effect instanceof StoreEffect.WriteLedger) {
+                writeTimes.add(transition.state().nowMillis());
+            }
+            if (effect instanceof WorkerEffect.StopTask stop) {
+                state.shards().values().stream()
+                        .flatMap(s -> s.task(stop.task()).stream())
+                        .forEach(t -> stopped.putIfAbsent(t.spec().id(), t.spec().kind()));
+            }
+        }
+        return transition;
+    }
+
+    private Node owner(String shard) {
+        return Workload.owner(cluster, shard).orElseThrow();
+    }
+
+    private void add(String shard, WorkKind kind, int count) {
+        for (int i = 0; i < count; i++) {
+            workload.queue(owner(shard), ShardId.of(shard), TEAM, kind);
+        }
+    }
+
+    private int running() {
+        return (int) (Invariants.running(cluster, TEAM).cpuMillis() / TASK.cpuMillis());
+    }
+
+    private void lower(int limit) {
+        cluster.store()
+                .change(Fixtures.configuration(2, cluster.nodes().size(), Map.of("a", limit)));
+    }
+
+    /** Budget that one shard does not use must reach the shard that has work waiting. */
+    @Test
+    public void budgetFollowsDemand() {
+        start(1, 2, 2, 8);
+        cluster.run(15_000);
+        add("z0", WorkKind.SERVICE, 8);
+        assertEquals(mostRunning(25_000), 8);
+        cluster.run(90_000);
+        add("z1", WorkKind.SERVICE, 8);
+        assertEquals(mostRunning(30_000), 8);
+    }
+
+    private int mostRunning(long millis) {
+        int[] most = new int[1];
+        cluster.run(
+                millis,
+                () -> {
+                    most[0] = Math.max(most[0], running());
+                    new Invariants(cluster).checkLimits();
+                });
+        return most[0];
+    }
+
+    /** A team that cannot reach its limit must not cost writes after the claim. */
+    @Test
+    public void amplyLimitedTeamNeedsNoWrites() {
+        start(2, 3, 3, 24);
+        cluster.run(20_000);
+        writeTimes.clear();
+        cluster.run(600_000, workload::feed);
+        assertEquals(writeTimes.size(), 0);
+    }
+
+    /** Entries write at most once a second, and do not all write when the store is back. */
+    @Test
+    public void writesAreRateLimitedAfterAnOutage() {
+        start(3, 8, 8, 20);
+        cluster.run(20_000, workload::feed);
+        cluster.store().up(false);
+        cluster.kill("e0");
+        cluster.kill("e1");
+        cluster.run(60_000, workload::feed);
+        writeTimes.clear();
+        cluster.store().up(true);
+        long back = cluster.nowMillis();
+        cluster.run(10_000, workload::feed);
+        for (long second = 0; second < 10; second++) {
+            long from = back + second * 1_000;
+            long writes = writeTimes.stream().filter(t -> t >= from && t < from + 1_000).count();
+            assertTrue(writes <= 6, writes + " writes of 6 entries in second " + second);
+        }
+        assertTrue(writeTimes.size() <= 40, writeTimes.size() + " writes in 10 s");
+        assertTrue(cluster.store().ledger().epochOf(ShardId.of("z0")).isPresent());
+    }
+
+    /** Batch tasks must go first and services last. */
+    @Test
+    public void lowerLimitStopsBatchBeforeServices() {
+        start(4, 1, 1, 8);
+        cluster.run(10_000);
+        add("z0", WorkKind.SERVICE, 4);
+        cluster.run(5_000);
+        add("z0", WorkKind.BATCH, 4);
+        cluster.run(2_000);
+        int before = running();
+        lower(3);
+        cluster.run(LOWERED_MILLIS);
+        assertTrue(running() <= 3, running() + " of 3 run");
+        List<WorkKind> order = new ArrayList<>(stopped.values());
+        int batch = order.lastIndexOf(WorkKind.BATCH);
+        assertTrue(batch >= 0 && batch < order.indexOf(WorkKind.SERVICE), order.toString());
+        assertTrue(order.size() <= before, "more stops than tasks: " + order);
+    }
+
+    /** Work of a team that was removed must end, and its rows must go. */
+    @Test
+    public void removedTeamIsStopped() {
+        start(5, 2, 2, 6);
+        cluster.run(15_000);
+        add("z0", WorkKind.SERVICE, 2);
+        add("z1", WorkKind.SERVICE, 2);
+        cluster.run(10_000);
+        assertEquals(running(), 4);
+        cluster.store().change(Fixtures.configuration(2, 2, Map.of("b", 6)));
+        cluster.run(60_000);
+        assertEquals(running(), 0);
+        assertTrue(cluster.store().ledger().team(TEAM).isEmpty());
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        List<Object[]> seeds = new ArrayList<>();
+        for (long seed = 1; seed <= 20; seed++) {
+            seeds.add(new Object[] {seed});
+        }
+        return seeds.toArray(Object[][]::new);
+    }
+
+    /** After a limit is lowered while messages are lost, running work must soon be within it. */
+    @Test(dataProvider = "seeds")
+    public void lowerLimitHoldsSoon(long seed) {
+        start(seed, 3 + (int) (seed % 6), 3, 18);
+        cluster.run(30_000, workload::feed);
+        cluster.network(0.05, 300);
+        lower(7);
+        cluster.run(LOWERED_MILLIS, workload::feed);
+        Invariants invariants = new Invariants(cluster);
+        try {
+            cluster.run(60_000, this::feedAndCheck);
+        } catch (AssertionError e) {
+            throw new AssertionError("seed " + seed + " " + e.getMessage(), e);
+        }
+        cluster.network(0, 10);
+        cluster.run(60_000, workload::feed);
+        invariants.checkLimits();
+        assertTrue(
+                cluster.store().ledger().allocated(TEAM).fitsIn(TASK.times(7)),
+                "seed " + seed + " " + cluster.store().ledger());
+    }
+
+    private void feedAndCheck() {
+        workload.feed();
+        new Invariants(cluster).checkLimits();
+    }
+
+    /** An owner that was paused through a takeover must not write its old view of the ledger. */
+    @Test(dataProvider = "seeds")
+    public void pausedOwnerDoesNotBreakTheLimit(long seed) {
+        start(seed, 3, 2, 5);
+        Faults faults = new Faults(cluster);
+        cluster.run(20_000, this::feedAndCheck);
+        for (int round = 0; round < 4; round++) {
+            boolean outage = round % 2 == 1;
+            cluster.store().up(!outage);
+            cluster.pause(owner("z0").name(), 6_000 + cluster.random().nextLong(6_000));
+            cluster.run(14_000, this::feedAndCheck);
+            faults.stop();
+            cluster.run(20_000, this::feedAndCheck);
+        }
+        assertEquals(new Invariants(cluster).unsettled().orElse(""), "", "seed " + seed);
+    }
+}
