--- a/core/src/test/java/org/jujubefork/core/testing/Faults.java
+++ b/core/src/test/java/org/jujubefork/core/testing/Faults.java
@@ -31,7 +31,7 @@
 
     private void inject() {
         Node node = any();
-        switch (cluster.random().nextInt(9)) {
+        switch (cluster.random().nextInt(11)) {
             case 0 -> cluster.kill(node.name());
             case 1 -> cluster.pause(node.name(), 1_000 + cluster.random().nextLong(20_000));
             case 2 -> cluster.store().up(false);
@@ -40,6 +40,8 @@
             case 5 -> cluster.network(0.2, 1_500);
             case 6 -> partition();
             case 7 -> cutWorkers(node);
+            case 8 -> anyWorker().restart();
+            case 9 -> replaceWorker();
             default -> {
                 cluster.store().up(false);
                 cluster.kill(node.name());
@@ -75,6 +77,21 @@
         }
     }
 
+    private FakeWorker anyWorker() {
+        List<FakeWorker> workers = new ArrayList<>(cluster.workers().values());
+        return workers.get(cluster.random().nextInt(workers.size()));
+    }
+
+    /** Replaces the VM of a worker by another one, as the platform does many times a day. */
+    private void replaceWorker() {
+        FakeWorker gone = anyWorker();
+        cluster.removeWorker(gone.listing().id().value());
+        cluster.addWorker("n" + injected, gone.listing().location().zone());
+        if (cluster.random().nextBoolean()) {
+            partition();
+        }
+    }
+
     private Node any() {
         List<Node> nodes = cluster.nodes();
         return nodes.get(cluster.random().nextInt(nodes.size()));
