Share a limit between shards that all have work waiting

A shard that took the whole limit first kept it, because its own waiting work counted as need. While other shards have unmet demand, a shard keeps and asks for no more than an equal part and one piece of work. No running work is stopped for this; the row is lowered once enough has ended.

--- a/core/src/main/java/org/jujubefork/core/limits/Caps.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Caps.java
@@ -81,7 +81,14 @@
                     known.forLimit()
                             || budget.fitsIn(known.budget())
                             || !slack.need().fitsIn(known.budget());
-            return obsolete ? record.withCaps(record.caps().minus(team)) : record;
+            if (obsolete) {
+                return record.withCaps(record.caps().minus(team));
+            }
+            // The time of a cap counts from when usage is within it.
+            LocalCap above = new LocalCap(known.budget(), state.nowMillis(), false);
+            return shard.usageOf(team).fitsIn(known.budget())
+                    ? record
+                    : record.withCaps(record.caps().plus(team, above));
         }
         if (!slack.isWorthReleasing()) {
             return record.withSlack(record.slackSinceMillis().minus(team));
@@ -102,7 +109,7 @@
     /**
      * What a team has in a shard beyond its need.
      *
-     * @param need what is used, charged and waiting
+     * @param need what is used, charged and waiting, up to the shard's part while others wait
      * @param target what the row would be lowered to
      * @param wanted whether another owner has demand that the unallocated budget does not cover
      * @param idle whether the row is far above the need
@@ -121,7 +128,9 @@
             TeamDemand demand = TeamDemand.of(shard, team, free);
             Resources held = shard.usageOf(team).plus(shard.charged());
             boolean servable = demand.anyFits(budget.plus(unallocated).minus(held));
-            Resources need = servable ? Demands.need(shard, team, demand) : held;
+            Resources ceiling = Demands.ceiling(state, team, limit, demand);
+            Resources asked = servable ? Demands.need(shard, team, demand) : held;
+            Resources need = asked.min(ceiling);
             Resources chunk = LedgerPlan.chunk(limit);
             Resources missing = Demands.elsewhere(state, team).minus(unallocated);
             Resources tight = need.min(budget);
--- a/core/src/main/java/org/jujubefork/core/limits/Demands.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Demands.java
@@ -53,6 +53,32 @@
         return sum;
     }
 
+    /**
+     * Returns the most that a shard may keep or ask for while other shards have unmet demand: an
+     * equal part of the limit, and one piece of work more, so that parts that are no multiple of
+     * the sizes are not left over. Without demand elsewhere it is the limit.
+     */
+    static Resources ceiling(State state, TeamId team, Resources limit, TeamDemand demand) {
+        int others = 0;
+        for (Member member : state.membership().members().values()) {
+            if (Membership.isAlive(state, member)) {
+                others += countUnmet(member, team);
+            }
+        }
+        return others == 0
+                ? limit
+                : limit.scaled(1.0 / (1 + others)).plus(demand.largestHead()).min(limit);
+    }
+
+    private static int countUnmet(Member member, TeamId team) {
+        int count = 0;
+        for (ShardSummary summary : member.row().shards().values()) {
+            TeamLoad load = summary.teams().get(team);
+            count += load != null && !load.waiting().isZero() ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns what all listed workers hold. */
     static Resources fleetCapacity(State state) {
         Resources sum = Resources.ZERO;
--- a/core/src/main/java/org/jujubefork/core/limits/Excess.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Excess.java
@@ -57,7 +57,7 @@
         Resources limit = Budgets.limitOf(state, team);
         Resources bound = Limits.share(state, shard, team, limit).min(limit);
         LocalCap cap = record.caps().get(team);
-        Resources capped = cap == null ? bound : bound.min(cap.budget());
+        Resources capped = cap == null || !cap.forLimit() ? bound : bound.min(cap.budget());
         Optional<Resources> standing = Limits.standing(state.limits(), shard, team);
         return standing.map(capped::min).orElse(capped);
     }
--- a/core/src/main/java/org/jujubefork/core/limits/LedgerPlan.java
+++ b/core/src/main/java/org/jujubefork/core/limits/LedgerPlan.java
@@ -75,7 +75,7 @@
         if (cap != null) {
             return lowered(ledger, shard, team, row.get(), cap, limit, removed, state.nowMillis());
         }
-        return raised(ledger, shard, team, row.get(), limit, free);
+        return raised(state, ledger, shard, team, row.get(), limit, free);
     }
 
     private static Resources initial(
@@ -123,6 +123,7 @@
     }
 
     private static Ledger raised(
+            State state,
             Ledger ledger,
             ShardState shard,
             TeamId team,
@@ -132,11 +133,14 @@
         TeamDemand demand = TeamDemand.of(shard, team, free);
         Resources unallocated = unallocated(ledger, team, limit);
         Resources held = shard.usageOf(team).plus(shard.charged());
-        Resources short0 =
+        Resources shortage =
                 Demands.need(shard, team, demand).minus(row.budget()).max(Resources.ZERO);
-        Resources grant = padded(short0, chunk(limit)).min(unallocated);
-        Resources room = shard.capacity().minus(row.budget()).max(Resources.ZERO);
-        Resources bounded = grant.min(room.plus(shard.charged()));
+        Resources grant = padded(shortage, chunk(limit)).min(unallocated);
+        Resources most =
+                shard.capacity()
+                        .plus(shard.charged())
+                        .min(Demands.ceiling(state, team, limit, demand));
+        Resources bounded = grant.min(most.minus(row.budget()).max(Resources.ZERO));
         Resources budget = row.budget().plus(bounded);
         boolean useful = !bounded.isZero() && demand.anyFits(budget.minus(held));
         return useful ? ledger.with(team, shard.id(), new BudgetRow(row.epoch(), budget)) : ledger;
--- a/core/src/main/java/org/jujubefork/core/limits/TeamDemand.java
+++ b/core/src/main/java/org/jujubefork/core/limits/TeamDemand.java
@@ -50,6 +50,11 @@
         return heads.stream().anyMatch(h -> h.fitsIn(room));
     }
 
+    /** Returns the largest size of the oldest work of a lane, component by component. */
+    Resources largestHead() {
+        return heads.stream().reduce(Resources.ZERO, Resources::max);
+    }
+
     private static Resources sizeOf(QueuedWork work) {
         return work instanceof QueuedWork.Gang gang ? gang.size().times(gang.tasks()) : work.size();
     }
--- a/core/src/test/java/org/jujubefork/core/limits/LimitsTest.java
+++ b/core/src/test/java/org/jujubefork/core/limits/LimitsTest.java
@@ -14,6 +14,7 @@
 import org.jujubefork.core.effect.StoreEffect;
 import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.event.Event;
+import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.TeamId;
@@ -103,6 +104,22 @@
         assertEquals(mostRunning(30_000), 8);
     }
 
+    /** A shard that took the whole limit first must not keep it while another one starves. */
+    @Test
+    public void busyShardsShareALimit() {
+        start(8, 2, 2, 7);
+        cluster.run(15_000);
+        add("z0", WorkKind.BATCH, 60);
+        cluster.run(30_000);
+        add("z1", WorkKind.BATCH, 60);
+        cluster.run(90_000, new Invariants(cluster)::checkLimits);
+        for (String shard : List.of("z0", "z1")) {
+            Resources budget =
+                    cluster.store().ledger().row(TEAM, ShardId.of(shard)).orElseThrow().budget();
+            assertTrue(TASK.times(3).fitsIn(budget), cluster.store().ledger().toString());
+        }
+    }
+
     private int mostRunning(long millis) {
         int[] most = new int[1];
         cluster.run(
