--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -147,6 +147,10 @@
             // Only a throttle command leaves a task running.
             return Transition.of(state.withShard(shard.update(task.asThrottled())));
         }
+        if (task.phase() == TaskPhase.STOPPING) {
+            // The report says how far the task came, and frees what it held.
+            return Workers.renew(state, shard.id(), task.worker());
+        }
         if (task.phase() != TaskPhase.UNCONFIRMED) {
             return Transition.of(state);
         }
