--- a/core/src/test/java/org/jujubefork/core/jobs/JobSequenceTest.java
+++ b/core/src/test/java/org/jujubefork/core/jobs/JobSequenceTest.java
@@ -91,7 +91,7 @@
         List<FakeWorker> workers = new ArrayList<>(world.workers.values());
         FakeWorker worker = workers.get(random.nextInt(workers.size()));
         boolean up = !entry.dead && entry.pausedUntil <= world.now;
-        switch (random.nextInt(16)) {
+        switch (random.nextInt(17)) {
             case 0, 1, 2 -> {
                 if (up && jobs.size() < 25) {
                     jobs.add(submit(world, entry, jobs.size()));
@@ -124,6 +124,7 @@
                 world.store.down = false;
                 entries.forEach(e -> e.storeCut = false);
             }
+            case 15 -> entry.gossipCut = random.nextInt(3) > 0;
             default -> entries.forEach(e -> e.gossipCut = false);
         }
     }
