Queue tasks of older jobs first when the queue of a team is full

Jobs that waited for room in the queue were looked at in the order of their ids, so that a job with a late id could wait without bound. They are now looked at in the order of submission.

--- a/core/src/main/java/org/jujubefork/core/jobs/Ends.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Ends.java
@@ -211,7 +211,10 @@
         ShardJobs known = JobQueue.shardJobs(taken, shard).with(what.job(), after);
         boolean low = after.queued().size() < JobQueue.WINDOW / 2 && !after.todo().isEmpty();
         State noted =
-                JobQueue.withShardJobs(taken, shard, low ? known.refilling(what.job()) : known);
+                JobQueue.withShardJobs(
+                        taken,
+                        shard,
+                        low ? known.refilling(state.jobs().submitted(what.job())) : known);
         Optional<JobRecord> view = state.jobs().view(what.job());
         boolean unwanted =
                 view.isPresent()
--- a/core/src/main/java/org/jujubefork/core/jobs/JobQueue.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobQueue.java
@@ -79,7 +79,9 @@
         return withShardJobs(
                 cleared,
                 shard,
-                shardJobs(cleared, shard).with(job, part.loaded(todo)).refilling(job));
+                shardJobs(cleared, shard)
+                        .with(job, part.loaded(todo))
+                        .refilling(state.jobs().submitted(job)));
     }
 
     /** Removes the task {@code index} from the queue. */
@@ -107,7 +109,8 @@
         return withShardJobs(
                 state,
                 shard,
-                jobs.with(job, part.withTodo(part.todo().plus(index))).refilling(job));
+                jobs.with(job, part.withTodo(part.todo().plus(index)))
+                        .refilling(state.jobs().submitted(job)));
     }
 
     /** Has the task {@code index} queued again after {@code delayMillis}. */
@@ -126,7 +129,8 @@
     static Transition refill(State state, ShardId shard, JobId job) {
         Optional<JobRecord> view = state.jobs().view(job);
         ShardJobs jobs = shardJobs(state, shard);
-        State without = withShardJobs(state, shard, jobs.withRefill(jobs.refill().minus(job)));
+        DueJob entry = state.jobs().submitted(job);
+        State without = withShardJobs(state, shard, jobs.withRefill(jobs.refill().minus(entry)));
         if (view.isEmpty() || view.get().state().isFinal() || !jobs.settled()) {
             return Transition.of(without);
         }
@@ -146,7 +150,7 @@
         PartState part = shardJobs(state, shard).part(job);
         while (!part.todo().isEmpty() && part.queued().size() < WINDOW) {
             if (!hasRoom(result, shard, record)) {
-                return withShardJobs(result, shard, shardJobs(result, shard).refilling(job));
+                return refilling(result, shard, job);
             }
             int index = part.todo().first();
             result = withPart(result, shard, job, part.withTodo(part.todo().minus(index)));
@@ -161,7 +165,8 @@
             part = shardJobs(result, shard).part(job);
         }
         ShardJobs jobs = shardJobs(result, shard);
-        return withShardJobs(result, shard, jobs.withRefill(jobs.refill().minus(job)));
+        DueJob entry = state.jobs().submitted(job);
+        return withShardJobs(result, shard, jobs.withRefill(jobs.refill().minus(entry)));
     }
 
     private static boolean hasRoom(State state, ShardId shard, JobRecord record) {
@@ -255,7 +260,8 @@
     }
 
     static State refilling(State state, ShardId shard, JobId job) {
-        return withShardJobs(state, shard, shardJobs(state, shard).refilling(job));
+        DueJob entry = state.jobs().submitted(job);
+        return withShardJobs(state, shard, shardJobs(state, shard).refilling(entry));
     }
 
     private static QueuedWork.Gang gangOf(State state, JobRecord record) {
--- a/core/src/main/java/org/jujubefork/core/jobs/JobTable.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobTable.java
@@ -73,7 +73,20 @@
         ShardJobs known = shards.get(shard);
         return known != null && known.epoch().equals(epoch)
                 ? known
-                : ShardJobs.of(epoch, activeIn(shard));
+                : ShardJobs.of(epoch, bySubmission(activeIn(shard)));
+    }
+
+    private PSortedSet<DueJob> bySubmission(PSortedSet<JobId> jobs) {
+        PSortedSet<DueJob> ordered = TreePSet.empty();
+        for (JobId job : jobs) {
+            ordered = ordered.plus(submitted(job));
+        }
+        return ordered;
+    }
+
+    /** Returns {@code job} with the time of its submission, so that older jobs are queued first. */
+    DueJob submitted(JobId job) {
+        return new DueJob(record(job).map(JobRecord::submittedAtEpochMillis).orElse(0L), job);
     }
 
     /** Returns this table with {@code stored}, unless it knows a newer record. */
--- a/core/src/main/java/org/jujubefork/core/jobs/Jobs.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Jobs.java
@@ -93,11 +93,16 @@
         State settled = settle(state, shard);
         Transition result = Transition.of(endDelays(settled, shard));
         int left = MAX_REFILLS_PER_TICK;
-        for (JobId job : JobQueue.shardJobs(result.state(), shard).refill()) {
+        for (DueJob next : JobQueue.shardJobs(result.state(), shard).refill()) {
             if (left-- == 0 || !JobQueue.shardJobs(settled, shard).settled()) {
                 break;
             }
-            result = result.then(s -> JobQueue.refill(s, shard, job));
+            // The submission time may have become known only after the job was noted.
+            ShardJobs jobs = JobQueue.shardJobs(result.state(), shard);
+            ShardJobs rest = jobs.withRefill(jobs.refill().minus(next));
+            result =
+                    result.withState(JobQueue.withShardJobs(result.state(), shard, rest))
+                            .then(s -> JobQueue.refill(s, shard, next.job()));
         }
         return result.then(s -> Closing.tick(s, shard)).then(s -> Moves.tick(s, shard));
     }
--- a/core/src/main/java/org/jujubefork/core/jobs/ShardJobs.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/ShardJobs.java
@@ -14,7 +14,7 @@
  * @param epoch the authority under which this is known
  * @param settled whether no task can run in the shard that this owner does not know of
  * @param parts what is known by job
- * @param refill jobs for which more tasks may have to be queued
+ * @param refill jobs for which more tasks may have to be queued, by the time of their submission
  * @param delayed failed tasks that wait before they are queued again
  * @param closing ended jobs of which tasks may still be queued or running
  * @param closingAt the same by job
@@ -25,13 +25,13 @@
         Epoch epoch,
         boolean settled,
         PSortedMap<JobId, PartState> parts,
-        PSortedSet<JobId> refill,
+        PSortedSet<DueJob> refill,
         PSortedSet<DelayedTask> delayed,
         PSortedSet<DueJob> closing,
         PSortedMap<JobId, Long> closingAt,
         Optional<Move> move,
         long movedAtMillis) {
-    static ShardJobs of(Epoch epoch, PSortedSet<JobId> jobs) {
+    static ShardJobs of(Epoch epoch, PSortedSet<DueJob> jobs) {
         return new ShardJobs(
                 epoch,
                 false,
@@ -55,7 +55,7 @@
     }
 
     ShardJobs without(JobId job) {
-        return withParts(parts.minus(job)).withRefill(refill.minus(job));
+        return withParts(parts.minus(job));
     }
 
     private ShardJobs withParts(PSortedMap<JobId, PartState> value) {
@@ -68,12 +68,12 @@
                 epoch, true, parts, refill, delayed, closing, closingAt, move, movedAtMillis);
     }
 
-    ShardJobs withRefill(PSortedSet<JobId> value) {
+    ShardJobs withRefill(PSortedSet<DueJob> value) {
         return new ShardJobs(
                 epoch, settled, parts, value, delayed, closing, closingAt, move, movedAtMillis);
     }
 
-    ShardJobs refilling(JobId job) {
+    ShardJobs refilling(DueJob job) {
         return withRefill(refill.plus(job));
     }
 
--- a/core/src/test/java/org/jujubefork/core/jobs/JobsTest.java
+++ b/core/src/test/java/org/jujubefork/core/jobs/JobsTest.java
@@ -11,6 +11,7 @@
 import org.jujubefork.core.event.FleetEvent;
 import org.jujubefork.core.event.JobEvent;
 import org.jujubefork.core.model.EndReason;
+import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.JobId;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
@@ -63,6 +64,31 @@
         assertTrue(world.runningOf(JobId.of("a")) == 8);
     }
 
+    @Test
+    public void olderJobsAreQueuedFirstWhenTheQueueIsFull() {
+        world.minRunMillis = 900_000;
+        world.maxRunMillis = 900_001;
+        for (int i = 0; i < 9; i++) {
+            world.submit(entry, "z" + i, WorkKind.BATCH, 128, CORE);
+            world.run(200);
+        }
+        world.submitEpochMillis = 2;
+        JobId late = world.submit(entry, "a", WorkKind.BATCH, 1, CORE);
+        world.run(2_000);
+        assertEquals(queued(entry), 1_000);
+        assertEquals(world.runningOf(late), 0);
+        world.cancel(entry, JobId.of("z0"));
+        world.run(2_000);
+        assertEquals(queued(entry), 1_000, "an older job takes the place that became free");
+        assertEquals(
+                entry.state.jobs().shard(ShardId.of("zone-0"), epoch()).part(late).queued().size(),
+                0);
+    }
+
+    private Epoch epoch() {
+        return entry.state.shards().get(ShardId.of("zone-0")).epoch();
+    }
+
     @Test
     public void endsAreWrittenInBatches() {
         JobId job = world.submit(entry, "a", WorkKind.BATCH, 64, CORE);
--- a/core/src/test/java/org/jujubefork/core/jobs/JobsWorld.java
+++ b/core/src/test/java/org/jujubefork/core/jobs/JobsWorld.java
@@ -57,6 +57,7 @@
     final List<EndedTask> realEnds = new ArrayList<>();
     final List<Effect> effects = new ArrayList<>();
     int starts;
+    long submitEpochMillis = 1;
     int lostAnswerPercent;
     int lostWritePercent;
     int failPercent;
@@ -416,7 +417,10 @@
     }
 
     void submit(FakeEntry entry, RequestId request, JobId id, JobSpec spec) {
-        apply(entry, new JobEvent.JobSubmitted(now, request, id, spec, Optional.empty(), 1));
+        apply(
+                entry,
+                new JobEvent.JobSubmitted(
+                        now, request, id, spec, Optional.empty(), submitEpochMillis));
     }
 
     void cancel(FakeEntry entry, JobId job) {
