--- a/core/src/main/java/org/jujubefork/core/jobs/JobWrites.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobWrites.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.jobs;
 
 import java.util.Optional;
+import org.jujubefork.core.configuration.Tuning;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
 import org.jujubefork.core.effect.RequestEffect;
@@ -265,6 +266,6 @@
     private static int maxAttempts(State state) {
         return state.configuration()
                 .map(c -> c.tuning().maxAttempts())
-                .orElse(org.jujubefork.core.configuration.Tuning.DEFAULT.maxAttempts());
+                .orElse(Tuning.DEFAULT.maxAttempts());
     }
 }
