Do not end an answer that broke off as if it were complete

Cause: try-with-resources closed the response stream before the catch block reset the connection, and closing a chunked stream writes its last chunk. A caller saw a cut body with a normal end. Ruled out: the worker's client, which reports a reset connection as unknown. Change: the stream is closed only after the last part; a failure resets the connection.

--- a/entry/src/main/java/org/jujubefork/entry/http/RequestEndpoint.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/RequestEndpoint.java
@@ -128,12 +128,16 @@
         if (head.replayed()) {
             exchange.header("Jujube-Replayed", "true");
         }
-        try (OutputStream output = exchange.start(200, head.contentType(), head.length())) {
+        // Closing the stream ends the body as complete, so that it is closed only after the last
+        // part.
+        OutputStream output = exchange.start(200, head.contentType(), head.length());
+        try {
             Optional<byte[]> chunk = channel.next(timeout);
             while (chunk.isPresent()) {
                 output.write(chunk.get());
                 chunk = channel.next(timeout);
             }
+            output.close();
         } catch (IOException e) {
             exchange.abort();
             throw e;
