--- a/standins/src/test/java/org/jujubefork/standins/cell/SmallCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/SmallCell.java
@@ -31,6 +31,8 @@
     private int workersPerZone = 2;
     private int slots = 8;
     private boolean workerRelays;
+    private Resources reserve = Resources.ZERO;
+    private int reservedSlots;
     private Resources taskSize = Resources.of(1_000, 1_024, 0);
 
     private SmallCell(int entries) {
@@ -70,6 +72,13 @@
         return this;
     }
 
+    /** Sets what each worker keeps for urgent requests. */
+    public SmallCell reserve(Resources part, int requestSlots) {
+        reserve = part;
+        reservedSlots = requestSlots;
+        return this;
+    }
+
     public SmallCell setting(String name, long value) {
         settings.put(name, value);
         return this;
@@ -162,10 +171,10 @@
                 .put("id", "operator")
                 .put("sha256", AccessKeys.hash(OPERATOR));
         root.putObject("tuning")
-                .put("reservedSlots", 0)
+                .put("reservedSlots", reservedSlots)
                 .putObject("requestReserve")
-                .put("cpuMillis", 0)
-                .put("memoryMb", 0);
+                .put("cpuMillis", reserve.cpuMillis())
+                .put("memoryMb", reserve.memoryMb());
         return root;
     }
 
