--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -1,6 +1,8 @@
 package org.jujubefork.core.requests;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.configuration.KeyGrant;
 import org.jujubefork.core.configuration.Queue;
@@ -11,6 +13,8 @@
 import org.jujubefork.core.effect.RequestEffect;
 import org.jujubefork.core.event.RequestEvent;
 import org.jujubefork.core.membership.Freshness;
+import org.jujubefork.core.membership.Member;
+import org.jujubefork.core.membership.Membership;
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.Outcome;
@@ -59,7 +63,35 @@
             FrontRequest request = state.requests().active().get(deadline.request());
             result = result.then(s -> overdue(s, request));
         }
-        return result.then(Claims::tick);
+        return result.then(Requests::retryAtSuspects).then(Claims::tick);
+    }
+
+    /**
+     * Tries lookups elsewhere that were forwarded to an entry which has gone silent. A paused entry
+     * keeps its connections open, so nothing else would end these attempts before their deadline.
+     */
+    private static Transition retryAtSuspects(State state) {
+        Set<EntryId> suspects = new HashSet<>();
+        for (Member member : state.membership().members().values()) {
+            if (!Membership.isResponsive(state, member)) {
+                suspects.add(member.row().id());
+            }
+        }
+        Transition result = Transition.of(state);
+        if (suspects.isEmpty()) {
+            return result;
+        }
+        for (FrontRequest request : state.requests().active().values()) {
+            boolean silent =
+                    request.phase() == RequestPhase.FORWARDED
+                            && request.isIdempotent()
+                            && request.owner().map(suspects::contains).orElse(false);
+            if (silent) {
+                AttemptResult lost = AttemptResult.unknown(RefusalReason.ENTRY_CONNECTION_LOST);
+                result = result.then(s -> attemptEnded(s, request.id(), lost));
+            }
+        }
+        return result;
     }
 
     private static Transition arrived(State state, RequestEvent.RequestArrived event) {
@@ -251,7 +283,12 @@
     private static State avoidFailed(State state, FrontRequest request, AttemptResult result) {
         boolean failed =
                 switch (result.reason()) {
-                    case NOT_OWNER, OWNER_CHANGED, ENTRY_UNREACHABLE, ENTRY_CONNECTION_LOST -> true;
+                    case NOT_OWNER,
+                            OWNER_CHANGED,
+                            ENTRY_UNREACHABLE,
+                            ENTRY_CONNECTION_LOST,
+                            DEADLINE_AFTER_START ->
+                            true;
                     default -> false;
                 };
         return failed && request.shard().isPresent()
@@ -323,11 +360,12 @@
             case CLAIMING, SETTLING -> Transition.of(state);
             case WAITING -> Claims.stopWaiting(state, request);
             case LOCAL, FORWARDED -> {
-                Transition ended =
-                        finish(
-                                state,
-                                request,
-                                AttemptResult.unknown(RefusalReason.DEADLINE_AFTER_START));
+                AttemptResult late = AttemptResult.unknown(RefusalReason.DEADLINE_AFTER_START);
+                State noted =
+                        request.phase() == RequestPhase.FORWARDED
+                                ? avoidFailed(state, request, late)
+                                : state;
+                Transition ended = finish(noted, request, late);
                 yield cancelForward(state, request).map(ended::with).orElse(ended);
             }
         };
--- a/core/src/test/java/org/jujubefork/core/requests/RoutingTest.java
+++ b/core/src/test/java/org/jujubefork/core/requests/RoutingTest.java
@@ -19,6 +19,7 @@
 import org.jujubefork.core.event.FleetEvent;
 import org.jujubefork.core.event.MembershipEvent;
 import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.event.Tick;
 import org.jujubefork.core.membership.MemberRow;
 import org.jujubefork.core.membership.ShardSummary;
 import org.jujubefork.core.model.EntryId;
@@ -177,4 +178,59 @@
         assertTrue(retries <= 60, "10% of 500 and a burst of 10: " + retries);
         assertEquals(state.requests().active().size(), 0);
     }
+
+    /**
+     * A paused owner keeps its connections open; a lookup must not wait there until its deadline.
+     */
+    @Test
+    public void lookupAtASilentOwnerIsTriedElsewhere() {
+        State state = state(0, 0, 0);
+        RequestId request = RequestId.of("request-1");
+        Transition arrived =
+                Reducer.reduce(
+                        state,
+                        new RequestEvent.RequestArrived(
+                                0,
+                                request,
+                                Cell.queue(WorkKind.LOOKUP, 0),
+                                Optional.empty(),
+                                Optional.empty(),
+                                0));
+        EntryId first = forwardOf(arrived).to();
+        List<MemberRow> alive = new ArrayList<>();
+        for (var member : arrived.state().membership().members().values()) {
+            if (!member.row().id().equals(first)) {
+                alive.add(heartbeat(member.row()));
+            }
+        }
+        State later =
+                Reducer.reduce(
+                                arrived.state(),
+                                new MembershipEvent.GossipReceived(
+                                        3_000, alive.get(0).id(), TreePVector.from(alive)))
+                        .state();
+        Transition ticked = Reducer.reduce(later, new Tick(3_500, 1));
+        assertNotEquals(forwardOf(ticked).to(), first);
+    }
+
+    private static RequestEffect.Forward forwardOf(Transition transition) {
+        return transition.effects().stream()
+                .filter(RequestEffect.Forward.class::isInstance)
+                .map(RequestEffect.Forward.class::cast)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static MemberRow heartbeat(MemberRow row) {
+        return new MemberRow(
+                row.id(),
+                row.location(),
+                row.httpAddress(),
+                row.peerAddress(),
+                row.heartbeat() + 1,
+                row.configurationVersion(),
+                row.storeReachable(),
+                row.leaving(),
+                row.shards());
+    }
 }
