Charge a lost worker to limits until it is acquired again

An owner took the tasks of a worker for ended once the lease was over by its own clock. A successor that it did not know of had adopted them and renewed the lease, so the team ran 6 of at most 5 tasks (random run with seed 1169, which is now among the seeds of every build).

--- a/core/src/main/java/org/jujubefork/core/placement/Workers.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -44,13 +44,28 @@
                     result = result.then(s -> ask(s, shard.id(), worker.id()));
                 }
                 if (isLeaseOver(state, worker) && !worker.tasks().isEmpty()) {
-                    result = result.then(s -> Reports.loseAll(s, shard.id(), worker.id()));
+                    result =
+                            result.then(s -> Reports.loseAll(s, shard.id(), worker.id()))
+                                    .then(s -> Transition.of(lost(s, shard.id(), worker.id())));
                 }
             }
         }
         return result;
     }
 
+    /**
+     * Returns {@code state} with the worker to be acquired again. Until then it is charged to upper
+     * limits: a successor that this owner does not know of may have renewed its lease, and then its
+     * tasks still run.
+     */
+    private static State lost(State state, ShardId shard, WorkerId worker) {
+        ShardState owned = state.shards().get(shard);
+        return owned == null || !owned.workers().containsKey(worker)
+                ? state
+                : state.withShard(
+                        owned.withWorker(owned.workers().get(worker).in(WorkerPhase.ACQUIRING)));
+    }
+
     /** Asks for the lease of a worker that the shard does not have yet. */
     public static Transition acquire(State state, ShardId shard, WorkerListing listing) {
         WorkerState worker = WorkerState.acquiring(listing, state.nowMillis());
--- a/core/src/test/java/org/jujubefork/core/control/ReducerFaultsTest.java
+++ b/core/src/test/java/org/jujubefork/core/control/ReducerFaultsTest.java
@@ -22,13 +22,17 @@
 public class ReducerFaultsTest {
     private static final long FAULTY_MILLIS = 300_000;
     private static final long SETTLE_MILLIS = 90_000;
+
+    /** Found an owner that took tasks for ended which a successor had adopted. */
+    private static final long LOST_WORKER = 1_169;
+
     private static final Map<String, Integer> LIMITS = Map.of("a", 5, "b", 9, "c", 99);
 
     @DataProvider
     public Object[][] seeds() {
         long first = Long.getLong("jujubefork.firstSeed", 1);
         long count = Long.getLong("jujubefork.seeds", 24);
-        return LongStream.range(first, first + count)
+        return LongStream.concat(LongStream.range(first, first + count), LongStream.of(LOST_WORKER))
                 .mapToObj(seed -> new Object[] {seed})
                 .toArray(Object[][]::new);
     }
