Have the worker stand-in remember every task of its incarnation

Cause: a start that was delayed on the network could run after the owner had been told that the task is stopped, or a second time after its end was acknowledged. The random runs of the limits showed it as work above a limit.

--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerState.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerState.java
@@ -8,7 +8,9 @@
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TaskId;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
 /**
  * Everything that a worker keeps.
@@ -18,6 +20,8 @@
  * @param leaseEndsNanos monotonic time at which the lease lapses; empty without a lease
  * @param failStarts whether each task fails at its start
  * @param ended tasks that ended and are not acknowledged
+ * @param known every task that was started or stopped in this incarnation; none of them is started
+ *     again
  */
 record WorkerState(
         FleetFile.Worker spec,
@@ -27,7 +31,8 @@
         boolean leaving,
         boolean failStarts,
         PMap<TaskId, SimulatedTask> running,
-        PMap<TaskId, EndedTask> ended) {
+        PMap<TaskId, EndedTask> ended,
+        PSet<TaskId> known) {
     static WorkerState initial(FleetFile.Worker spec, long incarnation) {
         return new WorkerState(
                 spec,
@@ -37,7 +42,8 @@
                 false,
                 false,
                 HashTreePMap.empty(),
-                HashTreePMap.empty());
+                HashTreePMap.empty(),
+                HashTreePSet.empty());
     }
 
     Resources used() {
@@ -70,7 +76,8 @@
                 leaving,
                 failStarts,
                 running,
-                ended);
+                ended,
+                known);
     }
 
     WorkerState withoutLease() {
@@ -82,7 +89,8 @@
                 leaving,
                 failStarts,
                 running,
-                ended);
+                ended,
+                known);
     }
 
     WorkerState withTasks(
@@ -95,7 +103,8 @@
                 leaving,
                 failStarts,
                 newRunning,
-                newEnded);
+                newEnded,
+                known);
     }
 
     WorkerState withFaults(boolean newLeaving, boolean newFailStarts) {
@@ -107,7 +116,21 @@
                 newLeaving,
                 newFailStarts,
                 running,
-                ended);
+                ended,
+                known);
+    }
+
+    WorkerState knowing(TaskId task) {
+        return new WorkerState(
+                spec,
+                incarnation,
+                epoch,
+                leaseEndsNanos,
+                leaving,
+                failStarts,
+                running,
+                ended,
+                known.plus(task));
     }
 
     WorkerState restarted() {
@@ -119,6 +142,7 @@
                 leaving,
                 failStarts,
                 HashTreePMap.empty(),
-                HashTreePMap.empty());
+                HashTreePMap.empty(),
+                HashTreePSet.empty());
     }
 }
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
@@ -163,7 +163,9 @@
                             now,
                             endless ? SimulatedTask.NEVER : now + runNanos,
                             Long.MAX_VALUE);
-            state = state.withTasks(state.running().plus(spec.id(), task), state.ended());
+            state =
+                    state.withTasks(state.running().plus(spec.id(), task), state.ended())
+                            .knowing(spec.id());
             notes.add(Notes.start(state, start));
             if (over) {
                 notes.add(Notes.overcommit(state, spec, used));
@@ -188,7 +190,7 @@
             if (state.leaseEndsNanos().isEmpty()) {
                 return Optional.of(StartRefusal.STALE_EPOCH);
             }
-            if (state.running().containsKey(id) || state.ended().containsKey(id)) {
+            if (state.known().contains(id)) {
                 return Optional.of(StartRefusal.DUPLICATE);
             }
             if (state.leaving()) {
@@ -207,6 +209,10 @@
             if (task != null && result instanceof WorkerOutcome.Accepted) {
                 end(task, reason, "");
             }
+            if (!isForeign(epoch)) {
+                // A start that is still under way must not take effect after its stop was answered.
+                state = state.knowing(id);
+            }
             return result;
         }
 
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
@@ -75,6 +75,17 @@
                 "NO_SUCH_TASK");
     }
 
+    /**
+     * A start that is delayed on the network must not run after the owner was told that it is
+     * stopped.
+     */
+    @Test
+    public void stoppedTaskIsNotStartedLater() {
+        WorkerState state =
+                LENIENT.apply(leased(0), new WorkerCommand.Stop(FIRST, TaskId.of("t")), 0).state();
+        assertRefused(LENIENT.apply(state, start("t", WorkKind.BATCH, "{}"), 0), "DUPLICATE");
+    }
+
     @Test
     public void usageLags() {
         WorkerState state = leased(0);
