--- a/standins/src/test/java/org/jujubefork/standins/proof/UrgentStartTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/UrgentStartTest.java
@@ -74,7 +74,9 @@
         assertTrue(late == 0, late + " urgent lookups started late");
     }
 
-    /** Guards against a cell that is not full: lookups that are not urgent wait for a task's end. */
+    /**
+     * Guards against a cell that is not full: lookups that are not urgent wait for a task's end.
+     */
     @Test
     public void otherLookupsWait() throws Exception {
         long late = late("red-lookup", Judgement.seed("UrgentStartTest.off", 752));
