--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import org.glassfish.grizzly.http.Method;
 import org.jboss.logging.Logger;
 import org.jujubefork.client.api.ApiPaths;
@@ -82,7 +83,10 @@
                         settings.peerAddress(),
                         new PeerMessage.Hello(context.id(), settings.peerAddress().toString()),
                         peerExecutor,
-                        peerExecutor::connectionLost);
+                        peerExecutor::connectionLost,
+                        (address, purpose, bytes) ->
+                                context.metrics()
+                                        .countPeerBytes(distanceTo(address), purpose, bytes));
         peerExecutor.attach(peers);
         loop.start(router(context, peerExecutor));
         postSeeds(context);
@@ -110,6 +114,17 @@
                         loop);
     }
 
+    /** Returns how far the entry at {@code peerAddress} is away, or that it is not known yet. */
+    private String distanceTo(String peerAddress) {
+        State now = loop.state();
+        return now.membership().members().values().stream()
+                .filter(m -> m.row().peerAddress().equals(peerAddress))
+                .findFirst()
+                .map(m -> now.self().location().distanceTo(m.row().location()).name())
+                .orElse("UNKNOWN")
+                .toLowerCase(Locale.ROOT);
+    }
+
     private static EffectRouter router(DaemonContext context, PeerExecutor peers) {
         StoreExecutor store =
                 new StoreExecutor(
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
@@ -45,20 +45,30 @@
     private final String peerAddress;
     private final Connector connector;
     private final Frame hello;
+    private final PeerTransport.SentBytes sentBytes;
     private final BlockingQueue<Parcel> parcels = new LinkedBlockingQueue<>(QUEUE_FRAMES);
     private final Thread thread;
     private Connection<?> connection;
 
-    private PeerLink(String peerAddress, Connector connector, Frame hello) {
+    private PeerLink(
+            String peerAddress,
+            Connector connector,
+            Frame hello,
+            PeerTransport.SentBytes sentBytes) {
         this.peerAddress = peerAddress;
         this.connector = connector;
         this.hello = hello;
+        this.sentBytes = sentBytes;
         this.thread = Thread.ofVirtual().name("peer-" + peerAddress).unstarted(this::run);
     }
 
     /** Returns a link whose first frame on each connection is {@code hello}. */
-    static PeerLink open(String peerAddress, Connector connector, Frame hello) {
-        PeerLink link = new PeerLink(peerAddress, connector, hello);
+    static PeerLink open(
+            String peerAddress,
+            Connector connector,
+            Frame hello,
+            PeerTransport.SentBytes sentBytes) {
+        PeerLink link = new PeerLink(peerAddress, connector, hello, sentBytes);
         link.thread.start();
         return link;
     }
@@ -105,7 +115,12 @@
 
     private void write(Frame frame) throws java.io.IOException, InterruptedException {
         try {
-            connection.write(frame).get(WRITE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            long bytes =
+                    connection
+                            .write(frame)
+                            .get(WRITE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                            .getWrittenSize();
+            sentBytes.sent(peerAddress, FrameCodec.purposeOf(frame.message()), bytes);
         } catch (java.util.concurrent.ExecutionException e) {
             throw new java.io.IOException("write failed: " + e.getCause(), e);
         } catch (java.util.concurrent.TimeoutException e) {
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -37,14 +37,24 @@
         void receive(PeerMessage.Hello sender, Frame frame);
     }
 
+    /** Counts what is sent. */
+    @FunctionalInterface
+    public interface SentBytes {
+        /** Takes note of {@code bytes} sent to {@code peerAddress} for {@code purpose}. */
+        void sent(String peerAddress, String purpose, long bytes);
+    }
+
     private final TCPNIOTransport transport;
     private final Frame hello;
     private final ConcurrentHashMap<String, PeerLink> links = new ConcurrentHashMap<>();
     private final Consumer<String> connectionLost;
+    private final SentBytes sentBytes;
 
-    private PeerTransport(Frame hello, Receiver receiver, Consumer<String> connectionLost) {
+    private PeerTransport(
+            Frame hello, Receiver receiver, Consumer<String> connectionLost, SentBytes sentBytes) {
         this.hello = hello;
         this.connectionLost = connectionLost;
+        this.sentBytes = sentBytes;
         this.transport =
                 TCPNIOTransportBuilder.newInstance()
                         .setIOStrategy(SameThreadIOStrategy.getInstance())
@@ -67,15 +77,18 @@
      * @param hello introduces this entry on each connection that it opens
      * @param receiver gets the messages; must not block
      * @param connectionLost gets the address of an entry to which a connection was closed
+     * @param sentBytes counts the bytes of each frame
      * @throws IOException if the address cannot be bound
      */
     public static PeerTransport start(
             HostPort listen,
             PeerMessage.Hello hello,
             Receiver receiver,
-            Consumer<String> connectionLost)
+            Consumer<String> connectionLost,
+            SentBytes sentBytes)
             throws IOException {
-        PeerTransport peers = new PeerTransport(Frame.of(hello), receiver, connectionLost);
+        PeerTransport peers =
+                new PeerTransport(Frame.of(hello), receiver, connectionLost, sentBytes);
         peers.transport.bind(listen.host(), listen.port());
         peers.transport.start();
         return peers;
@@ -84,7 +97,7 @@
     /** Returns the link to the entry at {@code peerAddress}. */
     PeerLink link(String peerAddress) {
         return links.computeIfAbsent(
-                peerAddress, address -> PeerLink.open(address, this::connect, hello));
+                peerAddress, address -> PeerLink.open(address, this::connect, hello, sentBytes));
     }
 
     private Connection<?> connect(String peerAddress) throws IOException {
--- a/standins/src/test/java/org/jujubefork/standins/proof/Judgement.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/Judgement.java
@@ -17,6 +17,8 @@
 
 /** What all proofs judge, from the workers' history and from what the callers saw. */
 final class Judgement {
+    private static final int TWIN_RUNS = 3;
+
     private Judgement() {}
 
     /** Announces the seed of a test. */
@@ -32,6 +34,25 @@
         System.out.println("seen test=" + test + " " + what);
     }
 
+    /** Counts what a checker finds in one run with a mechanism off. */
+    @FunctionalInterface
+    interface Twin {
+        int violations(long seed) throws Exception;
+    }
+
+    /**
+     * Runs a twin with the mechanism off, up to three times with consecutive seeds, until the
+     * checker finds something: the fault has to meet a request in flight, which one run may miss.
+     */
+    static void seesViolations(String test, long firstSeed, Twin twin) throws Exception {
+        int found = 0;
+        for (int run = 0; run < TWIN_RUNS && found == 0; run++) {
+            found = twin.violations(seed(test, firstSeed + run));
+            seen(test, "violations=" + found);
+        }
+        Assert.assertTrue(found > 0, "the checker found nothing with the mechanism off");
+    }
+
     /** Judges P1, P2, P5, P6 and P7. */
     static void safe(List<HistoryEvent> history, List<CallRecord> calls) {
         none(new CapacityChecker().check(history));
