--- a/client/src/main/java/org/jujubefork/client/vms/VmListClient.java
+++ b/client/src/main/java/org/jujubefork/client/vms/VmListClient.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicReference;
 import org.jujubefork.client.http.Address;
 import org.jujubefork.client.http.CallResult;
 import org.jujubefork.client.http.JsonFields;
@@ -11,10 +12,23 @@
 import org.jujubefork.client.http.Transport;
 import org.jujubefork.core.model.Location;
 
-/** Client of the platform's VM list, which lags behind the VMs. Safe for use by many threads. */
+/**
+ * Client of the platform's VM list, which lags behind the VMs. Safe for use by many threads.
+ *
+ * <p>Each read after the first is conditional ({@code If-None-Match}), because a poll each second
+ * that transfers the list of 1,100 VMs exceeds the daemon's traffic budget. A list that gives no
+ * {@code ETag} is read whole each time.
+ */
 public final class VmListClient {
+    private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
+
     private final Transport transport;
     private final Address address;
+    private final AtomicReference<Tagged> last = new AtomicReference<>();
+
+    /** A list with the entity tag under which it was read. */
+    private record Tagged(String tag, List<VmListing> vms) {}
 
     /** Creates a client of the list at {@code address}; the transport stays with the caller. */
     public VmListClient(Transport transport, Address address) {
@@ -23,24 +37,37 @@
     }
 
     /**
-     * Reads the whole list.
+     * Returns the whole list; the same instance as before if the answer says that it is unchanged.
      *
      * @throws VmListException if there is no answer within {@code timeout}, or one with an error
      *     status or an entry that does not follow the protocol; an answer is never used in part
      */
     public List<VmListing> list(Duration timeout) throws VmListException {
         HttpRequest.Builder request = HttpRequest.newBuilder(address.uri("/v1/vms")).GET();
+        Tagged known = last.get();
+        if (known != null) {
+            request.header("If-None-Match", known.tag());
+        }
         return switch (transport.call(request, timeout)) {
             case CallResult.NotConnected n -> throw new VmListException(n.reason());
             case CallResult.Unknown u -> throw new VmListException(u.reason());
-            case CallResult.Reply reply -> read(reply);
+            case CallResult.Reply reply -> read(reply, known);
         };
     }
 
-    private static List<VmListing> read(CallResult.Reply reply) throws VmListException {
-        if (reply.status() != 200) {
+    private List<VmListing> read(CallResult.Reply reply, Tagged known) throws VmListException {
+        if (reply.status() == NOT_MODIFIED && known != null) {
+            return known.vms();
+        }
+        if (reply.status() != OK) {
             throw new VmListException("VM list answered status " + reply.status());
         }
+        List<VmListing> vms = parse(reply);
+        last.set(reply.headers().firstValue("ETag").map(t -> new Tagged(t, vms)).orElse(null));
+        return vms;
+    }
+
+    private static List<VmListing> parse(CallResult.Reply reply) throws VmListException {
         try {
             return JsonFields.parse(reply.body()).list("vms", VmListClient::listing);
         } catch (MalformedAnswerException e) {
--- a/standins/src/test/java/org/jujubefork/standins/client/VmListClientTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/client/VmListClientTest.java
@@ -108,6 +108,34 @@
         }
     }
 
+    /** Guards against polls that transfer an unchanged list, and against a list kept too long. */
+    @Test
+    public void unchangedListIsNotTransferredAgain() throws Exception {
+        try (VmList list = start(Duration.ZERO)) {
+            VmListClient client = client(list.port());
+            List<VmListing> first = client.list(LONG);
+            assertEquals(client.list(LONG), first);
+            assertEquals(client.list(LONG), first);
+            assertEquals(list.wholeAnswers(), 1);
+            list.leaving("w1", true);
+            assertEquals(client.list(LONG).get(1).state(), VmState.LEAVING);
+            assertEquals(client.list(LONG).get(1).state(), VmState.LEAVING);
+            assertEquals(list.wholeAnswers(), 2);
+        }
+    }
+
+    /** Guards against an answer 304 to an unconditional request that is taken for a list. */
+    @Test
+    public void notModifiedWithoutKnownListIsAnError() throws Exception {
+        try (RawServer server =
+                new RawServer(
+                        (n, socket) ->
+                                RawServer.write(socket, "HTTP/1.1 304 Not Modified\r\n\r\n"))) {
+            VmListClient client = new VmListClient(transport, server.address());
+            assertThrows(VmListException.class, () -> client.list(LONG));
+        }
+    }
+
     @Test
     public void controlEndpointsChangeTheList() throws Exception {
         try (VmList list = start(Duration.ZERO)) {
--- a/standins/src/test/java/org/jujubefork/standins/http/Call.java
+++ b/standins/src/test/java/org/jujubefork/standins/http/Call.java
@@ -15,10 +15,17 @@
  *
  * @param path the path as sent, still percent-encoded
  * @param query the decoded query parameters
+ * @param ifNoneMatch the entity tag that the caller has, empty if it sent none
  * @param port the local port at which the request came in
  */
 @SuppressWarnings("ArrayRecordComponent") // compared nowhere; a copy of each body is waste
-public record Call(String method, String path, Map<String, String> query, byte[] body, int port) {
+public record Call(
+        String method,
+        String path,
+        Map<String, String> query,
+        String ifNoneMatch,
+        byte[] body,
+        int port) {
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     static Map<String, String> parseQuery(String text) {
--- a/standins/src/test/java/org/jujubefork/standins/http/Reply.java
+++ b/standins/src/test/java/org/jujubefork/standins/http/Reply.java
@@ -34,13 +34,22 @@
     }
 
     static Reply json(int status, JsonNode node) {
+        return json(status, node, Map.of());
+    }
+
+    static Reply json(int status, JsonNode node, Map<String, String> headers) {
         try {
-            return new Body(status, "application/json", MAPPER.writeValueAsBytes(node), Map.of());
+            return new Body(status, "application/json", MAPPER.writeValueAsBytes(node), headers);
         } catch (IOException e) {
             throw new IllegalStateException("JSON tree not writable", e);
         }
     }
 
+    /** Returns an answer without a body: the caller has the entity with this tag. */
+    static Reply notModified(String tag) {
+        return new Body(304, "", new byte[0], Map.of("ETag", tag));
+    }
+
     static Reply error(int status, String error, String message) {
         return json(status, object().put("error", error).put("message", message));
     }
--- a/standins/src/test/java/org/jujubefork/standins/http/StandinServer.java
+++ b/standins/src/test/java/org/jujubefork/standins/http/StandinServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -24,6 +25,8 @@
 public final class StandinServer implements AutoCloseable {
     public static final String HOST = "127.0.0.1";
 
+    private static final int NOT_MODIFIED = 304;
+
     /** Above the clients' keep-alive time, so that the server does not close idle connections. */
     private static final int KEEP_ALIVE_SECONDS = 120;
 
@@ -132,16 +135,20 @@
                         request.getMethod().getMethodString(),
                         request.getRequestURI(),
                         Call.parseQuery(request.getQueryString()),
+                        Objects.requireNonNullElse(request.getHeader("If-None-Match"), ""),
                         request.getInputStream().readAllBytes(),
                         request.getLocalPort());
         switch (reply(handler, call)) {
             case Reply.Drop d -> request.getContext().getConnection().terminateSilently();
             case Reply.Body body -> {
                 response.setStatus(body.status());
-                response.setContentType(body.type());
                 body.headers().forEach(response::setHeader);
-                response.setContentLength(body.bytes().length);
-                response.getOutputStream().write(body.bytes());
+                // An answer 304 has no body and no fields that describe one.
+                if (body.status() != NOT_MODIFIED) {
+                    response.setContentType(body.type());
+                    response.setContentLength(body.bytes().length);
+                    response.getOutputStream().write(body.bytes());
+                }
             }
             case Reply.Stream stream -> {
                 response.setContentType(stream.type());
--- a/standins/src/test/java/org/jujubefork/standins/vms/VmList.java
+++ b/standins/src/test/java/org/jujubefork/standins/vms/VmList.java
@@ -5,6 +5,9 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jujubefork.client.http.Address;
 import org.jujubefork.client.vms.VmListing;
 import org.jujubefork.client.vms.VmRole;
@@ -24,11 +27,16 @@
     private static final String CONTROL = "/control/vms/";
 
     private final long lagNanos;
+
+    // Keeps the tags of a restarted list apart from those of its predecessor.
+    private final String instance = UUID.randomUUID().toString();
+    private final AtomicInteger wholeAnswers = new AtomicInteger();
     private final StandinServer server;
 
     // Guarded by this.
     private PMap<String, VmListing> visible = TreePMap.empty();
     private TreePVector<Change> pending = TreePVector.empty();
+    private long version;
 
     /** A change that becomes visible at a time; {@code listing} is null for a removal. */
     private record Change(String id, VmListing listing, long visibleNanos) {}
@@ -57,6 +65,11 @@
         return server.port();
     }
 
+    /** Returns how many answers had the whole list as their body. */
+    public int wholeAnswers() {
+        return wholeAnswers.get();
+    }
+
     /** Adds or replaces a VM. */
     public synchronized void put(VmListing vm) {
         change(vm.id(), vm);
@@ -109,6 +122,7 @@
         while (!pending.isEmpty() && pending.get(0).visibleNanos() - now <= 0) {
             Change change = pending.get(0);
             pending = pending.minus(0);
+            version++;
             visible =
                     change.listing() == null
                             ? visible.minus(change.id())
@@ -119,10 +133,7 @@
 
     private Reply handle(Call call) {
         if (call.path().equals("/v1/vms")) {
-            ObjectNode answer = Reply.object();
-            ArrayNode vms = answer.putArray("vms");
-            show().values().forEach(vm -> write(vms.addObject(), vm));
-            return Reply.json(200, answer);
+            return list(call);
         }
         if (!call.path().startsWith(CONTROL)) {
             return Reply.error(404, "NO_SUCH_RESOURCE", call.path());
@@ -139,6 +150,24 @@
         return Reply.json(200, Reply.object());
     }
 
+    /** Answers the list, or 304 if the caller has the visible one. */
+    private Reply list(Call call) {
+        PMap<String, VmListing> shown;
+        String tag;
+        synchronized (this) {
+            shown = show();
+            tag = "\"" + instance + "-" + version + "\"";
+        }
+        if (call.ifNoneMatch().equals(tag)) {
+            return Reply.notModified(tag);
+        }
+        ObjectNode answer = Reply.object();
+        ArrayNode vms = answer.putArray("vms");
+        shown.values().forEach(vm -> write(vms.addObject(), vm));
+        wholeAnswers.incrementAndGet();
+        return Reply.json(200, answer, Map.of("ETag", tag));
+    }
+
     private static void write(ObjectNode node, VmListing vm) {
         node.put("id", vm.id())
                 .put("address", vm.address().toString())
