--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -82,7 +82,8 @@
                         settings.peerAddress(),
                         new PeerMessage.Hello(context.id(), settings.peerAddress().toString()),
                         peerExecutor,
-                        peerExecutor::connectionLost);
+                        peerExecutor::connectionLost,
+                        PeerTraffic.of(loop::state, context.metrics()::countPeerBytes));
         peerExecutor.attach(peers);
         loop.start(router(context, peerExecutor));
         postSeeds(context);
--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
@@ -17,6 +17,12 @@
 final class FrameFilter extends BaseFilter {
     private static final Logger log = Logger.getLogger(FrameFilter.class);
 
+    private final SentBytes sentBytes;
+
+    FrameFilter(SentBytes sentBytes) {
+        this.sentBytes = sentBytes;
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer input = context.getMessage();
@@ -46,7 +52,10 @@
 
     @Override
     public NextAction handleWrite(FilterChainContext context) {
-        byte[] bytes = FrameCodec.encode((Frame) context.getMessage());
+        Frame frame = context.getMessage();
+        byte[] bytes = FrameCodec.encode(frame);
+        sentBytes.count(
+                context.getConnection(), frame.message(), Integer.BYTES + (long) bytes.length);
         Buffer output = context.getMemoryManager().allocate(Integer.BYTES + bytes.length);
         output.putInt(bytes.length);
         output.put(bytes);
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerMessage.java
@@ -12,6 +12,26 @@
  * the message.
  */
 public sealed interface PeerMessage {
+    /** Returns what the message is for, as metrics name it. */
+    default String purpose() {
+        return switch (this) {
+            case Hello m -> "hello";
+            case Gossip m -> "gossip";
+            case Probe m -> "probe";
+            case ProbeReply m -> "probe";
+            case Forward m -> "request";
+            case BodyChunk m -> "request";
+            case ResponseChunk m -> "request";
+            case ResponseComplete m -> "request";
+            case ResponseEnd m -> "request";
+            case Credit m -> "request";
+            case Cancel m -> "request";
+            case ConfigurationFetch m -> "configuration";
+            case ConfigurationPart m -> "configuration";
+            case ProtocolError m -> "error";
+        };
+    }
+
     /**
      * Introduces the sender; the first message on each connection.
      *
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -28,6 +28,8 @@
     private static final int CONNECT_TIMEOUT_SECONDS = 1;
     private static final Attribute<PeerMessage.Hello> SENDER =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("jujubefork.sender");
+    private static final Attribute<String> TARGET =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("jujubefork.target");
     private static final Logger log = Logger.getLogger(PeerTransport.class);
 
     /** Receives messages of other entries. */
@@ -42,7 +44,8 @@
     private final ConcurrentHashMap<String, PeerLink> links = new ConcurrentHashMap<>();
     private final Consumer<String> connectionLost;
 
-    private PeerTransport(Frame hello, Receiver receiver, Consumer<String> connectionLost) {
+    private PeerTransport(
+            Frame hello, Receiver receiver, Consumer<String> connectionLost, TrafficMeter meter) {
         this.hello = hello;
         this.connectionLost = connectionLost;
         this.transport =
@@ -55,7 +58,7 @@
         transport.setProcessor(
                 FilterChainBuilder.stateless()
                         .add(new TransportFilter())
-                        .add(new FrameFilter())
+                        .add(new FrameFilter(counting(meter)))
                         .add(new ReceiveFilter(receiver))
                         .build());
     }
@@ -67,20 +70,29 @@
      * @param hello introduces this entry on each connection that it opens
      * @param receiver gets the messages; must not block
      * @param connectionLost gets the address of an entry to which a connection was closed
+     * @param meter gets the bytes that are sent
      * @throws IOException if the address cannot be bound
      */
     public static PeerTransport start(
             HostPort listen,
             PeerMessage.Hello hello,
             Receiver receiver,
-            Consumer<String> connectionLost)
+            Consumer<String> connectionLost,
+            TrafficMeter meter)
             throws IOException {
-        PeerTransport peers = new PeerTransport(Frame.of(hello), receiver, connectionLost);
+        PeerTransport peers = new PeerTransport(Frame.of(hello), receiver, connectionLost, meter);
         peers.transport.bind(listen.host(), listen.port());
         peers.transport.start();
         return peers;
     }
 
+    private static SentBytes counting(TrafficMeter meter) {
+        return (connection, message, bytes) -> {
+            String target = TARGET.get(connection);
+            meter.count(target == null ? "" : target, message.purpose(), bytes);
+        };
+    }
+
     /** Returns the link to the entry at {@code peerAddress}. */
     PeerLink link(String peerAddress) {
         return links.computeIfAbsent(
@@ -94,6 +106,7 @@
                     transport
                             .connect(target.host(), target.port())
                             .get(CONNECT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            TARGET.set(connection, peerAddress);
             connection.closeFuture().addCompletionHandler(onClose(peerAddress));
             return connection;
         } catch (ExecutionException e) {
