--- a/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
+++ b/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
@@ -31,7 +31,8 @@
     private static final int TASK_WORKERS = 120;
     private static final long DEFAULT_SECONDS = 15;
     private static final long RUN_MILLIS = 3_600_000;
-    private static final Duration SETTLE = Duration.ofSeconds(8);
+    private static final long DEFAULT_SETTLE_SECONDS = 8;
+    private static final String DEFAULT_WORKERS = "30,120,300,600";
 
     /** Small enough that each worker of 8 cores holds its part of the tasks. */
     private static final Resources TASK = Resources.of(200, 256, 0);
@@ -47,10 +48,12 @@
                     new Figure("read, B/s", EntryCost::read),
                     new Figure("store calls/s", EntryCost::storeCalls));
 
+    private final Duration settle;
     private final Duration time;
     private final StringBuilder report = new StringBuilder();
 
-    private Capacity(Duration time) {
+    private Capacity(Duration settle, Duration time) {
+        this.settle = settle;
         this.time = time;
     }
 
@@ -60,17 +63,19 @@
     private record Point(int size, EntryCost cost, double load) {}
 
     public static void main(String[] args) throws Exception {
-        Flags flags = Flags.parse(args, Set.of("out", "seconds", "only"), Set.of());
+        Flags flags = Flags.parse(args, Set.of("out", "seconds", "settle", "workers", "only"), Set.of());
         Path out = Path.of(flags.required("out"));
         Capacity capacity =
-                new Capacity(Duration.ofSeconds(flags.number("seconds", DEFAULT_SECONDS)));
+                new Capacity(
+                        Duration.ofSeconds(flags.number("settle", DEFAULT_SETTLE_SECONDS)),
+                        Duration.ofSeconds(flags.number("seconds", DEFAULT_SECONDS)));
         String only = flags.text("only").orElse("entries,workers,tasks");
         if (only.contains("entries")) {
             capacity.byEntries();
             Files.writeString(out, capacity.report);
         }
         if (only.contains("workers")) {
-            capacity.byWorkers();
+            capacity.byWorkers(flags.text("workers").orElse(DEFAULT_WORKERS));
             Files.writeString(out, capacity.report);
         }
         if (only.contains("tasks")) {
@@ -89,9 +94,10 @@
         write("entries", points);
     }
 
-    private void byWorkers() throws Exception {
+    private void byWorkers(String sizes) throws Exception {
         List<Point> points = new ArrayList<>();
-        for (int workers : new int[] {30, 120, 300, 600}) {
+        for (String size : sizes.split(",", -1)) {
+            int workers = Integer.parseInt(size);
             try (TestCell cell = start(FEW_ENTRIES, workers)) {
                 points.add(point(cell, workers));
             }
@@ -148,7 +154,7 @@
 
     @SuppressWarnings("SystemOut") // a command's output
     private Point point(TestCell cell, int size) throws Exception {
-        Thread.sleep(SETTLE);
+        Thread.sleep(settle);
         EntryCost cost = EntryCost.measure(cell, time);
         double load = ManagementFactory.getOperatingSystemMXBean().getSystemLoadAverage();
         System.out.println(size + ": " + cost + " load " + load);
