--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
@@ -45,30 +45,20 @@
     private final String peerAddress;
     private final Connector connector;
     private final Frame hello;
-    private final PeerTransport.SentBytes sentBytes;
     private final BlockingQueue<Parcel> parcels = new LinkedBlockingQueue<>(QUEUE_FRAMES);
     private final Thread thread;
     private Connection<?> connection;
 
-    private PeerLink(
-            String peerAddress,
-            Connector connector,
-            Frame hello,
-            PeerTransport.SentBytes sentBytes) {
+    private PeerLink(String peerAddress, Connector connector, Frame hello) {
         this.peerAddress = peerAddress;
         this.connector = connector;
         this.hello = hello;
-        this.sentBytes = sentBytes;
         this.thread = Thread.ofVirtual().name("peer-" + peerAddress).unstarted(this::run);
     }
 
     /** Returns a link whose first frame on each connection is {@code hello}. */
-    static PeerLink open(
-            String peerAddress,
-            Connector connector,
-            Frame hello,
-            PeerTransport.SentBytes sentBytes) {
-        PeerLink link = new PeerLink(peerAddress, connector, hello, sentBytes);
+    static PeerLink open(String peerAddress, Connector connector, Frame hello) {
+        PeerLink link = new PeerLink(peerAddress, connector, hello);
         link.thread.start();
         return link;
     }
@@ -115,12 +105,7 @@
 
     private void write(Frame frame) throws java.io.IOException, InterruptedException {
         try {
-            long bytes =
-                    connection
-                            .write(frame)
-                            .get(WRITE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                            .getWrittenSize();
-            sentBytes.sent(peerAddress, FrameCodec.purposeOf(frame.message()), bytes);
+            connection.write(frame).get(WRITE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         } catch (java.util.concurrent.ExecutionException e) {
             throw new java.io.IOException("write failed: " + e.getCause(), e);
         } catch (java.util.concurrent.TimeoutException e) {
