Settle and release claims so that each may be repeated until the store holds the result

A repeated settlement lost the revision and, once the caller was gone, the body, so that it could never succeed; a release was not confirmed to the control thread. Also: carry out the other effects of an event when one fails, accept a forwarded request once, end the producer of an answer whose request has ended, and refuse paths with malformed escapes with 400.

--- a/entry/src/main/java/org/jujubefork/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/jujubefork/entry/control/ControlLoop.java
@@ -98,15 +98,22 @@
         try {
             Transition transition = Reducer.reduce(state, event);
             state = transition.state();
-            for (Effect effect : transition.effects()) {
-                effects.execute(effect);
-            }
+            transition.effects().forEach(this::execute);
         } catch (RuntimeException e) {
             // The state before the event stays in force; one bad event must not stop the entry.
             log.errorf(e, "event=control-failure input=%s", event.getClass().getSimpleName());
         }
     }
 
+    private void execute(Effect effect) {
+        try {
+            effects.execute(effect);
+        } catch (RuntimeException e) {
+            // The other effects of the event are carried out; the state already includes them.
+            log.errorf(e, "event=effect-failure effect=%s", effect.getClass().getSimpleName());
+        }
+    }
+
     /** Stops the control thread after the event that it handles now. */
     @Override
     public void close() {
--- a/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
@@ -36,6 +36,20 @@
         return URLDecoder.decode(request.getRequestURI(), StandardCharsets.UTF_8);
     }
 
+    /** Returns the path as the caller sent it. */
+    public String rawPath() {
+        return request.getRequestURI();
+    }
+
+    /** Returns whether the escapes in the path can be decoded. */
+    boolean hasValidPath() {
+        try {
+            return !path().isEmpty();
+        } catch (IllegalArgumentException e) {
+            return false;
+        }
+    }
+
     /** Returns the query parameter {@code name}. */
     public Optional<String> parameter(String name) {
         return Optional.ofNullable(request.getParameter(name));
--- a/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
@@ -99,7 +99,7 @@
                 Thread.currentThread().interrupt();
                 exchange.abort();
             } catch (RuntimeException e) {
-                log.errorf(e, "event=http-failure path=%s", exchange.path());
+                log.errorf(e, "event=http-failure path=%s", exchange.rawPath());
                 exchange.abort();
             } finally {
                 if (exchange.response().isSuspended()) {
@@ -110,6 +110,15 @@
 
         private void dispatch(Exchange exchange)
                 throws IOException, InterruptedException, BodyException {
+            if (!exchange.hasValidPath()) {
+                exchange.error(
+                        400,
+                        ErrorView.of(
+                                ErrorCodes.INVALID_REQUEST,
+                                "the path has a malformed escape: " + exchange.rawPath(),
+                                Outcome.NOT_RUN));
+                return;
+            }
             for (Route route : routes) {
                 Optional<String> variable = route.match(exchange.path());
                 if (variable.isPresent() && route.method().equals(exchange.method())) {
--- a/entry/src/main/java/org/jujubefork/entry/peer/IncomingForwards.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/IncomingForwards.java
@@ -1,9 +1,11 @@
 package org.jujubefork.entry.peer;
 
 import java.io.ByteArrayOutputStream;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.RequestId;
@@ -17,23 +19,51 @@
      * A request of another entry.
      *
      * @param id its id at this entry
-     * @param from the entry that forwarded it
-     * @param peerAddress that entry's address
+     * @param sender the introduction of the connection on which it arrived
      * @param correlation that entry's correlation id
      * @param message what is to run
      * @param body the part of the body that has arrived
      * @param window permits for chunks of the answer
      * @param answered length of the answer so far, in bytes
+     * @param ended whether the answer is no longer wanted
      */
     record Incoming(
             RequestId id,
-            EntryId from,
-            String peerAddress,
+            PeerMessage.Hello sender,
             long correlation,
             PeerMessage.Forward message,
             ByteArrayOutputStream body,
             Semaphore window,
-            AtomicLong answered) {}
+            AtomicLong answered,
+            AtomicBoolean ended) {
+        /** Returns the entry that forwarded it. */
+        EntryId from() {
+            return sender.from();
+        }
+
+        /** Returns that entry's address. */
+        String peerAddress() {
+            return sender.peerAddress();
+        }
+
+        /** Returns whether the whole body has arrived. */
+        boolean isWhole() {
+            return body.size() >= message.bodyBytes();
+        }
+
+        /** Lets the producer of the answer have {@code chunks} more credits. */
+        void credit(int chunks) {
+            // The bound keeps a faulty sender from overflowing the permits.
+            if (chunks > 0 && chunks <= WINDOW_CHUNKS) {
+                window.release(chunks);
+            }
+        }
+
+        private void end() {
+            ended.set(true);
+            window.release(WINDOW_CHUNKS);
+        }
+    }
 
     /**
      * Identifies an attempt of another entry.
@@ -52,13 +82,13 @@
         Incoming incoming =
                 new Incoming(
                         id,
-                        sender.from(),
-                        sender.peerAddress(),
+                        sender,
                         correlation,
                         message,
                         new ByteArrayOutputStream(Math.min(message.bodyBytes(), Frame.CHUNK_BYTES)),
                         new Semaphore(WINDOW_CHUNKS),
-                        new AtomicLong());
+                        new AtomicLong(),
+                        new AtomicBoolean());
         byKey.put(new Key(sender.from(), correlation), incoming);
         byId.put(id, incoming);
         return incoming;
@@ -69,11 +99,20 @@
         return Optional.ofNullable(byKey.get(new Key(from, correlation)));
     }
 
-    /** Removes and returns the request {@code id}. */
+    /** Returns the requests that arrived on the connection that {@code sender} introduced. */
+    List<Incoming> on(PeerMessage.Hello sender) {
+        return byId.values().stream().filter(i -> i.sender() == sender).toList();
+    }
+
+    /**
+     * Removes and returns the request {@code id}. A producer that waits for credit goes on and
+     * fails, because no credit comes for a request that has ended.
+     */
     Optional<Incoming> remove(RequestId id) {
         Incoming incoming = byId.remove(id);
         if (incoming != null) {
             byKey.remove(new Key(incoming.from(), incoming.correlation()));
+            incoming.end();
         }
         return Optional.ofNullable(incoming);
     }
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
@@ -204,7 +204,7 @@
             case PeerMessage.ResponseEnd m -> receiveEnd(sender, frame.correlation(), m.result());
             case PeerMessage.Credit m ->
                     incoming.of(sender.from(), frame.correlation())
-                            .ifPresent(i -> i.window().release(m.chunks()));
+                            .ifPresent(i -> i.credit(m.chunks()));
             case PeerMessage.Cancel m ->
                     incoming.of(sender.from(), frame.correlation())
                             .ifPresent(
@@ -238,8 +238,11 @@
         incoming.of(sender.from(), correlation)
                 .ifPresent(
                         i -> {
+                            if (i.isWhole()) {
+                                return; // accepted already; a second run must not start
+                            }
                             i.body().writeBytes(bytes);
-                            if (i.body().size() >= i.message().bodyBytes()) {
+                            if (i.isWhole()) {
                                 accept(i);
                             }
                         });
@@ -262,6 +265,10 @@
             public void chunk(byte[] chunk) throws IOException {
                 try {
                     request.window().acquire();
+                    if (request.ended().get()) {
+                        request.window().release();
+                        throw new IOException("the answer is no longer wanted");
+                    }
                     request.answered().addAndGet(chunk.length);
                     relay(new PeerMessage.ResponseChunk(chunk));
                 } catch (InterruptedException e) {
--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.ConcurrentHashMap;
 import org.jboss.logging.Logger;
 import org.jujubefork.client.store.KeyValue;
 import org.jujubefork.client.store.StoreClient;
@@ -37,7 +36,7 @@
     private final Clock clock;
     private final EventSink events;
     private final DaemonMetrics metrics;
-    private final ConcurrentHashMap<RequestId, Long> claimRevisions = new ConcurrentHashMap<>();
+    private final ClaimWriter claims;
 
     /** Creates an executor that takes the answers to be kept from {@code registry}. */
     public StoreExecutor(
@@ -51,6 +50,26 @@
         this.clock = clock;
         this.events = events;
         this.metrics = metrics;
+        this.claims = new ClaimWriter(calls());
+    }
+
+    private ClaimWriter.Calls calls() {
+        return new ClaimWriter.Calls() {
+            @Override
+            public Optional<KeyValue> get(String key) throws StoreException {
+                return StoreExecutor.this.get(key);
+            }
+
+            @Override
+            public WriteResult put(String key, String text, long ifRevision) {
+                return StoreExecutor.this.put(key, text, ifRevision);
+            }
+
+            @Override
+            public WriteResult delete(String key, long ifRevision) {
+                return StoreExecutor.this.delete(key, ifRevision);
+            }
+        };
     }
 
     @Override
@@ -81,6 +100,11 @@
                 TIMEOUT);
     }
 
+    private WriteResult delete(String key, long ifRevision) {
+        metrics.countStoreCall("delete");
+        return store.delete(key, OptionalLong.of(ifRevision), TIMEOUT);
+    }
+
     private Optional<KeyValue> get(String key) throws StoreException {
         metrics.countStoreCall("get");
         return store.get(key, TIMEOUT);
@@ -102,7 +126,7 @@
     }
 
     private void created(RequestId request, long revision) {
-        claimRevisions.put(request, revision);
+        claims.created(request, revision);
         events.post(new ClaimEvent.ClaimCreated(clock.millis(), request, revision));
     }
 
@@ -147,56 +171,30 @@
     }
 
     private void deleteJob(StoreEffect.DeleteJob effect) {
-        metrics.countStoreCall("delete");
-        WriteResult result =
-                store.delete(
-                        StoreKeys.JOBS + effect.job(),
-                        OptionalLong.of(effect.expectedRevision()),
-                        TIMEOUT);
+        WriteResult result = delete(StoreKeys.JOBS + effect.job(), effect.expectedRevision());
         if (!(result instanceof WriteResult.Written)) {
             log.debugf("event=job-record-not-removed job=%s", effect.job());
         }
     }
 
     private void settleClaim(StoreEffect.SettleClaim effect) {
+        boolean durable = claims.settle(effect, () -> kept(effect));
+        events.post(new ClaimEvent.ClaimSettled(clock.millis(), effect.request(), durable));
+    }
+
+    private ClaimCodec.StoredClaim kept(StoreEffect.SettleClaim effect) {
         Optional<AnswerChannel> channel = registry.channel(effect.request());
         Optional<byte[]> body =
                 channel.filter(c -> effect.claim().state() == ClaimState.DONE)
                         .filter(c -> c.received() <= MAX_KEPT_BODY_BYTES)
                         .map(AnswerChannel::content);
         String type = channel.map(AnswerChannel::contentType).orElse("");
-        String text = ClaimCodec.encode(new ClaimCodec.StoredClaim(effect.claim(), type, body));
-        Long revision = claimRevisions.remove(effect.request());
-        boolean durable =
-                revision != null
-                        && put(effect.claimKey(), text, revision) instanceof WriteResult.Written;
-        if (!durable) {
-            log.warnf("event=claim-not-settled request=%s", effect.request());
-        }
-        events.post(new ClaimEvent.ClaimSettled(clock.millis(), effect.request(), durable));
+        return new ClaimCodec.StoredClaim(effect.claim(), type, body);
     }
 
     private void releaseClaim(StoreEffect.ReleaseClaim effect) {
-        try {
-            Optional<KeyValue> found = get(effect.claimKey());
-            if (found.isPresent() && isOwn(effect, found.get())) {
-                metrics.countStoreCall("delete");
-                store.delete(effect.claimKey(), OptionalLong.of(found.get().revision()), TIMEOUT);
-            }
-        } catch (StoreException | MalformedRecordException e) {
-            log.warnf(
-                    "event=claim-not-released request=%s reason=\"%s\"",
-                    effect.request(), e.getMessage());
-        }
-        claimRevisions.remove(effect.request());
-    }
-
-    private static boolean isOwn(StoreEffect.ReleaseClaim effect, KeyValue found)
-            throws MalformedRecordException {
-        return ClaimCodec.decode(StoreText.decode(found.value()))
-                .record()
-                .request()
-                .equals(effect.request());
+        boolean durable = claims.release(effect);
+        events.post(new ClaimEvent.ClaimSettled(clock.millis(), effect.request(), durable));
     }
 
     private void writeJob(StoreEffect.WriteJob effect) {
