Deliver protocol errors to peers, mark failed tasks, and give up forwarded requests whose sender is gone

PROTOCOL_ERROR was written below the encoding filter and never sent. A request whose task failed is a finished request. A producer that waited for credit of a closed connection waited for ever. A replay without kept body was answered with an empty body. The worker client uses the enums of core.

--- a/client/src/main/java/org/jujubefork/client/worker/EndedTask.java
+++ b/client/src/main/java/org/jujubefork/client/worker/EndedTask.java
@@ -1,5 +1,6 @@
 package org.jujubefork.client.worker;
 
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TaskSpec;
 
--- a/client/src/main/java/org/jujubefork/client/worker/StartResult.java
+++ b/client/src/main/java/org/jujubefork/client/worker/StartResult.java
@@ -1,7 +1,9 @@
 package org.jujubefork.client.worker;
 
 import java.util.Optional;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.StartRefusal;
 
 /** What is known after a start was sent. */
 public sealed interface StartResult {
--- a/client/src/main/java/org/jujubefork/client/worker/TaskJson.java
+++ b/client/src/main/java/org/jujubefork/client/worker/TaskJson.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.jujubefork.client.http.JsonFields;
 import org.jujubefork.client.http.MalformedAnswerException;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.JobId;
 import org.jujubefork.core.model.JobTask;
 import org.jujubefork.core.model.QueueId;
--- a/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
@@ -5,7 +5,9 @@
 import org.jujubefork.client.http.CallResult;
 import org.jujubefork.client.http.JsonFields;
 import org.jujubefork.client.http.MalformedAnswerException;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.StartRefusal;
 import org.jujubefork.core.model.WorkerId;
 
 /**
@@ -118,7 +120,10 @@
         String error = f.text("error");
         Optional<StartRefusal> refusal =
                 Arrays.stream(StartRefusal.values())
-                        .filter(r -> r.status() == reply.status() && r.name().equals(error))
+                        .filter(
+                                r ->
+                                        RefusalStatus.of(r) == reply.status()
+                                                && r.name().equals(error))
                         .findFirst();
         if (refusal.isEmpty()) {
             return new StartResult.Unknown(unexpected(reply));
--- a/entry/src/main/java/org/jujubefork/entry/answers/Answer.java
+++ b/entry/src/main/java/org/jujubefork/entry/answers/Answer.java
@@ -21,6 +21,9 @@
      */
     record Refused(AttemptResult result) implements Answer {}
 
+    /** An earlier request with the same idempotency key is done, but its body was not kept. */
+    record BodyNotKept() implements Answer {}
+
     /**
      * The job is accepted.
      *
--- a/entry/src/main/java/org/jujubefork/entry/answers/AnswerChannel.java
+++ b/entry/src/main/java/org/jujubefork/entry/answers/AnswerChannel.java
@@ -186,6 +186,11 @@
         conclude(new Answer.JobAccepted(job));
     }
 
+    /** Answers that an earlier request is done and that its body was too large to keep. */
+    public void replayWithoutBody() {
+        conclude(new Answer.BodyNotKept());
+    }
+
     /** Answers with a body that an earlier request recorded. */
     public void replay(byte[] body, String type) {
         locked(
--- a/entry/src/main/java/org/jujubefork/entry/http/JobEndpoint.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/JobEndpoint.java
@@ -181,6 +181,8 @@
                                 ? JobViews.of(state.get(), stored.get())
                                 : JobViews.accepted(job));
             }
+            case Answer.BodyNotKept none ->
+                    throw new IllegalStateException("a job was answered as an executed request");
             case Answer.Body body ->
                     throw new IllegalStateException("a job was answered with " + body);
         }
--- a/entry/src/main/java/org/jujubefork/entry/http/RequestEndpoint.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/RequestEndpoint.java
@@ -7,6 +7,8 @@
 import java.util.random.RandomGenerator;
 import java.util.regex.Pattern;
 import org.jujubefork.client.api.ApiPaths;
+import org.jujubefork.client.api.ErrorCodes;
+import org.jujubefork.client.api.ErrorView;
 import org.jujubefork.client.api.OutcomeNames;
 import org.jujubefork.config.edit.AccessKeys;
 import org.jujubefork.core.configuration.Queue;
@@ -21,6 +23,7 @@
 import org.jujubefork.entry.answers.Answer;
 import org.jujubefork.entry.answers.AnswerChannel;
 import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.answers.TaskFailure;
 import org.jujubefork.entry.control.Clock;
 import org.jujubefork.entry.control.EventSink;
 
@@ -99,7 +102,7 @@
                             exchange.accessKey().map(AccessKeys::hash),
                             idempotencyKey,
                             random.nextLong()));
-            answer(exchange, channel, timeout + MARGIN_MILLIS);
+            answer(exchange, request, channel, timeout + MARGIN_MILLIS);
         } catch (IOException e) {
             events.post(new RequestEvent.RequestCancelled(clock.millis(), request));
             throw e;
@@ -109,13 +112,26 @@
         }
     }
 
-    private void answer(Exchange exchange, AnswerChannel channel, long timeout)
+    private void answer(Exchange exchange, RequestId request, AnswerChannel channel, long timeout)
             throws IOException, InterruptedException {
         Optional<Answer> head = channel.await(timeout);
+        if (head.isEmpty()) {
+            // The answer may still come; whoever produces it is told that nobody waits.
+            events.post(new RequestEvent.RequestCancelled(clock.millis(), request));
+        }
         switch (head.orElse(
                 new Answer.Refused(AttemptResult.unknown(RefusalReason.DEADLINE_AFTER_START)))) {
             case Answer.Refused refused -> Refusals.send(exchange, refused.result());
             case Answer.Body body -> stream(exchange, channel, body, timeout);
+            case Answer.BodyNotKept none -> {
+                exchange.header("Jujube-Replayed", "true");
+                exchange.error(
+                        409,
+                        ErrorView.of(
+                                ErrorCodes.ALREADY_DONE,
+                                "the request was executed before; its response is not kept",
+                                Outcome.DONE));
+            }
             case Answer.JobAccepted job ->
                     throw new IllegalStateException("a request was answered as job " + job.job());
         }
@@ -128,9 +144,14 @@
         if (head.replayed()) {
             exchange.header("Jujube-Replayed", "true");
         }
+        boolean failed = head.contentType().equals(TaskFailure.MEDIA_TYPE);
+        if (failed) {
+            exchange.header("Jujube-Task", "failed");
+        }
+        String type = failed ? "application/json" : head.contentType();
         // Closing the stream ends the body as complete, so that it is closed only after the last
         // part.
-        OutputStream output = exchange.start(200, head.contentType(), head.length());
+        OutputStream output = exchange.start(200, type, head.length());
         try {
             Optional<byte[]> chunk = channel.next(timeout);
             while (chunk.isPresent()) {
--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -13,7 +14,10 @@
  * Cuts the byte stream of a connection into frames. A connection that breaks the protocol is told
  * why and closed.
  */
-@SuppressWarnings("rawtypes") // FilterChainContext.write takes a handler of the raw WriteResult
+@SuppressWarnings({
+    "rawtypes",
+    "unchecked"
+}) // Connection.write takes a handler of the raw WriteResult
 final class FrameFilter extends BaseFilter {
     private static final Logger log = Logger.getLogger(FrameFilter.class);
 
@@ -58,19 +62,26 @@
 
     private static NextAction refuse(FilterChainContext context, String reason) {
         log.warnf("event=peer-refused from=%s reason=\"%s\"", context.getAddress(), reason);
-        context.write(
-                Frame.of(new PeerMessage.ProtocolError(reason)),
-                new EmptyCompletionHandler<WriteResult>() {
+        refuse(
+                (Connection<?>) context.getConnection(),
+                Frame.of(new PeerMessage.ProtocolError(reason)));
+        return context.getStopAction();
+    }
+
+    private static <A> void refuse(Connection<A> connection, Frame error) {
+        // A write on the filter's context would start below this filter, without the encoding.
+        connection.write(
+                error,
+                new EmptyCompletionHandler<WriteResult<Frame, A>>() {
                     @Override
-                    public void completed(WriteResult result) {
-                        context.getConnection().closeSilently();
+                    public void completed(WriteResult<Frame, A> result) {
+                        connection.closeSilently();
                     }
 
                     @Override
-                    public void failed(Throwable error) {
-                        context.getConnection().terminateSilently();
+                    public void failed(Throwable failure) {
+                        connection.terminateSilently();
                     }
                 });
-        return context.getStopAction();
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/peer/IncomingForwards.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/IncomingForwards.java
@@ -59,7 +59,8 @@
             }
         }
 
-        private void end() {
+        /** Lets the producer of the answer fail instead of waiting for credit. */
+        void end() {
             ended.set(true);
             window.release(WINDOW_CHUNKS);
         }
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
@@ -206,12 +206,7 @@
                     incoming.of(sender.from(), frame.correlation())
                             .ifPresent(i -> i.credit(m.chunks()));
             case PeerMessage.Cancel m ->
-                    incoming.of(sender.from(), frame.correlation())
-                            .ifPresent(
-                                    i ->
-                                            events.post(
-                                                    new RequestEvent.RequestCancelled(
-                                                            now, i.id())));
+                    incoming.of(sender.from(), frame.correlation()).ifPresent(this::giveUp);
             case PeerMessage.ConfigurationFetch m -> sendConfiguration(sender.peerAddress());
             case PeerMessage.ConfigurationPart m -> receiveConfiguration(sender, m);
             case PeerMessage.Hello m -> log.debugf("event=peer-hello from=%s", m.from());
@@ -220,6 +215,27 @@
         }
     }
 
+    /**
+     * Gives up the requests that came over a connection that was closed: the entry that forwarded
+     * them treats them as failed, so that neither credit nor the rest of a body comes any more.
+     */
+    @Override
+    public void senderLost(PeerMessage.Hello sender) {
+        List<IncomingForwards.Incoming> lost = incoming.on(sender);
+        if (!lost.isEmpty()) {
+            Thread.startVirtualThread(() -> lost.forEach(this::giveUp));
+        }
+    }
+
+    private void giveUp(IncomingForwards.Incoming request) {
+        request.end();
+        if (request.isWhole()) {
+            events.post(new RequestEvent.RequestCancelled(clock.millis(), request.id()));
+        } else {
+            incoming.remove(request.id());
+        }
+    }
+
     private void receiveForward(
             PeerMessage.Hello sender, long correlation, PeerMessage.Forward message) {
         if (message.bodyBytes() < 0 || message.bodyBytes() > maxBodyBytes) {
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -35,6 +35,9 @@
     public interface Receiver {
         /** Handles {@code frame}, which arrived on a connection that {@code sender} opened. */
         void receive(PeerMessage.Hello sender, Frame frame);
+
+        /** Handles the end of the connection that {@code sender} introduced. */
+        default void senderLost(PeerMessage.Hello sender) {}
     }
 
     private final TCPNIOTransport transport;
@@ -149,6 +152,15 @@
             return context.getStopAction();
         }
 
+        @Override
+        public NextAction handleClose(FilterChainContext context) {
+            PeerMessage.Hello sender = SENDER.get(context.getConnection());
+            if (sender != null) {
+                receiver.senderLost(sender);
+            }
+            return context.getInvokeAction();
+        }
+
         @Override
         public void exceptionOccurred(FilterChainContext context, Throwable error) {
             log.debugf("event=peer-connection-failed reason=\"%s\"", error);
--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
@@ -272,7 +272,12 @@
                                                                     StoreException.Kind.MALFORMED,
                                                                     "the claim is gone"))
                                             .value()));
-            channel.ifPresent(c -> c.replay(claim.body().orElse(new byte[0]), claim.contentType()));
+            channel.ifPresent(
+                    c ->
+                            claim.body()
+                                    .ifPresentOrElse(
+                                            body -> c.replay(body, claim.contentType()),
+                                            c::replayWithoutBody));
         } catch (StoreException | MalformedRecordException e) {
             log.warnf("event=claim-unreadable request=%s reason=\"%s\"", request, e.getMessage());
             channel.ifPresent(
--- a/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
@@ -1,5 +1,6 @@
 package org.jujubefork.entry.platform;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
 import org.jujubefork.client.http.Address;
@@ -13,12 +14,13 @@
 import org.jujubefork.core.event.Event;
 import org.jujubefork.core.event.FleetEvent;
 import org.jujubefork.core.event.TaskEvent;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.RequestId;
-import org.jujubefork.core.model.StartRefusal;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.WorkerId;
 import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.answers.TaskFailure;
 import org.jujubefork.entry.control.Clock;
 import org.jujubefork.entry.control.EffectExecutor;
 import org.jujubefork.entry.control.EventSink;
@@ -134,9 +136,27 @@
         if (result instanceof StartResult.Answered answered) {
             sink.get().finish(answered.contentType());
         }
+        // After any other end the task may have had no effect, or only a part of it.
+        if (result instanceof StartResult.Ended ended && ended.reason() == EndReason.FAILED) {
+            return finishFailed(effect, ended, sink.get());
+        }
         return startEvent(effect, result);
     }
 
+    private Event finishFailed(
+            WorkerEffect.StartTask effect, StartResult.Ended ended, RequestRegistry.Sink sink) {
+        WorkerId worker = effect.worker();
+        TaskId task = effect.task().id();
+        byte[] body = TaskFailure.body(ended.message());
+        try {
+            sink.chunk(body);
+            sink.finish(TaskFailure.MEDIA_TYPE);
+            return new TaskEvent.RequestFinished(clock.millis(), worker, task, false, body.length);
+        } catch (IOException e) {
+            return new TaskEvent.StartUnknown(clock.millis(), worker, task, e.getMessage());
+        }
+    }
+
     private Event startEvent(WorkerEffect.StartTask effect, StartResult result) {
         WorkerId worker = effect.worker();
         TaskId task = effect.task().id();
@@ -147,12 +167,7 @@
                     new TaskEvent.RequestFinished(now, worker, task, true, a.bytes());
             case StartResult.Ended e -> new TaskEvent.StartUnknown(now, worker, task, e.message());
             case StartResult.Refused r ->
-                    new TaskEvent.StartRefused(
-                            now,
-                            worker,
-                            task,
-                            StartRefusal.valueOf(r.reason().name()),
-                            r.current());
+                    new TaskEvent.StartRefused(now, worker, task, r.reason(), r.current());
             case StartResult.NotConnected n -> new TaskEvent.StartNotSent(now, worker, task);
             case StartResult.Unknown u -> new TaskEvent.StartUnknown(now, worker, task, u.reason());
         };
--- a/entry/src/main/java/org/jujubefork/entry/platform/WorkerReports.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerReports.java
@@ -5,7 +5,6 @@
 import org.jujubefork.client.worker.LeaseResult;
 import org.jujubefork.client.worker.RenewResult;
 import org.jujubefork.client.worker.RunningTask;
-import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.ReportedTask;
 import org.jujubefork.core.model.WorkerReport;
 import org.pcollections.PVector;
@@ -47,7 +46,7 @@
                                 t ->
                                         new org.jujubefork.core.model.EndedTask(
                                                 t.spec(),
-                                                EndReason.valueOf(t.reason().name()),
+                                                t.reason(),
                                                 t.message(),
                                                 t.progressMillis()))
                         .toList());
--- /dev/null
+++ b/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
@@ -0,0 +1,311 @@
+package org.jujubefork.entry.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.glassfish.grizzly.http.Method;
+import org.jujubefork.client.api.ApiPaths;
+import org.jujubefork.config.settings.HostPort;
+import org.jujubefork.core.control.EntryIdentity;
+import org.jujubefork.core.control.State;
+import org.jujubefork.core.control.Timing;
+import org.jujubefork.core.event.Event;
+import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Location;
+import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.entry.answers.AnswerChannel;
+import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.answers.TaskFailure;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against broken answers that look complete and against bad input that is served. */
+public final class HttpFrontEndTest {
+    private static final int WAIT_MILLIS = 10_000;
+    private static final int MAX_BODY_BYTES = 1_000;
+    private static final int MAX_ANSWER_BYTES = 1024 * 1024;
+    private static final String PATH = "/v1/queues/q/requests";
+
+    private final RequestRegistry registry = new RequestRegistry();
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private volatile Consumer<AnswerChannel> producer = channel -> {};
+    private HttpFrontEnd server;
+    private int port;
+
+    @BeforeMethod
+    public void start() throws IOException {
+        events.clear();
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+        EntryId id = EntryId.of("e1", 1);
+        EntryIdentity self =
+                new EntryIdentity(id, Location.of("r", "z", ""), "127.0.0.1:1", "127.0.0.1:2");
+        State state = State.initial(self, Timing.DEFAULT, 0);
+        RequestEndpoint endpoint =
+                new RequestEndpoint(
+                        RequestIds.of(id),
+                        registry,
+                        () -> state,
+                        () -> 0,
+                        this::post,
+                        new Random(7),
+                        MAX_BODY_BYTES,
+                        MAX_ANSWER_BYTES);
+        server =
+                HttpFrontEnd.start(
+                        HostPort.parse("127.0.0.1:" + port),
+                        List.of(Route.open(Method.POST, ApiPaths.QUEUES, "/requests", endpoint)));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        server.close();
+    }
+
+    /** Stands for the control thread: hands each request that arrives to the producer. */
+    private void post(Event event) {
+        events.add(event);
+        if (event instanceof RequestEvent.RequestArrived arrived) {
+            AnswerChannel channel = registry.channel(arrived.request()).orElseThrow();
+            Thread.startVirtualThread(() -> producer.accept(channel));
+        }
+    }
+
+    /** Sends {@code request} and returns all that comes back until the connection ends. */
+    private String exchange(String request) throws IOException {
+        return exchange(request, false);
+    }
+
+    private String exchange(String request, boolean endInput) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout(WAIT_MILLIS);
+            OutputStream output = socket.getOutputStream();
+            output.write(request.getBytes(StandardCharsets.ISO_8859_1));
+            output.flush();
+            if (endInput) {
+                socket.shutdownOutput();
+            }
+            StringBuilder all = new StringBuilder();
+            byte[] buffer = new byte[8192];
+            try {
+                for (int n = socket.getInputStream().read(buffer);
+                        n >= 0;
+                        n = socket.getInputStream().read(buffer)) {
+                    all.append(new String(buffer, 0, n, StandardCharsets.ISO_8859_1));
+                }
+            } catch (java.net.SocketException reset) {
+                return all.toString(); // what came before the reset
+            }
+            return all.toString();
+        }
+    }
+
+    private static String head(String path, String... headers) {
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: e\r\nConnection: close\r\n"
+                + String.join("", headers)
+                + "\r\n";
+    }
+
+    private static String post(String body) {
+        return head(PATH, "Content-Length: " + body.length() + "\r\n") + body;
+    }
+
+    private static void assertStatus(String response, int status) {
+        assertTrue(response.startsWith("HTTP/1.1 " + status + " "), response);
+    }
+
+    private static void write(AnswerChannel channel, byte[] bytes) {
+        try {
+            channel.chunk(bytes);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static void answer(AnswerChannel channel, String text, String type) {
+        write(channel, text.getBytes(StandardCharsets.UTF_8));
+        channel.finish(type);
+        channel.release();
+    }
+
+    @Test
+    public void aFinishedAnswerReachesTheCallerWhole() throws IOException {
+        producer = channel -> answer(channel, "hello", "text/plain");
+        String response = exchange(post("{}"));
+        assertStatus(response, 200);
+        assertTrue(response.contains("Jujube-Outcome: done"), response);
+        assertTrue(response.endsWith("\r\n\r\nhello"), response);
+    }
+
+    @Test
+    public void aChunkedBodyIsRead() throws IOException {
+        producer = channel -> answer(channel, "ok", "text/plain");
+        String response =
+                exchange(
+                        head(PATH, "Transfer-Encoding: chunked\r\n")
+                                + "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+        assertStatus(response, 200);
+    }
+
+    @Test
+    public void aTooLargeBodyIsRefusedBeforeItArrives() throws IOException {
+        String response = exchange(head(PATH, "Content-Length: " + (MAX_BODY_BYTES + 1) + "\r\n"), true);
+        assertStatus(response, 413);
+        assertTrue(events.isEmpty());
+    }
+
+    @Test
+    public void aTooLargeChunkedBodyIsRefused() throws IOException {
+        String part = "x".repeat(MAX_BODY_BYTES + 1);
+        String response =
+                exchange(
+                        head(PATH, "Transfer-Encoding: chunked\r\n")
+                                + Integer.toHexString(part.length())
+                                + "\r\n"
+                                + part
+                                + "\r\n0\r\n\r\n");
+        assertStatus(response, 413);
+        assertTrue(events.isEmpty());
+    }
+
+    @Test
+    public void aTruncatedBodyIsNotRun() throws IOException {
+        exchange(head(PATH, "Content-Length: 100\r\n") + "{}", true);
+        assertTrue(events.isEmpty());
+    }
+
+    @Test
+    public void unknownAndMalformedPathsAreRefused() throws IOException {
+        assertStatus(exchange(head("/v1/other", "Content-Length: 0\r\n")), 404);
+        String malformed = exchange(head("/v1/queues/%zz/requests", "Content-Length: 0\r\n"));
+        assertStatus(malformed, 400);
+    }
+
+    @Test
+    public void anInvalidIdempotencyKeyIsRefused() throws IOException {
+        String response =
+                exchange(head(PATH, "Content-Length: 0\r\n", "Idempotency-Key: a/../b\r\n"));
+        assertStatus(response, 400);
+        assertTrue(events.isEmpty());
+    }
+
+    @Test
+    public void aRefusalCarriesItsOutcome() throws IOException {
+        producer = channel -> channel.refuse(AttemptResult.notRun(RefusalReason.OVERLOADED, 2_000));
+        String response = exchange(post("{}"));
+        assertStatus(response, 429);
+        assertTrue(response.contains("Jujube-Outcome: not-run"), response);
+        assertTrue(response.contains("Retry-After: 2"), response);
+    }
+
+    @Test
+    public void aFailedTaskIsAFinishedRequestThatIsMarked() throws IOException {
+        producer =
+                channel -> {
+                    write(channel, TaskFailure.body("no such spot"));
+                    channel.finish(TaskFailure.MEDIA_TYPE);
+                    channel.release();
+                };
+        String response = exchange(post("{}"));
+        assertStatus(response, 200);
+        assertTrue(response.contains("Jujube-Outcome: done"), response);
+        assertTrue(response.contains("Jujube-Task: failed"), response);
+        assertTrue(response.contains("Content-Type: application/json"), response);
+        assertTrue(response.contains("no such spot"), response);
+    }
+
+    @Test
+    public void anExecutedRequestWithoutKeptBodyIsNotAnsweredWithAnEmptyOne() throws IOException {
+        producer = AnswerChannel::replayWithoutBody;
+        String response = exchange(post("{}"));
+        assertStatus(response, 409);
+        assertTrue(response.contains("Jujube-Outcome: done"), response);
+        assertTrue(response.contains("ALREADY_DONE"), response);
+    }
+
+    /**
+     * Returns whether a client takes {@code response} for a whole one: the last chunk has length 0,
+     * or as many bytes came as were announced.
+     */
+    private static boolean isComplete(String response) {
+        int end = response.indexOf("\r\n\r\n");
+        if (end < 0) {
+            return false;
+        }
+        String head = response.substring(0, end);
+        if (head.contains("Transfer-Encoding: chunked")) {
+            return response.endsWith("0\r\n\r\n");
+        }
+        Matcher length = Pattern.compile("Content-Length: (\\d+)").matcher(head);
+        // Without a length the end of the connection ends the body.
+        return !length.find() || response.length() - end - 4 >= Integer.parseInt(length.group(1));
+    }
+
+    @Test
+    public void aStreamedAnswerThatBreaksDoesNotLookComplete() throws IOException {
+        producer =
+                channel -> {
+                    write(channel, new byte[AnswerChannel.HOLD_BYTES + 1]);
+                    channel.refuse(AttemptResult.unknown(RefusalReason.WORKER_CONNECTION_LOST));
+                };
+        assertFalse(isComplete(exchange(post("{}"))));
+    }
+
+    @Test
+    public void aStreamedAnswerThatBreaksAfterItsFirstPartsDoesNotLookComplete()
+            throws IOException {
+        producer =
+                channel -> {
+                    write(channel, new byte[AnswerChannel.HOLD_BYTES + 1]);
+                    write(channel, new byte[AnswerChannel.HOLD_BYTES * 6]);
+                    channel.reset();
+                };
+        assertFalse(isComplete(exchange(post("{}"))));
+    }
+
+    @Test
+    public void anAnswerOfFixedLengthThatBreaksDoesNotLookComplete() throws IOException {
+        producer =
+                channel -> {
+                    write(channel, new byte[AnswerChannel.HOLD_BYTES]);
+                    channel.finish("text/plain");
+                    channel.offer(new byte[MAX_ANSWER_BYTES], () -> {});
+                    channel.release();
+                };
+        assertFalse(isComplete(exchange(post("{}"))));
+    }
+
+    @Test
+    public void aStreamedAnswerIsWholeWhenItEnds() throws IOException {
+        producer =
+                channel -> {
+                    for (int i = 0; i < 10; i++) {
+                        write(channel, "x".repeat(60_000).getBytes(StandardCharsets.UTF_8));
+                    }
+                    channel.finish("text/plain");
+                };
+        String response = exchange(post("{}"));
+        assertTrue(isComplete(response), "the end is missing");
+        assertEquals(response.chars().filter(c -> c == 'x').count(), 600_000);
+    }
+}
--- a/standins/src/test/java/org/jujubefork/standins/fleet/SimulatedWorker.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/SimulatedWorker.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
-import org.jujubefork.client.worker.EndReason;
 import org.jujubefork.client.worker.EndedTask;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.standins.history.HistorySink;
 
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
@@ -5,11 +5,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.jujubefork.client.worker.EndReason;
 import org.jujubefork.client.worker.EndedTask;
-import org.jujubefork.client.worker.StartRefusal;
+import org.jujubefork.client.worker.RefusalStatus;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.StartRefusal;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.TaskSpec;
 import org.jujubefork.core.model.WorkKind;
@@ -149,7 +150,7 @@
                         "start",
                         spec.id().value(),
                         start.epoch(),
-                        refusal.get().status(),
+                        RefusalStatus.of(refusal.get()),
                         refusal.get().name(),
                         "start refused");
             }
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import org.jujubefork.client.worker.EndReason;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TaskId;
