--- a/entry/src/main/java/org/jujubefork/entry/telemetry/LogFields.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/LogFields.java
@@ -18,7 +18,11 @@
         line.append(key).append('=');
         if (needsQuotes(value)) {
             line.append('"')
-                    .append(value.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n"))
+                    .append(
+                            value.replace("\\", "\\\\")
+                                    .replace("\"", "\\\"")
+                                    .replace("\n", "\\n")
+                                    .replace("\r", "\\r"))
                     .append('"');
         } else {
             line.append(value);
