--- a/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
@@ -67,8 +67,8 @@
                     parts.plus(
                             new JobPart(
                                     ShardId.of(RecordJson.text(part, "shard")),
-                                    part.required("from").asInt(),
-                                    part.required("to").asInt(),
+                                    RecordJson.integer(part, "from"),
+                                    RecordJson.integer(part, "to"),
                                     Optional.ofNullable(part.get("movingTo"))
                                             .map(s -> ShardId.of(s.asText()))));
         }
@@ -90,16 +90,16 @@
                 QueueId.of(RecordJson.text(node, "queue")),
                 WorkKind.valueOf(RecordJson.text(node, "kind")),
                 RecordJson.text(node, "name"),
-                node.required("tasks").asInt(),
+                RecordJson.integer(node, "tasks"),
                 RecordJson.resources(node.required("size")),
                 RecordJson.text(node, "payload"),
-                node.required("submittedAt").asLong(),
+                RecordJson.number(node, "submittedAt"),
                 JobState.valueOf(RecordJson.text(node, "state")),
                 RecordJson.text(node, "reason"),
                 parts,
                 succeeded,
                 attempts,
-                node.required("run").asInt(),
+                RecordJson.integer(node, "run"),
                 progress);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/platform/LedgerCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/LedgerCodec.java
@@ -37,11 +37,11 @@
     private static Ledger read(JsonNode node) {
         Ledger ledger = Ledger.EMPTY;
         for (var team : node.properties()) {
-            for (var shard : team.getValue().properties()) {
+            for (var shard : RecordJson.object(team.getValue()).properties()) {
                 JsonNode row = shard.getValue();
                 Epoch epoch =
                         Epoch.of(
-                                row.required("epoch").asLong(),
+                                RecordJson.number(row, "epoch"),
                                 EntryId.parse(RecordJson.text(row, "holder")));
                 ledger =
                         ledger.with(
--- a/entry/src/main/java/org/jujubefork/entry/platform/RecordJson.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/RecordJson.java
@@ -1,6 +1,7 @@
 package org.jujubefork.entry.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -8,7 +9,8 @@
 
 /** JSON helpers for values of the store. */
 final class RecordJson {
-    static final JsonMapper MAPPER = JsonMapper.builder().build();
+    static final JsonMapper MAPPER =
+            JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
     private RecordJson() {}
 
@@ -21,7 +23,7 @@
     static <T> T decode(String what, String text, Reader<T> reader)
             throws MalformedRecordException {
         try {
-            return reader.read(MAPPER.readTree(text));
+            return reader.read(object(MAPPER.readTree(text)));
         } catch (JsonProcessingException | IllegalArgumentException | NullPointerException e) {
             throw new MalformedRecordException(what + " is malformed: " + e.getMessage(), e);
         }
@@ -31,8 +33,39 @@
         return MAPPER.createObjectNode();
     }
 
+    /**
+     * Returns {@code node} if it is an object. Jackson reads the fields of any other node as none,
+     * so that a damaged record would pass for an empty one.
+     */
+    static JsonNode object(JsonNode node) {
+        if (node == null || !node.isObject()) {
+            throw new IllegalArgumentException("not an object: " + node);
+        }
+        return node;
+    }
+
     static String text(JsonNode node, String field) {
-        return node.required(field).asText();
+        JsonNode value = node.required(field);
+        if (!value.isTextual()) {
+            throw new IllegalArgumentException(field + " is not text: " + value);
+        }
+        return value.asText();
+    }
+
+    static long number(JsonNode node, String field) {
+        JsonNode value = node.required(field);
+        if (!value.isIntegralNumber() || !value.canConvertToLong()) {
+            throw new IllegalArgumentException(field + " is not a whole number: " + value);
+        }
+        return value.asLong();
+    }
+
+    static int integer(JsonNode node, String field) {
+        long value = number(node, field);
+        if (value != (int) value) {
+            throw new IllegalArgumentException(field + " is out of range: " + value);
+        }
+        return (int) value;
     }
 
     static ObjectNode resources(Resources amount) {
@@ -43,8 +76,6 @@
 
     static Resources resources(JsonNode node) {
         return Resources.of(
-                node.required("cpuMillis").asLong(),
-                node.required("memoryMb").asLong(),
-                node.required("accelerators").asLong());
+                number(node, "cpuMillis"), number(node, "memoryMb"), number(node, "accelerators"));
     }
 }
--- /dev/null
+++ b/entry/src/test/java/org/jujubefork/entry/platform/RecordCodecsTest.java
@@ -0,0 +1,151 @@
+package org.jujubefork.entry.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.fail;
+
+import java.util.Optional;
+import java.util.Random;
+import org.jujubefork.core.jobs.JobPart;
+import org.jujubefork.core.jobs.JobRecord;
+import org.jujubefork.core.jobs.JobState;
+import org.jujubefork.core.limits.BudgetRow;
+import org.jujubefork.core.limits.Ledger;
+import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.QueueId;
+import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.requests.ClaimRecord;
+import org.jujubefork.core.requests.ClaimState;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePSet;
+import org.pcollections.TreePVector;
+import org.testng.annotations.Test;
+
+/** Guards against records that change in the store's form, and damaged ones read as valid. */
+public final class RecordCodecsTest {
+    private static final long SEED = Long.getLong("jujubefork.seed", 7);
+    private static final int ROUNDS = 200;
+
+    /** Decodes one kind of record. */
+    private interface Decoder {
+        Object decode(String text) throws MalformedRecordException;
+    }
+
+    private static Resources resources(Random random) {
+        return Resources.of(1 + random.nextInt(9_000), random.nextInt(90_000), random.nextInt(8));
+    }
+
+    private static JobRecord job(Random random) {
+        int tasks = 2 + random.nextInt(50);
+        int middle = 1 + random.nextInt(tasks - 1);
+        return new JobRecord(
+                JobId.of("job-" + random.nextInt(99)),
+                TeamId.of("team"),
+                QueueId.of("queue"),
+                WorkKind.BATCH,
+                "näme \"quoted\"",
+                tasks,
+                resources(random),
+                "{\"a\":1}",
+                random.nextInt(1_000_000),
+                JobState.ACTIVE,
+                "",
+                TreePVector.singleton(JobPart.of(ShardId.of("zone-0"), 0, middle))
+                        .plus(JobPart.of(ShardId.of("zone-1"), middle, tasks)),
+                TreePSet.singleton(0),
+                TreePMap.singleton(1, 2),
+                1 + random.nextInt(3),
+                TreePMap.singleton(1, 0.5));
+    }
+
+    private static Ledger ledger(Random random) {
+        Ledger ledger = Ledger.EMPTY;
+        for (int i = 1 + random.nextInt(6); i > 0; i--) {
+            ledger =
+                    ledger.with(
+                            TeamId.of("t" + random.nextInt(3)),
+                            ShardId.of("z" + random.nextInt(3)),
+                            new BudgetRow(
+                                    Epoch.of(1 + random.nextInt(9), EntryId.of("e1", 5)),
+                                    resources(random)));
+        }
+        return ledger;
+    }
+
+    private static ClaimCodec.StoredClaim claim() {
+        ClaimRecord record =
+                new ClaimRecord(RequestId.of("r-1"), EntryId.of("e1", 5), ClaimState.DONE);
+        return new ClaimCodec.StoredClaim(
+                record, "text/plain", Optional.of(StoreText.encode("body")));
+    }
+
+    @Test
+    public void recordsSurviveTheRoundTrip() throws MalformedRecordException {
+        Random random = new Random(SEED);
+        for (int i = 0; i < ROUNDS; i++) {
+            JobRecord job = job(random);
+            assertEquals(JobCodec.decode(JobCodec.encode(job)), job, "seed " + SEED);
+            Ledger ledger = ledger(random);
+            assertEquals(LedgerCodec.decode(LedgerCodec.encode(ledger)), ledger, "seed " + SEED);
+        }
+        ClaimCodec.StoredClaim read = ClaimCodec.decode(ClaimCodec.encode(claim()));
+        assertEquals(read.record(), claim().record());
+        assertEquals(StoreText.decode(read.body().orElseThrow()), "body");
+    }
+
+    @Test
+    public void otherJsonIsNotTakenForAnEmptyRecord() {
+        for (String text : new String[] {"", "null", "[]", "5", "\"x\"", "{\"t\":5}", "{} {}"}) {
+            assertThrows(MalformedRecordException.class, () -> LedgerCodec.decode(text));
+            assertThrows(MalformedRecordException.class, () -> JobCodec.decode(text));
+            assertThrows(MalformedRecordException.class, () -> ClaimCodec.decode(text));
+        }
+    }
+
+    @Test
+    public void numbersOfTheWrongFormAreRefused() {
+        String job = JobCodec.encode(job(new Random(SEED)));
+        for (String value : new String[] {"\"7\"", "1.5", "null", "99999999999", "[]"}) {
+            String altered = job.replaceFirst("\"tasks\":\\d+", "\"tasks\":" + value);
+            assertThrows(MalformedRecordException.class, () -> JobCodec.decode(altered));
+        }
+    }
+
+    @Test
+    public void alteredRecordsAreMalformedOrOtherRecords() {
+        Random random = new Random(SEED);
+        for (int i = 0; i < ROUNDS * 10; i++) {
+            check(JobCodec::decode, alter(JobCodec.encode(job(random)), random));
+            check(LedgerCodec::decode, alter(LedgerCodec.encode(ledger(random)), random));
+            check(ClaimCodec::decode, alter(ClaimCodec.encode(claim()), random));
+        }
+    }
+
+    private static String alter(String text, Random random) {
+        int at = random.nextInt(text.length());
+        return switch (random.nextInt(3)) {
+            case 0 -> text.substring(0, at);
+            case 1 -> text.substring(0, at) + text.substring(at + 1);
+            default ->
+                    text.substring(0, at)
+                            + "{}[]\",:19x".charAt(random.nextInt(10))
+                            + text.substring(at + 1);
+        };
+    }
+
+    private static void check(Decoder decoder, String text) {
+        try {
+            decoder.decode(text);
+        } catch (MalformedRecordException e) {
+            assertEquals(e.getMessage().isEmpty(), false);
+        } catch (RuntimeException e) {
+            fail("seed " + SEED + ": " + text, e);
+        }
+    }
+}
