--- a/entry/src/test/java/org/jujubefork/entry/telemetry/DecisionLoggerTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/DecisionLoggerTest.java
@@ -34,7 +34,7 @@
 
     @Test
     public void aDecisionIsOneLineOfFields() {
-        DecisionKind kind = DecisionKind.values()[0];
+        DecisionKind kind = DecisionKind.PLACED;
         String line =
                 DecisionLogger.format(
                         new LogDecision(
