--- a/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
+++ b/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
@@ -29,7 +29,12 @@
     private static final int FEW_ENTRIES = 3;
     private static final int FEW_WORKERS = 30;
     private static final int TASK_WORKERS = 120;
-    private static final long DEFAULT_SECONDS = 15;
+
+    /**
+     * A multiple of the renewal interval of 10 s; other times see one round too many or too few.
+     */
+    private static final long DEFAULT_SECONDS = 20;
+
     private static final long RUN_MILLIS = 3_600_000;
     private static final long DEFAULT_SETTLE_SECONDS = 8;
     private static final String DEFAULT_WORKERS = "30,120,300,600";
