--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -13,10 +14,19 @@
  * Cuts the byte stream of a connection into frames. A connection that breaks the protocol is told
  * why and closed.
  */
-@SuppressWarnings("rawtypes") // FilterChainContext.write takes a handler of the raw WriteResult
+@SuppressWarnings({
+    "rawtypes",
+    "unchecked"
+}) // Connection.write takes a handler of the raw WriteResult
 final class FrameFilter extends BaseFilter {
     private static final Logger log = Logger.getLogger(FrameFilter.class);
 
+    private final SentBytes sentBytes;
+
+    FrameFilter(SentBytes sentBytes) {
+        this.sentBytes = sentBytes;
+    }
+
     @Override
     public NextAction handleRead(FilterChainContext context) throws IOException {
         Buffer input = context.getMessage();
@@ -46,7 +56,10 @@
 
     @Override
     public NextAction handleWrite(FilterChainContext context) {
-        byte[] bytes = FrameCodec.encode((Frame) context.getMessage());
+        Frame frame = context.getMessage();
+        byte[] bytes = FrameCodec.encode(frame);
+        sentBytes.count(
+                context.getConnection(), frame.message(), Integer.BYTES + (long) bytes.length);
         Buffer output = context.getMemoryManager().allocate(Integer.BYTES + bytes.length);
         output.putInt(bytes.length);
         output.put(bytes);
@@ -58,19 +71,26 @@
 
     private static NextAction refuse(FilterChainContext context, String reason) {
         log.warnf("event=peer-refused from=%s reason=\"%s\"", context.getAddress(), reason);
-        context.write(
-                Frame.of(new PeerMessage.ProtocolError(reason)),
-                new EmptyCompletionHandler<WriteResult>() {
+        refuse(
+                (Connection<?>) context.getConnection(),
+                Frame.of(new PeerMessage.ProtocolError(reason)));
+        return context.getStopAction();
+    }
+
+    private static <A> void refuse(Connection<A> connection, Frame error) {
+        // A write on the filter's context would start below this filter, without the encoding.
+        connection.write(
+                error,
+                new EmptyCompletionHandler<WriteResult<Frame, A>>() {
                     @Override
-                    public void completed(WriteResult result) {
-                        context.getConnection().closeSilently();
+                    public void completed(WriteResult<Frame, A> result) {
+                        connection.closeSilently();
                     }
 
                     @Override
-                    public void failed(Throwable error) {
-                        context.getConnection().terminateSilently();
+                    public void failed(Throwable failure) {
+                        connection.terminateSilently();
                     }
                 });
-        return context.getStopAction();
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -28,6 +28,8 @@
     private static final int CONNECT_TIMEOUT_SECONDS = 1;
     private static final Attribute<PeerMessage.Hello> SENDER =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("jujubefork.sender");
+    private static final Attribute<String> TARGET =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("jujubefork.target");
     private static final Logger log = Logger.getLogger(PeerTransport.class);
 
     /** Receives messages of other entries. */
@@ -35,26 +37,20 @@
     public interface Receiver {
         /** Handles {@code frame}, which arrived on a connection that {@code sender} opened. */
         void receive(PeerMessage.Hello sender, Frame frame);
-    }
 
-    /** Counts what is sent. */
-    @FunctionalInterface
-    public interface SentBytes {
-        /** Takes note of {@code bytes} sent to {@code peerAddress} for {@code purpose}. */
-        void sent(String peerAddress, String purpose, long bytes);
+        /** Handles the end of the connection that {@code sender} introduced. */
+        default void senderLost(PeerMessage.Hello sender) {}
     }
 
     private final TCPNIOTransport transport;
     private final Frame hello;
     private final ConcurrentHashMap<String, PeerLink> links = new ConcurrentHashMap<>();
     private final Consumer<String> connectionLost;
-    private final SentBytes sentBytes;
 
     private PeerTransport(
-            Frame hello, Receiver receiver, Consumer<String> connectionLost, SentBytes sentBytes) {
+            Frame hello, Receiver receiver, Consumer<String> connectionLost, TrafficMeter meter) {
         this.hello = hello;
         this.connectionLost = connectionLost;
-        this.sentBytes = sentBytes;
         this.transport =
                 TCPNIOTransportBuilder.newInstance()
                         .setIOStrategy(SameThreadIOStrategy.getInstance())
@@ -65,7 +61,7 @@
         transport.setProcessor(
                 FilterChainBuilder.stateless()
                         .add(new TransportFilter())
-                        .add(new FrameFilter())
+                        .add(new FrameFilter(counting(meter)))
                         .add(new ReceiveFilter(receiver))
                         .build());
     }
@@ -77,7 +73,7 @@
      * @param hello introduces this entry on each connection that it opens
      * @param receiver gets the messages; must not block
      * @param connectionLost gets the address of an entry to which a connection was closed
-     * @param sentBytes counts the bytes of each frame
+     * @param meter gets the bytes that are sent
      * @throws IOException if the address cannot be bound
      */
     public static PeerTransport start(
@@ -85,19 +81,25 @@
             PeerMessage.Hello hello,
             Receiver receiver,
             Consumer<String> connectionLost,
-            SentBytes sentBytes)
+            TrafficMeter meter)
             throws IOException {
-        PeerTransport peers =
-                new PeerTransport(Frame.of(hello), receiver, connectionLost, sentBytes);
+        PeerTransport peers = new PeerTransport(Frame.of(hello), receiver, connectionLost, meter);
         peers.transport.bind(listen.host(), listen.port());
         peers.transport.start();
         return peers;
     }
 
+    private static SentBytes counting(TrafficMeter meter) {
+        return (connection, message, bytes) -> {
+            String target = TARGET.get(connection);
+            meter.count(target == null ? "" : target, message.purpose(), bytes);
+        };
+    }
+
     /** Returns the link to the entry at {@code peerAddress}. */
     PeerLink link(String peerAddress) {
         return links.computeIfAbsent(
-                peerAddress, address -> PeerLink.open(address, this::connect, hello, sentBytes));
+                peerAddress, address -> PeerLink.open(address, this::connect, hello));
     }
 
     private Connection<?> connect(String peerAddress) throws IOException {
@@ -107,6 +109,7 @@
                     transport
                             .connect(target.host(), target.port())
                             .get(CONNECT_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            TARGET.set(connection, peerAddress);
             connection.closeFuture().addCompletionHandler(onClose(peerAddress));
             return connection;
         } catch (ExecutionException e) {
@@ -162,6 +165,15 @@
             return context.getStopAction();
         }
 
+        @Override
+        public NextAction handleClose(FilterChainContext context) {
+            PeerMessage.Hello sender = SENDER.get(context.getConnection());
+            if (sender != null) {
+                receiver.senderLost(sender);
+            }
+            return context.getInvokeAction();
+        }
+
         @Override
         public void exceptionOccurred(FilterChainContext context, Throwable error) {
             log.debugf("event=peer-connection-failed reason=\"%s\"", error);
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
@@ -5,11 +5,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.jujubefork.client.worker.EndReason;
 import org.jujubefork.client.worker.EndedTask;
-import org.jujubefork.client.worker.StartRefusal;
+import org.jujubefork.client.worker.RefusalStatus;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.StartRefusal;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.TaskSpec;
 import org.jujubefork.core.model.WorkKind;
@@ -149,7 +150,7 @@
                         "start",
                         spec.id().value(),
                         start.epoch(),
-                        refusal.get().status(),
+                        RefusalStatus.of(refusal.get()),
                         refusal.get().name(),
                         "start refused");
             }
@@ -163,7 +164,9 @@
                             now,
                             endless ? SimulatedTask.NEVER : now + runNanos,
                             Long.MAX_VALUE);
-            state = state.withTasks(state.running().plus(spec.id(), task), state.ended());
+            state =
+                    state.withTasks(state.running().plus(spec.id(), task), state.ended())
+                            .knowing(spec.id());
             notes.add(Notes.start(state, start));
             if (over) {
                 notes.add(Notes.overcommit(state, spec, used));
@@ -188,7 +191,7 @@
             if (state.leaseEndsNanos().isEmpty()) {
                 return Optional.of(StartRefusal.STALE_EPOCH);
             }
-            if (state.running().containsKey(id) || state.ended().containsKey(id)) {
+            if (state.known().contains(id)) {
                 return Optional.of(StartRefusal.DUPLICATE);
             }
             if (state.leaving()) {
@@ -207,6 +210,10 @@
             if (task != null && result instanceof WorkerOutcome.Accepted) {
                 end(task, reason, "");
             }
+            if (!isForeign(epoch)) {
+                // A start that is still under way must not take effect after its stop was answered.
+                state = state.knowing(id);
+            }
             return result;
         }
 
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitionsTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import org.jujubefork.client.worker.EndReason;
+import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TaskId;
@@ -75,6 +75,17 @@
                 "NO_SUCH_TASK");
     }
 
+    /**
+     * A start that is delayed on the network must not run after the owner was told that it is
+     * stopped.
+     */
+    @Test
+    public void stoppedTaskIsNotStartedLater() {
+        WorkerState state =
+                LENIENT.apply(leased(0), new WorkerCommand.Stop(FIRST, TaskId.of("t")), 0).state();
+        assertRefused(LENIENT.apply(state, start("t", WorkKind.BATCH, "{}"), 0), "DUPLICATE");
+    }
+
     @Test
     public void usageLags() {
         WorkerState state = leased(0);
