--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
@@ -79,11 +79,6 @@
                 .array();
     }
 
-    /** Returns the name under which the bytes of a message are counted. */
-    static String purposeOf(PeerMessage message) {
-        return typeOf(message).name().toLowerCase(java.util.Locale.ROOT);
-    }
-
     private static MessageType typeOf(PeerMessage message) {
         return switch (message) {
             case PeerMessage.Hello m -> MessageType.HELLO;
--- a/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
@@ -169,7 +169,8 @@
 
     @Test
     public void aTooLargeBodyIsRefusedBeforeItArrives() throws IOException {
-        String response = exchange(head(PATH, "Content-Length: " + (MAX_BODY_BYTES + 1) + "\r\n"), true);
+        String response =
+                exchange(head(PATH, "Content-Length: " + (MAX_BODY_BYTES + 1) + "\r\n"), true);
         assertStatus(response, 413);
         assertTrue(events.isEmpty());
     }
--- a/entry/src/test/java/org/jujubefork/entry/peer/PeerTransportTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/peer/PeerTransportTest.java
@@ -59,7 +59,8 @@
                         HostPort.parse("127.0.0.1:" + port),
                         new PeerMessage.Hello(EntryId.of("e1", 1), "127.0.0.1:" + port),
                         receiver,
-                        address -> {});
+                        address -> {},
+                        (address, purpose, bytes) -> {});
     }
 
     @AfterMethod(alwaysRun = true)
--- a/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
+++ b/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
@@ -63,7 +63,8 @@
     private record Point(int size, EntryCost cost, double load) {}
 
     public static void main(String[] args) throws Exception {
-        Flags flags = Flags.parse(args, Set.of("out", "seconds", "settle", "workers", "only"), Set.of());
+        Flags flags =
+                Flags.parse(args, Set.of("out", "seconds", "settle", "workers", "only"), Set.of());
         Path out = Path.of(flags.required("out"));
         Capacity capacity =
                 new Capacity(
