--- a/config/src/main/java/org/jujubefork/config/cell/CellSchema.java
+++ b/config/src/main/java/org/jujubefork/config/cell/CellSchema.java
@@ -107,8 +107,9 @@
                         new Shape.Whole(1, 8_760),
                         720L,
                         "h",
-                        "How long the claim of a non-idempotent request is kept. A key that comes"
-                                + " back later counts as a new request."));
+                        "Least time for which the claim of a non-idempotent request is kept."
+                                + " This version removes no claims, so a returning key always"
+                                + " gets the recorded answer."));
     }
 
     private static Shape.Structure team() {
--- a/entry/src/main/java/org/jujubefork/entry/platform/ConfigurationSource.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/ConfigurationSource.java
@@ -1,6 +1,7 @@
 package org.jujubefork.entry.platform;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jboss.logging.Logger;
 import org.jujubefork.config.cell.CellReader;
@@ -8,6 +9,7 @@
 import org.jujubefork.config.cell.ConfigurationDocument;
 import org.jujubefork.config.cell.ConfigurationDocumentCodec;
 import org.jujubefork.config.cell.InvalidDocumentException;
+import org.jujubefork.config.source.Finding;
 import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.event.ConfigurationLoaded;
 import org.jujubefork.core.model.EntryId;
@@ -27,6 +29,7 @@
     private final EventSink events;
     private final AtomicReference<Optional<ConfigurationDocument>> newest =
             new AtomicReference<>(Optional.empty());
+    private final AtomicLong lastUnusable = new AtomicLong();
 
     /** Creates a source for the entry's {@code site}. */
     public ConfigurationSource(CellReader reader, String site, Clock clock, EventSink events) {
@@ -53,9 +56,7 @@
             CellReading reading = reader.read(document);
             Optional<Configuration> configuration = reading.configuration(site);
             if (configuration.isEmpty()) {
-                log.errorf(
-                        "event=configuration-unusable version=%d site=%s findings=%d",
-                        document.version(), site, reading.findings().size());
+                logUnusable(document, reading);
                 return;
             }
             newest.accumulateAndGet(Optional.of(document), ConfigurationSource::newer);
@@ -65,6 +66,24 @@
         }
     }
 
+    /** Writes why a document cannot be used here, once for each version. */
+    private void logUnusable(ConfigurationDocument document, CellReading reading) {
+        if (lastUnusable.getAndSet(document.version()) == document.version()) {
+            return;
+        }
+        if (reading.isUsable()) {
+            log.errorf(
+                    "event=configuration-unusable version=%d site=%s"
+                            + " reason=\"the base file does not list this site\"",
+                    document.version(), site);
+        }
+        for (Finding finding : reading.findings()) {
+            log.errorf(
+                    "event=configuration-unusable version=%d site=%s reason=\"%s\"",
+                    document.version(), site, finding);
+        }
+    }
+
     private static Optional<ConfigurationDocument> newer(
             Optional<ConfigurationDocument> known, Optional<ConfigurationDocument> offered) {
         boolean keep = known.isPresent() && known.get().version() >= offered.get().version();
