Start and end attempts of forwarded requests atomically

Cause: Lincheck found that an earlier attempt could still end after a later one of the same request had ended; both maps changed one after the other. Change: both change under the lock of the request's entry.

--- a/entry/src/main/java/org/jujubefork/entry/peer/OutgoingForwards.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/OutgoingForwards.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.RequestId;
@@ -38,11 +39,18 @@
     Attempt start(RequestId request, EntryId to, String peerAddress, AnswerChannel channel) {
         Attempt attempt =
                 new Attempt(correlations.incrementAndGet(), request, to, peerAddress, channel);
-        attempts.put(attempt.correlation(), attempt);
-        Long earlier = current.put(request, attempt.correlation());
-        if (earlier != null) {
-            attempts.remove(earlier);
-        }
+        // Both maps change under the lock of the request's entry, so that an earlier attempt cannot
+        // end after the
+        // later one is known.
+        current.compute(
+                request,
+                (id, earlier) -> {
+                    if (earlier != null) {
+                        attempts.remove(earlier);
+                    }
+                    attempts.put(attempt.correlation(), attempt);
+                    return attempt.correlation();
+                });
         return attempt;
     }
 
@@ -59,11 +67,18 @@
 
     /** Ends an attempt and returns it, unless it has ended or was replaced. */
     Optional<Attempt> end(long correlation) {
-        Attempt attempt = attempts.remove(correlation);
-        if (attempt != null) {
-            current.remove(attempt.request(), correlation);
+        Attempt attempt = attempts.get(correlation);
+        if (attempt == null) {
+            return Optional.empty();
         }
-        return Optional.ofNullable(attempt);
+        AtomicBoolean ended = new AtomicBoolean();
+        current.computeIfPresent(
+                attempt.request(),
+                (id, newest) -> {
+                    ended.set(attempts.remove(correlation, attempt));
+                    return newest == correlation ? null : newest;
+                });
+        return ended.get() ? Optional.of(attempt) : Optional.empty();
     }
 
     /** Ends and returns all attempts that went to {@code peerAddress}. */
