--- a/standins/src/test/java/org/jujubefork/standins/proof/TeamLimitTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/TeamLimitTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jujubefork.client.api.ApplyResult;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.standins.Await;
 import org.jujubefork.standins.cell.CellPlan;
 import org.jujubefork.standins.cell.SmallCell;
 import org.jujubefork.standins.cell.TestCell;
@@ -38,7 +39,8 @@
             points.add(new LimitPoint("red", 0, LIMIT));
             Optional<String> job = SaturationTest.submit(cell, "red-batch", 60, 4_000);
             assertTrue(job.isPresent());
-            Thread.sleep(6_000);
+            // Budget moves between the shards for some seconds before the whole limit is in use.
+            Await.until("the team runs as much as its limit allows", () -> isLimitReached(cell));
             cell.ownerOf("z1-w1").kill();
             Thread.sleep(10_000);
             ApplyResult lowered =
@@ -51,6 +53,12 @@
         }
     }
 
+    /** Returns whether the history breaks a limit that is one task lower. */
+    private static boolean isLimitReached(TestCell cell) throws Exception {
+        List<LimitPoint> tighter = List.of(new LimitPoint("red", 0, FIRST_HALF));
+        return !new TeamLimitChecker(tighter).check(cell.fleetHistory()).isEmpty();
+    }
+
     @Test
     public void teamStaysBelowItsLimit() throws Exception {
         List<LimitPoint> points = new ArrayList<>();
