--- a/core/src/main/java/org/jujubefork/core/model/RefusalReason.java
+++ b/core/src/main/java/org/jujubefork/core/model/RefusalReason.java
@@ -1,5 +1,7 @@
 package org.jujubefork.core.model;
 
+import java.util.Locale;
+
 /** Why work was refused, or why its outcome is not known. */
 public enum RefusalReason {
     /** There is nothing to explain. */
@@ -87,6 +89,6 @@
 
     /** Returns the reason as a stable code for logs and programs, for example {@code not-owner}. */
     public String code() {
-        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -12,7 +12,6 @@
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.RefusalReason;
-import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.StartRefusal;
 import org.jujubefork.core.ownership.Ownership;
 import org.jujubefork.core.requests.Attempts;
@@ -181,9 +180,4 @@
         State without = state.withDetached(state.detached().minus(task.spec().id()));
         return Attempts.report(without, task.origin().orElseThrow(), result.get());
     }
-
-    /** Returns the shard of a placed task. */
-    public static Optional<ShardId> shardOf(State state, RunningTask task) {
-        return Workers.shardOf(state, task.worker()).map(ShardState::id);
-    }
 }
--- a/core/src/main/java/org/jujubefork/core/requests/Claims.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Claims.java
@@ -243,10 +243,4 @@
     private static ClaimRecord record(State state, RequestId request, ClaimState claim) {
         return new ClaimRecord(request, state.self().id(), claim);
     }
-
-    /** Returns the claim key of {@code request}, if it is active and has one. */
-    static Optional<String> keyOf(State state, RequestId request) {
-        return Optional.ofNullable(state.requests().active().get(request))
-                .flatMap(FrontRequest::claimKey);
-    }
 }
--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -53,7 +53,7 @@
     /**
      * Time in which a stopping entry still takes requests, so that the balancer can take notice.
      */
-    private static final long LAME_DUCK_MILLIS = 1_000;
+    private static final long STOP_NOTICE_MILLIS = 1_000;
 
     private final DaemonSettings settings;
     private final ControlLoop loop;
@@ -222,7 +222,7 @@
 
     private boolean drain() {
         try {
-            Thread.sleep(LAME_DUCK_MILLIS);
+            Thread.sleep(STOP_NOTICE_MILLIS);
             loop.post(new DrainRequested(Clock.SYSTEM.millis()));
             long deadline = Clock.SYSTEM.millis() + settings.drainTimeoutMillis();
             while (!isDrained() && Clock.SYSTEM.millis() < deadline) {
--- a/entry/src/main/java/org/jujubefork/entry/answers/RequestRegistry.java
+++ b/entry/src/main/java/org/jujubefork/entry/answers/RequestRegistry.java
@@ -1,5 +1,6 @@
 package org.jujubefork.entry.answers;
 
+import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.jujubefork.client.http.ChunkSink;
@@ -70,7 +71,7 @@
     private static Sink sinkOf(AnswerChannel channel) {
         return new Sink() {
             @Override
-            public void chunk(byte[] chunk) throws java.io.IOException {
+            public void chunk(byte[] chunk) throws IOException {
                 channel.chunk(chunk);
             }
 
--- a/entry/src/main/java/org/jujubefork/entry/http/ConfigurationEndpoint.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/ConfigurationEndpoint.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.jujubefork.client.api.ApiCodec;
@@ -109,7 +110,7 @@
 
     private static FindingView view(Finding finding) {
         return new FindingView(
-                finding.severity().name().toLowerCase(java.util.Locale.ROOT),
+                finding.severity().name().toLowerCase(Locale.ROOT),
                 finding.file(),
                 finding.line(),
                 finding.column(),
--- a/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -64,8 +66,7 @@
                     .get(GRACE_SECONDS + 1, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (java.util.concurrent.ExecutionException
-                | java.util.concurrent.TimeoutException e) {
+        } catch (ExecutionException | TimeoutException e) {
             log.warnf("event=http-stop-incomplete reason=\"%s\"", e);
         }
         executor.shutdownNow();
--- a/entry/src/main/java/org/jujubefork/entry/http/Refusals.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/Refusals.java
@@ -6,7 +6,6 @@
 import org.jujubefork.client.api.ErrorView;
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.Outcome;
-import org.jujubefork.core.model.RefusalReason;
 
 /** The HTTP form of refusals. */
 final class Refusals {
@@ -57,9 +56,4 @@
                             : new Form(503, ErrorCodes.UNAVAILABLE);
         };
     }
-
-    /** Returns the text for {@code reason}. */
-    static String text(RefusalReason reason) {
-        return reason.text();
-    }
 }
--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
@@ -1,6 +1,7 @@
 package org.jujubefork.entry.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.Outcome;
@@ -52,7 +53,7 @@
                             + Frame.VERSION);
         }
         MessageType type = MessageType.ofCode(bytes[1] & 0xff);
-        long correlation = java.nio.ByteBuffer.wrap(bytes, 2, Long.BYTES).getLong();
+        long correlation = ByteBuffer.wrap(bytes, 2, Long.BYTES).getLong();
         try (MessageUnpacker unpacker =
                 MessagePack.newDefaultUnpacker(bytes, HEADER_BYTES, bytes.length - HEADER_BYTES)) {
             Frame frame = Frame.of(correlation, read(type, unpacker));
@@ -72,7 +73,7 @@
     private static final int HEADER_BYTES = 2 + Long.BYTES;
 
     private static byte[] header(MessageType type, long correlation) {
-        return java.nio.ByteBuffer.allocate(HEADER_BYTES)
+        return ByteBuffer.allocate(HEADER_BYTES)
                 .put((byte) Frame.VERSION)
                 .put((byte) type.code())
                 .putLong(correlation)
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
@@ -1,9 +1,12 @@
 package org.jujubefork.entry.peer;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.glassfish.grizzly.Connection;
 import org.jboss.logging.Logger;
 
@@ -31,7 +34,7 @@
     @FunctionalInterface
     interface Connector {
         /** Returns an open connection to {@code peerAddress}. */
-        Connection<?> connect(String peerAddress) throws java.io.IOException;
+        Connection<?> connect(String peerAddress) throws IOException;
     }
 
     /**
@@ -96,21 +99,20 @@
                 sent = true;
                 write(frame);
             }
-        } catch (java.io.IOException e) {
+        } catch (IOException e) {
             log.debugf("event=peer-send-failed to=%s reason=\"%s\"", peerAddress, e.getMessage());
             disconnect();
             parcel.failure().failed(sent);
         }
     }
 
-    private void write(Frame frame) throws java.io.IOException, InterruptedException {
+    private void write(Frame frame) throws IOException, InterruptedException {
         try {
             connection.write(frame).get(WRITE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
-        } catch (java.util.concurrent.ExecutionException e) {
-            throw new java.io.IOException("write failed: " + e.getCause(), e);
-        } catch (java.util.concurrent.TimeoutException e) {
-            throw new java.io.IOException(
-                    "write took longer than " + WRITE_TIMEOUT_SECONDS + " s", e);
+        } catch (ExecutionException e) {
+            throw new IOException("write failed: " + e.getCause(), e);
+        } catch (TimeoutException e) {
+            throw new IOException("write took longer than " + WRITE_TIMEOUT_SECONDS + " s", e);
         }
     }
 
--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
@@ -13,6 +13,9 @@
 import org.jujubefork.core.event.JobEvent;
 import org.jujubefork.core.event.LimitEvent;
 import org.jujubefork.core.jobs.StoredJob;
+import org.jujubefork.core.limits.Ledger;
+import org.jujubefork.core.model.AttemptResult;
+import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.requests.ClaimRecord;
 import org.jujubefork.core.requests.ClaimState;
@@ -247,7 +250,7 @@
                             revision,
                             found.isPresent()
                                     ? LedgerCodec.decode(StoreText.decode(found.get().value()))
-                                    : org.jujubefork.core.limits.Ledger.EMPTY));
+                                    : Ledger.EMPTY));
         } catch (StoreException | MalformedRecordException e) {
             // No event: a failed read would be answered by another read at once. The watch delivers
             // the
@@ -283,11 +286,7 @@
         } catch (StoreException | MalformedRecordException e) {
             log.warnf("event=claim-unreadable request=%s reason=\"%s\"", request, e.getMessage());
             channel.ifPresent(
-                    c ->
-                            c.refuse(
-                                    org.jujubefork.core.model.AttemptResult.unknown(
-                                            org.jujubefork.core.model.RefusalReason
-                                                    .EARLIER_OUTCOME_UNKNOWN)));
+                    c -> c.refuse(AttemptResult.unknown(RefusalReason.EARLIER_OUTCOME_UNKNOWN)));
         }
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/DaemonMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/DaemonMetrics.java
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.effect.DecisionKind;
 import org.jujubefork.core.effect.LogDecision;
@@ -111,10 +112,7 @@
     }
 
     private void shardGauge(
-            String name,
-            String help,
-            Supplier<State> state,
-            java.util.function.ToIntFunction<ShardState> value) {
+            String name, String help, Supplier<State> state, ToIntFunction<ShardState> value) {
         GaugeWithCallback.builder()
                 .name(name)
                 .help(help)
