--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -209,6 +209,7 @@
     public void close() throws IOException {
         log.infof("event=stopping entry=%s", settings.name());
         stopping = true;
+        http.endConnections();
         boolean drained = drain();
         http.close();
         vmList.close();
--- a/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -29,10 +30,12 @@
 
     private final HttpServer server;
     private final ExecutorService executor;
+    private final AtomicBoolean stopping;
 
-    private HttpFrontEnd(HttpServer server, ExecutorService executor) {
+    private HttpFrontEnd(HttpServer server, ExecutorService executor, AtomicBoolean stopping) {
         this.server = server;
         this.executor = executor;
+        this.stopping = stopping;
     }
 
     /**
@@ -42,6 +45,7 @@
      */
     public static HttpFrontEnd start(HostPort address, List<Route> routes) throws IOException {
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+        AtomicBoolean stopping = new AtomicBoolean();
         HttpServer server = new HttpServer();
         NetworkListener listener = new NetworkListener("callers", address.host(), address.port());
         listener.getTransport().setSelectorRunnersCount(SELECTOR_THREADS);
@@ -53,9 +57,18 @@
                                 .setMaxPoolSize(WORKER_THREADS));
         listener.getFileCache().setEnabled(false);
         server.addListener(listener);
-        server.getServerConfiguration().addHttpHandler(new Dispatcher(routes, executor), "/");
+        server.getServerConfiguration()
+                .addHttpHandler(new Dispatcher(routes, executor, stopping), "/");
         server.start();
-        return new HttpFrontEnd(server, executor);
+        return new HttpFrontEnd(server, executor, stopping);
+    }
+
+    /**
+     * Ends each connection with its next response. A caller that kept a connection open could
+     * otherwise send a request into it just when the server closes it, and get no response.
+     */
+    public void endConnections() {
+        stopping.set(true);
     }
 
     /** Stops to accept connections, lets requests in progress end, and stops. */
@@ -76,15 +89,20 @@
     private static final class Dispatcher extends HttpHandler {
         private final List<Route> routes;
         private final ExecutorService executor;
+        private final AtomicBoolean stopping;
 
-        Dispatcher(List<Route> routes, ExecutorService executor) {
+        Dispatcher(List<Route> routes, ExecutorService executor, AtomicBoolean stopping) {
             this.routes = routes;
             this.executor = executor;
+            this.stopping = stopping;
         }
 
         @Override
         public void service(Request request, Response response) {
             response.suspend();
+            if (stopping.get()) {
+                response.setHeader("Connection", "close");
+            }
             executor.execute(() -> handle(new Exchange(request, response)));
         }
 
