--- a/core/src/main/java/org/jujubefork/core/event/TaskEvent.java
+++ b/core/src/main/java/org/jujubefork/core/event/TaskEvent.java
@@ -73,6 +73,17 @@
             long atMillis, WorkerId worker, TaskId task, boolean succeeded, long answerBytes)
             implements TaskEvent {}
 
+    /**
+     * A lookup ran, failed, and gave no answer.
+     *
+     * @param atMillis when
+     * @param worker the worker
+     * @param task the task
+     * @param message what the worker says about the failure
+     */
+    record LookupFailed(long atMillis, WorkerId worker, TaskId task, String message)
+            implements TaskEvent {}
+
     /**
      * The worker confirmed that a task is stopped, or will never start.
      *
--- a/core/src/main/java/org/jujubefork/core/placement/Tasks.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Tasks.java
@@ -19,6 +19,9 @@
 
 /** Follows tasks from the start command to their end. */
 public final class Tasks {
+    private static final AttemptResult LOOKUP_FAILED =
+            AttemptResult.unknown(RefusalReason.TASK_FAILED);
+
     private Tasks() {}
 
     /** Reduces what became of a command to a worker. */
@@ -42,6 +45,7 @@
             case TaskEvent.StartNotSent e -> notSent(state, shard, task);
             case TaskEvent.StartUnknown e -> unknown(state, shard, task);
             case TaskEvent.RequestFinished e -> finished(state, shard, task, e);
+            case TaskEvent.LookupFailed e -> lookupFailed(state, shard, task, e);
             case TaskEvent.StopConfirmed e -> stopConfirmed(state, shard, task);
             case TaskEvent.StopFailed e ->
                     Workers.suspend(
@@ -123,20 +127,30 @@
                         state.withShard(judged.release(task.spec().id())),
                         task.spec().queue(),
                         event.answerBytes());
-        Transition result = Transition.of(released).with(endDecision(state, task, event));
+        String outcome = event.succeeded() ? "succeeded" : "failed";
+        Transition result = Transition.of(released).with(endDecision(state, task, outcome));
         return task.origin()
                 .map(o -> result.then(s -> Attempts.report(s, o, AttemptResult.done())))
                 .orElse(result);
     }
 
-    private static LogDecision endDecision(
-            State state, RunningTask task, TaskEvent.RequestFinished event) {
+    /** Frees what a failed lookup held; its front entry may try another shard. */
+    private static Transition lookupFailed(
+            State state, ShardState shard, RunningTask task, TaskEvent.LookupFailed event) {
+        ShardState judged = Verdicts.failed(state, shard, task);
+        State released = state.withShard(judged.release(task.spec().id()));
+        return Transition.of(released)
+                .with(endDecision(state, task, "failed: " + event.message()))
+                .then(s -> Attempts.report(s, task.origin().orElseThrow(), LOOKUP_FAILED));
+    }
+
+    private static LogDecision endDecision(State state, RunningTask task, String outcome) {
         return new LogDecision(
                 DecisionKind.ENDED,
                 task.spec().id().value(),
                 Optional.of(task.spec().team()),
                 task.worker().value(),
-                event.succeeded() ? "succeeded" : "failed",
+                outcome,
                 0,
                 state.nowMillis() - task.placedAtMillis());
     }
@@ -170,6 +184,7 @@
                     case TaskEvent.StartUnknown e ->
                             Optional.of(
                                     AttemptResult.unknown(RefusalReason.WORKER_CONNECTION_LOST));
+                    case TaskEvent.LookupFailed e -> Optional.of(LOOKUP_FAILED);
                     case TaskEvent.StartAccepted e -> Optional.empty();
                     case TaskEvent.StopConfirmed e -> Optional.empty();
                     case TaskEvent.StopFailed e -> Optional.empty();
--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -271,7 +271,10 @@
         }
         State noted = avoidFailed(state, request, result);
         boolean safe = result.outcome() == Outcome.NOT_RUN || request.isIdempotent();
-        boolean wanted = result.outcome() != Outcome.DONE && result.retryElsewhere() && safe;
+        // One more try tells a bad worker from a request that fails wherever it runs.
+        boolean failedAgain = result.reason() == RefusalReason.TASK_FAILED && request.maybeRan();
+        boolean wanted =
+                result.outcome() != Outcome.DONE && result.retryElsewhere() && safe && !failedAgain;
         boolean inTime = state.nowMillis() < request.deadlineMillis();
         if (wanted && inTime && state.requests().retries().allows()) {
             return retry(noted, request, result);
--- a/core/src/test/java/org/jujubefork/core/placement/WorkerHealthTest.java
+++ b/core/src/test/java/org/jujubefork/core/placement/WorkerHealthTest.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import org.jujubefork.core.configuration.Tuning;
 import org.jujubefork.core.control.Cell;
+import org.jujubefork.core.effect.RequestEffect;
 import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.event.TaskEvent;
 import org.jujubefork.core.model.EndReason;
+import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.WorkKind;
@@ -107,6 +109,29 @@
         assertTrue(failed <= 5, "failed " + failed);
     }
 
+    /**
+     * Guards against a lookup that is lost to one bad worker, and against one that fails wherever
+     * it runs and uses up the retries of others.
+     */
+    @Test
+    public void failedLookupIsTriedOnceMore() {
+        Cell cell = Cell.of(2, 1, Tuning.DEFAULT);
+        cell.request("r", Cell.queue(WorkKind.LOOKUP, 0));
+        for (int attempt = 1; attempt <= 2; attempt++) {
+            var starts = cell.effects(WorkerEffect.StartTask.class);
+            assertEquals(starts.size(), attempt, "starts");
+            WorkerEffect.StartTask start = starts.get(attempt - 1);
+            cell.apply(
+                    new TaskEvent.LookupFailed(
+                            cell.state.nowMillis(), start.worker(), start.task().id(), "no disk"));
+        }
+        assertEquals(cell.effects(WorkerEffect.StartTask.class).size(), 2, "starts");
+        var refused = cell.effects(RequestEffect.Refuse.class);
+        assertEquals(refused.size(), 1, "answers");
+        assertEquals(refused.get(0).result().reason(), RefusalReason.TASK_FAILED);
+        assertTrue(cell.placed(WorkKind.LOOKUP, 0).isEmpty(), "the lookup still holds capacity");
+    }
+
     /** Guards against a worker that is packed past its capacity by what tasks really use. */
     @Test
     public void learnedSizesLimitPackingBothWays() {
--- a/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
@@ -18,6 +18,7 @@
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkKind;
 import org.jujubefork.core.model.WorkerId;
 import org.jujubefork.entry.answers.RequestRegistry;
 import org.jujubefork.entry.answers.TaskFailure;
@@ -138,7 +139,10 @@
         }
         // After any other end the task may have had no effect, or only a part of it.
         if (result instanceof StartResult.Ended ended && ended.reason() == EndReason.FAILED) {
-            return finishFailed(effect, ended, sink.get());
+            return effect.task().kind() == WorkKind.LOOKUP
+                    ? new TaskEvent.LookupFailed(
+                            clock.millis(), effect.worker(), effect.task().id(), ended.message())
+                    : finishFailed(effect, ended, sink.get());
         }
         return startEvent(effect, result);
     }
--- a/standins/src/test/java/org/jujubefork/standins/cell/Caller.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Caller.java
@@ -133,6 +133,9 @@
     }
 
     private Attempt judge(Request request, HttpResponse<byte[]> response) {
+        if (response.headers().firstValue("Jujube-Task").equals(Optional.of("failed"))) {
+            return new Attempt(Outcome.DONE, false, "task-failed", false);
+        }
         if (response.statusCode() == 200) {
             boolean right = isAnswer(request, response.body());
             return new Attempt(Outcome.DONE, false, right ? "" : "wrong-body", !right);
