--- a/standins/src/test/java/org/jujubefork/standins/proof/Judgement.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/Judgement.java
@@ -3,7 +3,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.jujubefork.core.model.Outcome;
 import org.jujubefork.core.model.WorkKind;
 import org.jujubefork.standins.cell.CallRecord;
@@ -109,6 +111,14 @@
                 + " unknown="
                 + count(calls, c -> c.outcome() == Outcome.UNKNOWN)
                 + " retried="
-                + count(calls, c -> c.attempts() > 1);
+                + count(calls, c -> c.attempts() > 1)
+                + " reasons="
+                + calls.stream()
+                        .filter(c -> c.outcome() != Outcome.DONE)
+                        .collect(
+                                Collectors.groupingBy(
+                                        c -> (c.command() ? "command/" : "lookup/") + c.reason(),
+                                        TreeMap::new,
+                                        Collectors.counting()));
     }
 }
