Restart tasks of an unreachable worker only without an unseen owner

Cause: an owner that could not reach a worker restarted its tasks when the lease was over on its own clock. An entry that the owner did not hear could have taken the worker over and renewed the lease, so that a task ran twice (gap of D2); a successor requeued job tasks in the same way while the old owner went on renewing. Ruled out: a majority for each takeover (no takeover with most entries gone, and a round trip more); waiting until all expected entries are heard after the lease (7 s more for each lost worker). Change: UnseenOwners notes while an entry that is listed in the store, or any silent one without the store, is not heard. Tasks are given up when that has not been so for the length of a lease. The worlds of the reducer tests now drop the address of a dead entry after 15 s, as the store does. JobsTest with a killed owner and an unreachable worker still requeues within 65 s; a worker cut off from all restarts its replicas after 30.1 s (WorkerFailureTest).

--- a/core/src/main/java/org/jujubefork/core/control/Reducer.java
+++ b/core/src/main/java/org/jujubefork/core/control/Reducer.java
@@ -18,6 +18,7 @@
 import org.jujubefork.core.membership.Membership;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.ownership.Ownership;
+import org.jujubefork.core.ownership.UnseenOwners;
 import org.jujubefork.core.placement.Admission;
 import org.jujubefork.core.placement.FleetTotals;
 import org.jujubefork.core.placement.Reclaim;
@@ -74,6 +75,7 @@
     private static Transition tick(State state, Tick tick) {
         Transition result =
                 Transition.of(state)
+                        .then(s -> Transition.of(UnseenOwners.note(s)))
                         .then(Ownership::tick)
                         .then(Workers::tick)
                         .then(Jobs::tick)
--- a/core/src/main/java/org/jujubefork/core/jobs/Jobs.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Jobs.java
@@ -9,6 +9,7 @@
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.WorkKind;
 import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.core.ownership.UnseenOwners;
 import org.jujubefork.core.placement.RunningTask;
 import org.jujubefork.core.placement.ShardState;
 import org.pcollections.PSortedMap;
@@ -115,8 +116,9 @@
         ShardJobs jobs = JobQueue.shardJobs(state, shard);
         ShardState owned = state.shards().get(shard);
         boolean over =
-                state.nowMillis() - owned.claimedAtMillis()
-                        >= state.timing().leaseOverAfterMillis();
+                UnseenOwners.areExcluded(state)
+                        && state.nowMillis() - owned.claimedAtMillis()
+                                >= state.timing().leaseOverAfterMillis();
         boolean settled =
                 jobs.settled()
                         || over
--- a/core/src/main/java/org/jujubefork/core/membership/Membership.java
+++ b/core/src/main/java/org/jujubefork/core/membership/Membership.java
@@ -9,6 +9,7 @@
 import org.jujubefork.core.event.MembershipEvent;
 import org.jujubefork.core.event.StoreEvent;
 import org.jujubefork.core.event.Tick;
+import org.pcollections.TreePSet;
 
 /** Keeps track of other entries and of the configuration that they have in force. */
 public final class Membership {
@@ -24,20 +25,22 @@
     public static Transition reduce(State state, MembershipEvent event) {
         return switch (event) {
             case MembershipEvent.GossipReceived e -> Gossip.merge(state, e);
-            case MembershipEvent.PeersDiscovered e ->
-                    Transition.of(
-                            state.withMembership(
-                                    state.membership()
-                                            .withAddresses(
-                                                    state.membership()
-                                                            .addresses()
-                                                            .plusAll(e.peerAddresses())
-                                                            .minus(state.self().peerAddress()))));
+            case MembershipEvent.PeersDiscovered e -> Transition.of(discovered(state, e));
             case MembershipEvent.ProbeReceived e -> ConfigurationSync.replyToProbe(state, e);
             case MembershipEvent.ProbeReplied e -> ConfigurationSync.recordProbe(state, e);
         };
     }
 
+    private static State discovered(State state, MembershipEvent.PeersDiscovered event) {
+        MembershipState known = state.membership();
+        return state.withMembership(
+                        known.withAddresses(
+                                known.addresses()
+                                        .plusAll(event.peerAddresses())
+                                        .minus(state.self().peerAddress())))
+                .withOwnership(state.ownership().listing(TreePSet.from(event.peerAddresses())));
+    }
+
     /** Reduces news of the store. */
     public static Transition reduce(State state, StoreEvent event) {
         return switch (event) {
--- a/core/src/main/java/org/jujubefork/core/placement/Workers.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -14,6 +14,7 @@
 import org.jujubefork.core.model.WorkerListing;
 import org.jujubefork.core.ownership.FleetState;
 import org.jujubefork.core.ownership.Ownership;
+import org.jujubefork.core.ownership.UnseenOwners;
 import org.pcollections.PSortedMap;
 
 /** Takes and renews the leases of an owned shard's workers. */
@@ -50,7 +51,9 @@
                 if (isDue(state, worker)) {
                     result = result.then(s -> ask(s, shard.id(), worker.id()));
                 }
-                if (isLeaseOver(state, worker) && !worker.tasks().isEmpty()) {
+                if (isLeaseOver(state, worker)
+                        && UnseenOwners.areExcluded(state)
+                        && !worker.tasks().isEmpty()) {
                     result =
                             result.then(s -> Reports.loseAll(s, shard.id(), worker.id()))
                                     .then(s -> Transition.of(lost(s, shard.id(), worker.id())));
--- a/core/src/test/java/org/jujubefork/core/jobs/FakeEntry.java
+++ b/core/src/test/java/org/jujubefork/core/jobs/FakeEntry.java
@@ -14,6 +14,7 @@
     long seenRevision;
     long pausedUntil;
     boolean dead;
+    long contactMillis;
     boolean gossipCut;
     boolean storeCut;
 
--- a/core/src/test/java/org/jujubefork/core/jobs/JobsWorld.java
+++ b/core/src/test/java/org/jujubefork/core/jobs/JobsWorld.java
@@ -145,6 +145,14 @@
         var changed = store.changedAfter(entry.seenRevision);
         var removed = store.removedAfter(entry.seenRevision);
         entry.seenRevision = store.revision;
+        entry.contactMillis = now;
+        // An address has a lease of 15 s in the store.
+        var peers =
+                entries.entrySet().stream()
+                        .filter(e -> now - e.getValue().contactMillis < 15_000)
+                        .map(e -> e.getKey() + ":90")
+                        .toList();
+        apply(entry, new MembershipEvent.PeersDiscovered(now, TreePVector.from(peers)));
         apply(entry, new StoreEvent.StoreContacted(now, now));
         apply(entry, new JobEvent.JobRecordsChanged(now, changed, removed));
     }
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/ownership/UnseenOwnersTest.java
@@ -0,0 +1,96 @@
+package org.jujubefork.core.ownership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jujubefork.core.control.Reducer;
+import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.TaskSpec;
+import org.jujubefork.core.model.TeamId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.placement.WorkerState;
+import org.jujubefork.core.testing.Cluster;
+import org.jujubefork.core.testing.Fixtures;
+import org.jujubefork.core.testing.Workload;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against an owner that gives up the tasks of a worker, so that they start elsewhere, while
+ * an entry that it does not hear has taken the worker over and renews its lease.
+ */
+public class UnseenOwnersTest {
+    private static final ShardId SHARD = ShardId.of("z0");
+    private static final int TASKS = 8;
+
+    /**
+     * The owner reaches w1 only, its unseen successor w0 only. With the store the owner would see
+     * the successor's epoch in the ledger.
+     */
+    private static Cluster divided(long seed) {
+        Cluster cluster = new Cluster(seed, Fixtures.configuration(1, 2, Map.of("a", 99)));
+        cluster.addNode("e0", "z0", Reducer::reduce);
+        cluster.addNode("e1", "z1", Reducer::reduce);
+        cluster.addWorker("w0", "z0");
+        cluster.addWorker("w1", "z0");
+        cluster.run(20_000);
+        Workload workload = new Workload(cluster, 0);
+        for (int i = 0; i < TASKS; i++) {
+            workload.queue(cluster.node("e0"), SHARD, TeamId.of("a"), WorkKind.SERVICE);
+        }
+        cluster.run(2_000);
+        cluster.store().up(false);
+        cluster.cut("e0", "e1");
+        cluster.cut("e0", "w0");
+        cluster.cut("e1", "w1");
+        return cluster;
+    }
+
+    private static Set<TaskId> running(Cluster cluster) {
+        return cluster.workers().get("w0").tasks().stream()
+                .map(TaskSpec::id)
+                .collect(Collectors.toSet());
+    }
+
+    private static Set<TaskId> known(Cluster cluster) {
+        WorkerState worker =
+                cluster.node("e0").state().shards().get(SHARD).workers().values().stream()
+                        .filter(w -> w.id().value().equals("w0"))
+                        .findFirst()
+                        .orElseThrow();
+        return Set.copyOf(worker.tasks());
+    }
+
+    @Test
+    public void tasksOfAnUnseenSuccessorAreKept() {
+        Cluster cluster = divided(22);
+        int[] shared = new int[1];
+        cluster.run(
+                70_000,
+                () -> {
+                    Set<TaskId> running = running(cluster);
+                    assertTrue(known(cluster).containsAll(running), "gave up " + running);
+                    shared[0] += running.isEmpty() ? 0 : 1;
+                });
+        assertTrue(cluster.node("e1").state().shards().containsKey(SHARD), "no successor");
+        assertTrue(shared[0] > 400, "the tasks ended too early: " + shared[0]);
+    }
+
+    /** Guards against tasks that are never restarted after the successor is gone too. */
+    @Test
+    public void tasksAreGivenUpAfterTheSuccessorDied() {
+        Cluster cluster = divided(23);
+        cluster.run(20_000);
+        cluster.kill("e1");
+        cluster.store().up(true);
+        cluster.run(
+                100_000,
+                () -> assertTrue(known(cluster).containsAll(running(cluster)), "gave up early"));
+        assertEquals(running(cluster), Set.of());
+        assertFalse(known(cluster).stream().findAny().isPresent(), "tasks are kept for ever");
+    }
+}
--- a/core/src/test/java/org/jujubefork/core/testing/Cluster.java
+++ b/core/src/test/java/org/jujubefork/core/testing/Cluster.java
@@ -33,6 +33,7 @@
 public final class Cluster {
     public static final long STEP_MILLIS = 100;
     private static final String STORE = "store";
+    private static final long ADDRESS_LEASE_MILLIS = 15_000;
 
     /** A message on its way; {@code order} keeps runs repeatable. */
     private record Message(long atMillis, long order, String from, Runnable delivery) {}
@@ -42,6 +43,7 @@
     private final Map<String, FakeWorker> workers = new TreeMap<>();
     private final Set<String> unlisted = new HashSet<>();
     private final Set<String> cuts = new HashSet<>();
+    private final Map<String, Long> contacts = new TreeMap<>();
     private final FakeStore store;
     private final Effects effects = new Effects(this);
     private PriorityQueue<Message> messages =
@@ -219,8 +221,7 @@
     private void poll(Node node) {
         long beat = nowMillis / STEP_MILLIS + node.name().hashCode();
         if (Math.floorMod(beat, 10) == 0) {
-            List<String> peers = nodes.keySet().stream().map(n -> n + ":70").toList();
-            node.deliver(at -> new MembershipEvent.PeersDiscovered(at, TreePVector.from(peers)));
+            discoverPeers(node);
             List<WorkerListing> listings = new ArrayList<>();
             for (var entry : workers.entrySet()) {
                 if (!unlisted.contains(entry.getKey())) {
@@ -235,7 +236,27 @@
         }
     }
 
+    /** Delivers the addresses from the settings at first, later those with a lease in the store. */
+    private void discoverPeers(Node node) {
+        boolean fresh = node.state().membership().addresses().isEmpty();
+        boolean connected = store.isUp() && !cuts.contains(node.name() + "|" + STORE);
+        if (fresh || connected) {
+            List<String> peers =
+                    nodes.keySet().stream()
+                            .filter(n -> fresh || isRegistered(n))
+                            .map(n -> n + ":70")
+                            .toList();
+            node.deliver(at -> new MembershipEvent.PeersDiscovered(at, TreePVector.from(peers)));
+        }
+    }
+
+    private boolean isRegistered(String node) {
+        return nowMillis - contacts.getOrDefault(node, -ADDRESS_LEASE_MILLIS)
+                < ADDRESS_LEASE_MILLIS;
+    }
+
     void readStore(String node, long sentAtMillis) {
+        contacts.put(node, nowMillis);
         var configuration = store.configuration();
         var ledger = store.ledger();
         long revision = store.revision();
