Ignore late reports of an earlier run of a worker

Cause: at seed 1884 of ReducerFaultsTest worker w4 restarted. The owner of z1 took the report of incarnation 2 and started two tasks on it. Then a report of incarnation 1 arrived that had been sent 1.9 s earlier. The incarnations differed, so the owner took the worker for restarted again, gave up both tasks and started two others within the same budget. The given-up tasks ran on, and the team had 6 tasks of 5.

Ruled out: lost ledger writes and rows of two owners (the ledger and the epochs stayed the same from 1041100 on); the rule for tasks that a report of the same incarnation does not show (it compares the confirmed time with the send time of the request, and was not reached).

Change: a granted lease whose report carries a lower incarnation than the one known is ignored. Incarnations grow, as docs/PLATFORM.md says. ReportsTest delivers late reports in random order; seed 1884 is now part of each build.

A report of the same incarnation that arrives late can still show a task that has ended. It is then counted until the next report, which is on the safe side.

--- a/core/src/main/java/org/jujubefork/core/placement/Workers.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Workers.java
@@ -220,6 +220,10 @@
             return Transition.of(state);
         }
         WorkerState before = shard.get().workers().get(event.worker());
+        if (event.report().incarnation() < before.incarnation()) {
+            // A late answer of an earlier run of the worker says nothing about what runs on it now.
+            return Transition.of(state);
+        }
         WorkerState after = before.granted(event.report(), event.sentAtMillis());
         Transition result = Transition.of(state.withShard(shard.get().withWorker(after)));
         if (before.phase() != WorkerPhase.ACTIVE) {
--- a/core/src/test/java/org/jujubefork/core/control/ReducerFaultsTest.java
+++ b/core/src/test/java/org/jujubefork/core/control/ReducerFaultsTest.java
@@ -26,13 +26,18 @@
     /** Found an owner that took tasks for ended which a successor had adopted. */
     private static final long LOST_WORKER = 1_169;
 
+    /** Found an owner that believed a late report of an earlier run of a worker. */
+    private static final long LATE_REPORT = 1_884;
+
     private static final Map<String, Integer> LIMITS = Map.of("a", 5, "b", 9, "c", 99);
 
     @DataProvider
     public Object[][] seeds() {
         long first = Long.getLong("jujubefork.firstSeed", 1);
         long count = Long.getLong("jujubefork.seeds", 24);
-        return LongStream.concat(LongStream.range(first, first + count), LongStream.of(LOST_WORKER))
+        return LongStream.concat(
+                        LongStream.range(first, first + count),
+                        LongStream.of(LOST_WORKER, LATE_REPORT))
                 .mapToObj(seed -> new Object[] {seed})
                 .toArray(Object[][]::new);
     }
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/placement/ReportsTest.java
@@ -0,0 +1,121 @@
+package org.jujubefork.core.placement;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.jujubefork.core.configuration.Tuning;
+import org.jujubefork.core.control.Cell;
+import org.jujubefork.core.effect.WorkerEffect;
+import org.jujubefork.core.event.FleetEvent;
+import org.jujubefork.core.model.ReportedTask;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TaskId;
+import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.model.WorkerId;
+import org.jujubefork.core.model.WorkerReport;
+import org.pcollections.TreePVector;
+import org.testng.annotations.Test;
+
+/** Reports of a worker that arrive late. */
+public class ReportsTest {
+    private static final Resources SIZE = Resources.of(1_000, 1_000, 0);
+    private static final WorkerId WORKER = Cell.worker(0);
+    private static final int SEEDS = 20;
+    private static final int STEPS = 60;
+
+    /** A worker whose answers can be kept back; it runs what is started on its current run. */
+    private static final class Restarting {
+        final Cell cell = Cell.of(1, 1, Tuning.DEFAULT);
+        final List<FleetEvent.LeaseGranted> late = new ArrayList<>();
+        List<TaskId> running = List.of();
+        long incarnation = 1;
+
+        FleetEvent.LeaseGranted answer() {
+            List<ReportedTask> tasks = new ArrayList<>();
+            for (TaskId id : running) {
+                tasks.add(new ReportedTask(cell.shard().tasks().get(id).spec(), SIZE, 0));
+            }
+            long now = cell.state.nowMillis();
+            WorkerReport report =
+                    new WorkerReport(
+                            incarnation,
+                            false,
+                            Cell.WORKER,
+                            Cell.SLOTS,
+                            TreePVector.from(tasks),
+                            TreePVector.empty());
+            return new FleetEvent.LeaseGranted(now, WORKER, cell.shard().epoch(), now, report);
+        }
+
+        void restart() {
+            late.add(answer());
+            incarnation++;
+            running = List.of();
+            cell.apply(answer());
+            noteStarts();
+        }
+
+        void enqueue(int step) {
+            cell.enqueue("job-" + step, WorkKind.BATCH, 0, 1, SIZE);
+            noteStarts();
+            cell.acceptStarts();
+        }
+
+        void deliverLate(int index) {
+            FleetEvent.LeaseGranted answer = late.remove(index);
+            cell.apply(
+                    new FleetEvent.LeaseGranted(
+                            cell.state.nowMillis(),
+                            WORKER,
+                            answer.epoch(),
+                            answer.sentAtMillis(),
+                            answer.report()));
+            noteStarts();
+        }
+
+        private void noteStarts() {
+            List<TaskId> now = new ArrayList<>(running);
+            for (var start : cell.effects(WorkerEffect.StartTask.class)) {
+                if (start.incarnation() == incarnation) {
+                    now.add(start.task().id());
+                }
+            }
+            cell.effects.clear();
+            running = now;
+        }
+    }
+
+    /**
+     * Guards against a late answer of an earlier run of a worker, by which the owner took the tasks
+     * of the present run for lost, started others in their place, and so had a team above its upper
+     * limit (seed 1884 of {@code ReducerFaultsTest}).
+     */
+    @Test
+    public void lateReportOfAnEarlierRunKeepsTheTasksOfThisRun() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            Restarting worker = new Restarting();
+            for (int step = 0; step < STEPS; step++) {
+                worker.cell.tick(10);
+                switch (random.nextInt(4)) {
+                    case 0 -> worker.restart();
+                    case 1 -> {
+                        if (!worker.late.isEmpty()) {
+                            worker.deliverLate(random.nextInt(worker.late.size()));
+                        }
+                    }
+                    default -> worker.enqueue(step);
+                }
+                String at = "seed " + seed + " step " + step;
+                var placed = worker.cell.shard().tasks().keySet();
+                assertEquals(
+                        placed.stream().sorted().toList(),
+                        worker.running.stream().sorted().toList(),
+                        at);
+                assertEquals(worker.cell.workerState(0).incarnation(), worker.incarnation, at);
+            }
+        }
+    }
+}
