Let requests leave a shard without budget, and ignore limits that cannot bind

Cause: after a takeover in a store outage the row of the shard still carries the epoch of the earlier owner, so the successor may start only what it adopted, often nothing. Routing did not know budgets, and a request stayed in the shard until its deadline. This held even for teams whose limit is far above what the fleet holds.

Ruled out: first rows that are too small. The first row of a team whose limit covers the fleet is the capacity of all listed workers, acquired or not.

Change: a component of a limit that is at least twice the capacity of the fleet, by the VM list and by gossip, is not checked against rows. First rows are half of the proportional part, and at least the capacity of the shard if the limit covers the fleet; such rows also grow with the shard without demand. Gossip carries the budget by team and shard. Routing prefers shards with room in the budget, then shards in which the budget is in use. The owner reports a request back as not run here when the budget is used up and cannot grow, if the front entry allows it. Each shard may do so once for a request, and the retry is paid for in advance from the retry budget, so no request is sent in circles. The protocol version of the peers is now 2.

--- a/core/src/main/java/org/jujubefork/core/control/Reducer.java
+++ b/core/src/main/java/org/jujubefork/core/control/Reducer.java
@@ -89,6 +89,7 @@
     private static Transition tickShard(State state, ShardId shard) {
         return state.shards().containsKey(shard)
                 ? Admission.expire(state, shard)
+                        .then(s -> Admission.returnWithoutBudget(s, shard))
                         .then(s -> Scheduler.tick(s, shard))
                         .then(s -> Reclaim.tick(s, shard))
                 : Transition.of(state);
--- a/core/src/main/java/org/jujubefork/core/limits/Demands.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Demands.java
@@ -53,6 +53,32 @@
         return sum;
     }
 
+    /**
+     * Returns whether {@code team} has room for {@code size} in a shard other than {@code shard}.
+     */
+    public static boolean hasRoomElsewhere(
+            State state, ShardState shard, TeamId team, Resources size) {
+        for (ShardState own : state.shards().values()) {
+            if (!own.id().equals(shard.id()) && Limits.allows(state, own, team, size)) {
+                return true;
+            }
+        }
+        for (Member member : state.membership().members().values()) {
+            if (!Membership.isResponsive(state, member)) {
+                continue;
+            }
+            for (var entry : member.row().shards().entrySet()) {
+                TeamLoad load = entry.getValue().teams().get(team);
+                boolean other =
+                        !entry.getKey().equals(shard.id()) && entry.getValue().workers() > 0;
+                if (other && (load == null || load.hasRoomFor(size))) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /**
      * Returns the most that a shard may keep or ask for while other shards have unmet demand: an
      * equal part of the limit, and one piece of work more, so that parts that are no multiple of
--- a/core/src/main/java/org/jujubefork/core/limits/Excess.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Excess.java
@@ -59,7 +59,7 @@
         LocalCap cap = record.caps().get(team);
         Resources capped = cap == null || !cap.forLimit() ? bound : bound.min(cap.budget());
         Optional<Resources> standing = Limits.standing(state.limits(), shard, team);
-        return standing.map(capped::min).orElse(capped);
+        return standing.map(capped::min).orElse(capped).max(Limits.ample(state, team));
     }
 
     private static Transition stopTeam(State state, ShardId id, TeamId team, Resources bound) {
--- a/core/src/main/java/org/jujubefork/core/limits/LedgerPlan.java
+++ b/core/src/main/java/org/jujubefork/core/limits/LedgerPlan.java
@@ -14,8 +14,9 @@
     static final double CHUNK = 1.0 / 16;
 
     /**
-     * The fraction of its proportional part that a new row of a team gets if the limit is below the
-     * capacity of the fleet. The rest is left for the shards where demand shows up.
+     * The fraction of its proportional part that a new row of a team gets. The rest is left for the
+     * shards where demand shows up. If the limit covers the fleet, the row gets at least the
+     * capacity of the shard.
      */
     static final double INITIAL = 0.5;
 
@@ -75,15 +76,16 @@
         if (cap != null) {
             return lowered(ledger, shard, team, row.get(), cap, limit, removed, state.nowMillis());
         }
-        return raised(state, ledger, shard, team, row.get(), limit, free);
+        return raised(state, ledger, shard, team, row.get(), limit, free, fleet);
     }
 
     private static Resources initial(
             Ledger ledger, ShardState shard, TeamId team, Resources limit, Resources fleet) {
         boolean covering = fleet.fitsIn(limit);
-        double part = shard.capacity().dominantShareOf(fleet) * (covering ? 1 : INITIAL);
-        Resources wanted = covering ? shard.capacity() : limit.scaled(Math.min(1, part));
-        return wanted.min(shard.capacity()).min(unallocated(ledger, team, limit));
+        double part = shard.capacity().dominantShareOf(fleet) * INITIAL;
+        Resources half = limit.scaled(Math.min(1, part));
+        Resources wanted = covering ? half.max(shard.capacity()) : half.min(shard.capacity());
+        return wanted.min(unallocated(ledger, team, limit));
     }
 
     private static Resources unallocated(Ledger ledger, TeamId team, Resources limit) {
@@ -129,7 +131,8 @@
             TeamId team,
             BudgetRow row,
             Resources limit,
-            Resources free) {
+            Resources free,
+            Resources fleet) {
         TeamDemand demand = TeamDemand.of(shard, team, free);
         Resources unallocated = unallocated(ledger, team, limit);
         Resources held = shard.usageOf(team).plus(shard.charged());
@@ -140,9 +143,15 @@
                 shard.capacity()
                         .plus(shard.charged())
                         .min(Demands.ceiling(state, team, limit, demand));
-        Resources bounded = grant.min(most.minus(row.budget()).max(Resources.ZERO));
+        // A row that covers the shard never makes work wait, so it needs no demand to grow.
+        Resources missing =
+                fleet.fitsIn(limit)
+                        ? shard.capacity().minus(row.budget()).max(Resources.ZERO).min(unallocated)
+                        : Resources.ZERO;
+        Resources bounded = grant.min(most.minus(row.budget()).max(Resources.ZERO)).max(missing);
         Resources budget = row.budget().plus(bounded);
-        boolean useful = !bounded.isZero() && demand.anyFits(budget.minus(held));
+        Resources room = budget.max(Limits.ample(state, team)).minus(held);
+        boolean useful = !bounded.isZero() && (!missing.isZero() || demand.anyFits(room));
         return useful ? ledger.with(team, shard.id(), new BudgetRow(row.epoch(), budget)) : ledger;
     }
 
--- a/core/src/main/java/org/jujubefork/core/limits/LedgerSync.java
+++ b/core/src/main/java/org/jujubefork/core/limits/LedgerSync.java
@@ -10,9 +10,11 @@
 import org.jujubefork.core.event.Tick;
 import org.jujubefork.core.membership.Freshness;
 import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.ownership.Ownership;
 import org.jujubefork.core.ownership.OwnershipState;
+import org.jujubefork.core.placement.FleetUsage;
 import org.jujubefork.core.placement.ShardState;
 
 /** Reads and writes the ledger. */
@@ -46,7 +48,8 @@
 
     /** Writes the ledger if a change is due. */
     public static Transition tick(State state, Tick tick) {
-        LimitState limits = state.limits().ticked(state.nowMillis(), Orphans.update(state));
+        Resources fleet = Demands.fleetCapacity(state).max(FleetUsage.capacity(state));
+        LimitState limits = state.limits().ticked(state.nowMillis(), Orphans.update(state), fleet);
         if (!Freshness.isStoreContactFresh(state)) {
             // Entries that wait for the store draw the time of their next write when it is back.
             return Transition.of(
--- a/core/src/main/java/org/jujubefork/core/limits/LimitState.java
+++ b/core/src/main/java/org/jujubefork/core/limits/LimitState.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.jujubefork.core.membership.Member;
+import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.pcollections.PSortedMap;
 import org.pcollections.TreePMap;
@@ -17,6 +18,7 @@
  * @param failures failed writes in a row
  * @param tickedAtMillis the time of the last tick
  * @param orphanedSinceMillis since when rows belong to shards that have neither workers nor owner
+ * @param fleet what all workers hold, as of the last tick; zero while none is known
  */
 public record LimitState(
         long revision,
@@ -26,7 +28,8 @@
         long nextWriteMillis,
         int failures,
         long tickedAtMillis,
-        PSortedMap<ShardId, Long> orphanedSinceMillis) {
+        PSortedMap<ShardId, Long> orphanedSinceMillis,
+        Resources fleet) {
     /** No ledger is known. */
     public static final LimitState EMPTY =
             new LimitState(
@@ -37,7 +40,8 @@
                     Member.NEVER,
                     0,
                     Member.NEVER,
-                    TreePMap.empty());
+                    TreePMap.empty(),
+                    Resources.ZERO);
 
     /** Returns the record of {@code shard}, if there is one. */
     public Optional<ShardBudget> shard(ShardId shard) {
@@ -55,7 +59,8 @@
                 nextWriteMillis,
                 failures,
                 tickedAtMillis,
-                orphanedSinceMillis);
+                orphanedSinceMillis,
+                fleet);
     }
 
     LimitState withPending(Optional<PendingWrite> value) {
@@ -67,7 +72,8 @@
                 nextWriteMillis,
                 failures,
                 tickedAtMillis,
-                orphanedSinceMillis);
+                orphanedSinceMillis,
+                fleet);
     }
 
     LimitState withShard(ShardId shard, ShardBudget value) {
@@ -83,7 +89,8 @@
                 nextWriteMillis,
                 failures,
                 tickedAtMillis,
-                orphanedSinceMillis);
+                orphanedSinceMillis,
+                fleet);
     }
 
     LimitState nextWrite(long atMillis, int failuresInRow) {
@@ -95,11 +102,20 @@
                 atMillis,
                 failuresInRow,
                 tickedAtMillis,
-                orphanedSinceMillis);
+                orphanedSinceMillis,
+                fleet);
     }
 
-    LimitState ticked(long atMillis, PSortedMap<ShardId, Long> orphaned) {
+    LimitState ticked(long atMillis, PSortedMap<ShardId, Long> orphaned, Resources fleetCapacity) {
         return new LimitState(
-                revision, ledger, pending, shards, nextWriteMillis, failures, atMillis, orphaned);
+                revision,
+                ledger,
+                pending,
+                shards,
+                nextWriteMillis,
+                failures,
+                atMillis,
+                orphaned,
+                fleetCapacity);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/limits/Limits.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Limits.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.jujubefork.core.configuration.Team;
 import org.jujubefork.core.control.State;
+import org.jujubefork.core.membership.Freshness;
 import org.jujubefork.core.membership.Member;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TeamId;
@@ -11,6 +12,12 @@
 
 /** Decides whether a team may start more work. */
 public final class Limits {
+    /**
+     * A limit of at least this many times what the fleet holds cannot bind. The factor covers
+     * workers that were added and are neither on the copy of the VM list nor in gossip yet.
+     */
+    static final int AMPLE_FACTOR = 2;
+
     private Limits() {}
 
     /**
@@ -27,22 +34,76 @@
                 .fitsIn(allowance(state, shard, team));
     }
 
+    /**
+     * Returns what {@code team} may have running on the workers of {@code shard} that are acquired.
+     */
+    public static Resources available(State state, ShardState shard, TeamId team) {
+        return allowance(state, shard, team).minus(shard.charged()).max(Resources.ZERO);
+    }
+
     /** Returns what {@code team} may have running in {@code shard} now. */
     public static Resources allowance(State state, ShardState shard, TeamId team) {
         Optional<Team> known = state.configuration().flatMap(c -> c.team(team));
         Optional<ShardBudget> budget =
                 state.limits().shard(shard.id()).filter(b -> b.epoch().equals(shard.epoch()));
-        if (known.isEmpty()
-                || budget.isEmpty()
-                || budget.get().confirmFromMillis() != Member.NEVER) {
+        if (known.isEmpty() || budget.isEmpty()) {
             return Resources.ZERO;
         }
+        Resources ample = ample(state, team);
+        if (budget.get().confirmFromMillis() != Member.NEVER) {
+            return ample;
+        }
         Resources base =
                 standing(state.limits(), shard, team)
                         .orElse(adopted(state, shard, budget.get(), team));
         LocalCap cap = budget.get().caps().get(team);
         Resources capped = cap == null ? base : base.min(cap.budget());
-        return capped.min(share(state, shard, team, known.get().limit()));
+        return capped.min(share(state, shard, team, known.get().limit())).max(ample);
+    }
+
+    /** Returns whether the limit of {@code team} can keep work from being started. */
+    public static boolean isBinding(State state, TeamId team) {
+        return !Budgets.limitOf(state, team).fitsIn(ample(state, team));
+    }
+
+    /**
+     * Returns whether {@code team} has no budget for work of {@code size} in {@code shard}, and the
+     * ledger has none to give either, as far as this entry knows.
+     */
+    public static boolean isUsedUp(State state, ShardState shard, TeamId team, Resources size) {
+        if (allows(state, shard, team, size)) {
+            return false;
+        }
+        LimitState limits = state.limits();
+        if (!Freshness.isStoreContactFresh(state) || limits.failures() > 0) {
+            return true;
+        }
+        boolean own =
+                limits.ledger()
+                        .row(team, shard.id())
+                        .filter(r -> r.epoch().equals(shard.epoch()))
+                        .isPresent();
+        Resources unallocated = Budgets.limitOf(state, team).minus(limits.ledger().allocated(team));
+        return own && !size.fitsIn(unallocated.max(ample(state, team)));
+    }
+
+    /**
+     * Returns the components of the limit of {@code team} that cannot bind; zero for the others.
+     * What runs is bounded by the capacity of the workers there, so no budget has to be checked.
+     */
+    static Resources ample(State state, TeamId team) {
+        Resources fleet = state.limits().fleet();
+        Resources limit = Budgets.limitOf(state, team);
+        return fleet.isZero()
+                ? Resources.ZERO
+                : Resources.of(
+                        ample(limit.cpuMillis(), fleet.cpuMillis()),
+                        ample(limit.memoryMb(), fleet.memoryMb()),
+                        ample(limit.accelerators(), fleet.accelerators()));
+    }
+
+    private static long ample(long limit, long fleet) {
+        return limit >= AMPLE_FACTOR * fleet ? limit : 0;
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/model/RefusalReason.java
+++ b/core/src/main/java/org/jujubefork/core/model/RefusalReason.java
@@ -73,6 +73,8 @@
     JOB_TOO_LARGE("the job has too many tasks or too long an input"),
     /** The task failed. */
     TASK_FAILED("the task failed on the worker"),
+    /** The budget of the team in the shard is used up. */
+    BUDGET_USED_UP("the budget of the team in the shard is used up"),
     /** The answer is longer than the limit. */
     ANSWER_TOO_LARGE("the answer is longer than the limit");
 
--- a/core/src/main/java/org/jujubefork/core/placement/Admission.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Admission.java
@@ -1,12 +1,17 @@
 package org.jujubefork.core.placement;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.limits.Demands;
+import org.jujubefork.core.limits.Limits;
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.requests.Attempts;
@@ -22,6 +27,12 @@
      */
     static final int ENOUGH_WAITING = 16;
 
+    /** Waiting requests of a team that are sent back in one tick, to bound its time. */
+    static final int MAX_RETURNS = 64;
+
+    private static final AttemptResult BUDGET_USED_UP =
+            AttemptResult.notRunHere(RefusalReason.BUDGET_USED_UP);
+
     private Admission() {}
 
     /** Puts {@code request} into the queue of {@code shard}, or reports why not. */
@@ -29,6 +40,9 @@
         ShardState owned = state.shards().get(shard);
         Configuration configuration = state.configuration().orElseThrow();
         WorkQueue queue = owned.queue();
+        if (isToBeReturned(state, owned, request)) {
+            return Attempts.report(state, request.origin(), BUDGET_USED_UP);
+        }
         int maxInQueue = configuration.queue(request.queue()).map(q -> q.maxQueued()).orElse(0);
         boolean late = isLate(state, owned, request);
         if (queue.queuedIn(request.queue()) >= maxInQueue || late) {
@@ -78,6 +92,54 @@
         return result;
     }
 
+    /**
+     * Sends waiting requests back to the entries of their callers if the team's budget in {@code
+     * shard} was used up while they waited.
+     */
+    public static Transition returnWithoutBudget(State state, ShardId shard) {
+        List<QueuedWork.Request> returned = new ArrayList<>();
+        ShardState owned = state.shards().get(shard);
+        for (var lane : owned.queue().lanes().entrySet()) {
+            QueuedWork head = lane.getValue().firstEntry().getValue();
+            if (!(head instanceof QueuedWork.Request request)
+                    || !isOutOfBudget(state, owned, request, Resources.ZERO)) {
+                continue;
+            }
+            lane.getValue().values().stream()
+                    .map(QueuedWork.Request.class::cast)
+                    .filter(QueuedWork.Request::returnable)
+                    .limit(MAX_RETURNS)
+                    .forEach(returned::add);
+        }
+        Transition result = Transition.of(state);
+        for (QueuedWork.Request request : returned) {
+            result =
+                    result.then(s -> Transition.of(remove(s, shard, request)))
+                            .then(s -> Attempts.report(s, request.origin(), BUDGET_USED_UP));
+        }
+        return result;
+    }
+
+    private static boolean isToBeReturned(
+            State state, ShardState shard, QueuedWork.Request request) {
+        Resources waiting =
+                shard.queue().requestDemand().getOrDefault(request.team(), Resources.ZERO);
+        return request.returnable() && isOutOfBudget(state, shard, request, waiting);
+    }
+
+    /**
+     * Returns whether {@code request} is better off elsewhere: the budget is used up, and either
+     * the end of other work would not make room for it, or there is room in another shard.
+     */
+    private static boolean isOutOfBudget(
+            State state, ShardState shard, QueuedWork.Request request, Resources ahead) {
+        TeamId team = request.team();
+        Resources size = request.size();
+        return Limits.isUsedUp(state, shard, team, ahead.plus(size))
+                && (!size.fitsIn(Limits.available(state, shard, team))
+                        || Demands.hasRoomElsewhere(state, shard, team, size));
+    }
+
     /** Returns {@code state} without the waiting request. */
     public static State remove(State state, ShardId shard, QueuedWork.Request request) {
         ShardState owned = state.shards().get(shard);
--- a/core/src/main/java/org/jujubefork/core/placement/QueuedWork.java
+++ b/core/src/main/java/org/jujubefork/core/placement/QueuedWork.java
@@ -38,6 +38,8 @@
      * @param sinceMillis since when it waits
      * @param deadlineMillis when it is too late to start it
      * @param refusals how often a worker of this shard had no room for it after all
+     * @param returnable whether it goes back to the entry of its caller when the team's budget in
+     *     this shard is used up
      */
     record Request(
             RequestOrigin origin,
@@ -48,7 +50,8 @@
             boolean urgent,
             long sinceMillis,
             long deadlineMillis,
-            int refusals)
+            int refusals,
+            boolean returnable)
             implements QueuedWork {
         @Override
         public Lane lane() {
@@ -66,7 +69,8 @@
                     urgent,
                     sinceMillis,
                     deadlineMillis,
-                    refusals + 1);
+                    refusals + 1,
+                    returnable);
         }
     }
 
--- a/core/src/main/java/org/jujubefork/core/placement/ShardSummaries.java
+++ b/core/src/main/java/org/jujubefork/core/placement/ShardSummaries.java
@@ -1,8 +1,10 @@
 package org.jujubefork.core.placement;
 
 import java.util.Optional;
+import java.util.Set;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.limits.Demands;
+import org.jujubefork.core.limits.Limits;
 import org.jujubefork.core.membership.ShardSummary;
 import org.jujubefork.core.membership.TeamLoad;
 import org.jujubefork.core.model.Resources;
@@ -47,6 +49,7 @@
         for (var entry : shard.usage().entrySet()) {
             teams = teams.plus(entry.getKey(), new TeamLoad(entry.getValue(), Resources.ZERO, 0));
         }
+        teams = teams.plusAll(withoutBudget(state, shard));
         for (var lane : shard.queue().lanes().entrySet()) {
             TeamId team = lane.getKey().team();
             TeamLoad known = teams.containsKey(team) ? teams.get(team) : TeamLoad.NONE;
@@ -55,6 +58,38 @@
                     known.queued() > 0 ? known.waiting() : Demands.unmet(state, shard, team);
             teams = teams.plus(team, new TeamLoad(known.running(), unmet, queued));
         }
+        for (var entry : teams.entrySet()) {
+            teams =
+                    teams.plus(
+                            entry.getKey(),
+                            bounded(state, shard, entry.getKey(), entry.getValue()));
+        }
+        return teams;
+    }
+
+    /**
+     * Returns teams that use nothing and have no budget. Idle teams with budget are left out of
+     * gossip, which keeps rows short; other entries take it that they have room.
+     */
+    private static PSortedMap<TeamId, TeamLoad> withoutBudget(State state, ShardState shard) {
+        PSortedMap<TeamId, TeamLoad> teams = TreePMap.empty();
+        for (TeamId team : state.configuration().map(c -> c.teams().keySet()).orElse(Set.of())) {
+            Resources budget = Limits.available(state, shard, team);
+            boolean none = budget.cpuMillis() == 0 || budget.memoryMb() == 0;
+            if (none && shard.usageOf(team).isZero()) {
+                teams = teams.plus(team, TeamLoad.NONE);
+            }
+        }
         return teams;
     }
+
+    private static TeamLoad bounded(State state, ShardState shard, TeamId team, TeamLoad load) {
+        return Limits.isBinding(state, team)
+                ? new TeamLoad(
+                        load.running(),
+                        load.waiting(),
+                        load.queued(),
+                        Optional.of(Limits.available(state, shard, team)))
+                : load;
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/requests/ForwardedRequest.java
+++ b/core/src/main/java/org/jujubefork/core/requests/ForwardedRequest.java
@@ -16,6 +16,8 @@
  * @param size the declared size
  * @param urgent whether it may use the reserved part of workers
  * @param remainingMillis time left until its deadline, in milliseconds
+ * @param returnable whether the owner may report it back because the team's budget in the shard is
+ *     used up, so that it is tried in another shard
  */
 public record ForwardedRequest(
         ShardId shard,
@@ -24,4 +26,17 @@
         WorkKind kind,
         Resources size,
         boolean urgent,
-        long remainingMillis) {}
+        long remainingMillis,
+        boolean returnable) {
+    /** Creates a request that waits in the shard until its deadline. */
+    public ForwardedRequest(
+            ShardId shard,
+            QueueId queue,
+            TeamId team,
+            WorkKind kind,
+            Resources size,
+            boolean urgent,
+            long remainingMillis) {
+        this(shard, queue, team, kind, size, urgent, remainingMillis, false);
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/requests/FrontRequest.java
+++ b/core/src/main/java/org/jujubefork/core/requests/FrontRequest.java
@@ -25,6 +25,9 @@
  * @param owner the entry to which it was forwarded
  * @param random for choices between equal shards
  * @param maybeRan whether an earlier attempt may have run
+ * @param declined shards whose owner reported it back because the team's budget was used up
+ * @param returnable whether the owner of the shard may report it back for this reason; a retry is
+ *     then paid for already
  */
 public record FrontRequest(
         RequestId id,
@@ -38,7 +41,9 @@
         Optional<ShardId> shard,
         Optional<EntryId> owner,
         long random,
-        boolean maybeRan) {
+        boolean maybeRan,
+        PSortedSet<ShardId> declined,
+        boolean returnable) {
     /** Returns a request that has just arrived. */
     static FrontRequest arrived(
             RequestId id, Queue queue, long nowMillis, Optional<String> claimKey, long random) {
@@ -54,6 +59,8 @@
                 Optional.empty(),
                 Optional.empty(),
                 random,
+                false,
+                TreePSet.empty(),
                 false);
     }
 
@@ -75,7 +82,9 @@
                 shard,
                 owner,
                 random,
-                maybeRan);
+                maybeRan,
+                declined,
+                returnable);
     }
 
     FrontRequest withClaim() {
@@ -91,10 +100,12 @@
                 shard,
                 owner,
                 random,
-                maybeRan);
+                maybeRan,
+                declined,
+                returnable);
     }
 
-    FrontRequest routedTo(ShardId target, Optional<EntryId> entry) {
+    FrontRequest routedTo(ShardId target, Optional<EntryId> entry, boolean mayReturn) {
         RequestPhase next = entry.isPresent() ? RequestPhase.FORWARDED : RequestPhase.LOCAL;
         return new FrontRequest(
                 id,
@@ -108,7 +119,9 @@
                 Optional.of(target),
                 entry,
                 random,
-                maybeRan);
+                maybeRan,
+                declined,
+                mayReturn);
     }
 
     FrontRequest afterAttempt(Outcome outcome) {
@@ -125,7 +138,9 @@
                 Optional.empty(),
                 Optional.empty(),
                 random,
-                maybeRan || outcome == Outcome.UNKNOWN);
+                maybeRan || outcome == Outcome.UNKNOWN,
+                declined,
+                returnable);
     }
 
     FrontRequest withoutTried() {
@@ -141,6 +156,27 @@
                 shard,
                 owner,
                 random,
-                maybeRan);
+                maybeRan,
+                declined,
+                returnable);
+    }
+
+    /** Returns this request after an attempt that was returnable, or was returned. */
+    FrontRequest notReturnable(boolean wasDeclined) {
+        return new FrontRequest(
+                id,
+                queue,
+                phase,
+                arrivedAtMillis,
+                deadlineMillis,
+                claimKey,
+                claimWritten,
+                tried,
+                shard,
+                owner,
+                random,
+                maybeRan,
+                wasDeclined ? shard.map(declined::plus).orElse(declined) : declined,
+                false);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/requests/RequestTable.java
+++ b/core/src/main/java/org/jujubefork/core/requests/RequestTable.java
@@ -3,7 +3,10 @@
 import org.jujubefork.core.model.QueueId;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.placement.WorkQueue;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
 import org.pcollections.PSortedMap;
 import org.pcollections.PSortedSet;
 import org.pcollections.TreePMap;
@@ -16,6 +19,7 @@
  * @param deadlines their deadlines
  * @param retries the retry budget
  * @param avoided shards that just failed, and until when they are avoided
+ * @param usedUp shards that just had no budget for a team, and until when this is assumed
  * @param answerBytes smoothed length of answers by queue
  * @param claims work on claims that the store has not confirmed
  */
@@ -24,6 +28,7 @@
         PSortedSet<WorkQueue.Deadline> deadlines,
         RetryBudget retries,
         PSortedMap<ShardId, Long> avoided,
+        PMap<TeamInShard, Long> usedUp,
         PSortedMap<QueueId, Long> answerBytes,
         PendingClaims claims) {
     /** No requests. */
@@ -33,9 +38,18 @@
                     TreePSet.empty(),
                     RetryBudget.FULL,
                     TreePMap.empty(),
+                    HashTreePMap.empty(),
                     TreePMap.empty(),
                     PendingClaims.NONE);
 
+    /**
+     * A team in a shard.
+     *
+     * @param team the team
+     * @param shard the shard
+     */
+    record TeamInShard(TeamId team, ShardId shard) {}
+
     /** The part of a new answer in the smoothed length is one over this. */
     private static final int ANSWER_SMOOTHING = 8;
 
@@ -45,6 +59,7 @@
                 deadlines.plus(deadline(request)),
                 retries.earned(),
                 avoided,
+                usedUp,
                 answerBytes,
                 claims);
     }
@@ -55,6 +70,7 @@
                 deadlines,
                 retries,
                 avoided,
+                usedUp,
                 answerBytes,
                 claims);
     }
@@ -63,23 +79,55 @@
         return new RequestTable(
                 active.minus(request.id()),
                 deadlines.minus(deadline(request)),
-                retries,
+                refunded(request).retries(),
                 avoided,
+                usedUp,
                 answerBytes,
                 claims.withoutReads(request.id()));
     }
 
     RequestTable retried() {
-        return new RequestTable(active, deadlines, retries.spent(), avoided, answerBytes, claims);
+        return withRetries(retries.spent());
     }
 
     RequestTable avoiding(ShardId shard, long untilMillis) {
         return new RequestTable(
-                active, deadlines, retries, avoided.plus(shard, untilMillis), answerBytes, claims);
+                active,
+                deadlines,
+                retries,
+                avoided.plus(shard, untilMillis),
+                usedUp,
+                answerBytes,
+                claims);
+    }
+
+    RequestTable withUsedUp(TeamId team, ShardId shard, long untilMillis) {
+        return new RequestTable(
+                active,
+                deadlines,
+                retries,
+                avoided,
+                usedUp.plus(new TeamInShard(team, shard), untilMillis),
+                answerBytes,
+                claims);
+    }
+
+    boolean isUsedUp(TeamId team, ShardId shard, long nowMillis) {
+        Long until = usedUp.get(new TeamInShard(team, shard));
+        return until != null && until > nowMillis;
+    }
+
+    /** Returns this table after a retry that {@code request} had paid for was not needed. */
+    RequestTable refunded(FrontRequest request) {
+        return request.returnable() ? withRetries(retries.refunded()) : this;
+    }
+
+    private RequestTable withRetries(RetryBudget value) {
+        return new RequestTable(active, deadlines, value, avoided, usedUp, answerBytes, claims);
     }
 
     RequestTable withClaims(PendingClaims value) {
-        return new RequestTable(active, deadlines, retries, avoided, answerBytes, value);
+        return new RequestTable(active, deadlines, retries, avoided, usedUp, answerBytes, value);
     }
 
     RequestTable answered(QueueId queue, long bytes) {
@@ -92,6 +140,7 @@
                         deadlines,
                         retries,
                         avoided,
+                        usedUp,
                         answerBytes.plus(queue, smoothed),
                         claims);
     }
--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -12,6 +12,7 @@
 import org.jujubefork.core.effect.LogDecision;
 import org.jujubefork.core.effect.RequestEffect;
 import org.jujubefork.core.event.RequestEvent;
+import org.jujubefork.core.limits.Limits;
 import org.jujubefork.core.membership.Freshness;
 import org.jujubefork.core.membership.Member;
 import org.jujubefork.core.membership.Membership;
@@ -171,15 +172,30 @@
         if (route.isEmpty()) {
             return finish(state, request, retryable(RefusalReason.NO_SHARD));
         }
-        FrontRequest routed = request.routedTo(route.get().shard(), route.get().owner());
+        boolean returnable = isReturnable(state, request, route.get());
+        FrontRequest routed =
+                request.routedTo(route.get().shard(), route.get().owner(), returnable);
+        RequestTable paid = returnable ? state.requests().retried() : state.requests();
         Transition result =
-                Transition.of(state.withRequests(state.requests().with(routed)))
+                Transition.of(state.withRequests(paid.with(routed)))
                         .with(routeDecision(routed, route.get()));
         return route.get().owner().isPresent()
                 ? result.with(forward(state, routed, route.get()))
                 : result.then(s -> enqueue(s, routed, RequestOrigin.local(routed.id())));
     }
 
+    /**
+     * Returns whether the owner of the shard may report the request back because the team's budget
+     * is used up there. Each shard may do so once for a request, so that none is sent in circles,
+     * and the retry is paid for in advance, so that it is within the retry budget.
+     */
+    private static boolean isReturnable(State state, FrontRequest request, Routing.Route route) {
+        return route.budgetElsewhere()
+                && !request.declined().contains(route.shard())
+                && state.requests().retries().allows()
+                && Limits.isBinding(state, request.queue().team());
+    }
+
     private static RequestEffect.Forward forward(
             State state, FrontRequest request, Routing.Route route) {
         Queue queue = request.queue();
@@ -194,7 +210,8 @@
                         queue.kind(),
                         queue.size(),
                         queue.urgent(),
-                        request.deadlineMillis() - state.nowMillis()));
+                        request.deadlineMillis() - state.nowMillis(),
+                        request.returnable()));
     }
 
     private static LogDecision routeDecision(FrontRequest request, Routing.Route route) {
@@ -222,7 +239,8 @@
                         queue.urgent(),
                         state.nowMillis(),
                         request.deadlineMillis(),
-                        0));
+                        0,
+                        request.returnable()));
     }
 
     private static Transition forwarded(State state, RequestEvent.RequestForwarded event) {
@@ -244,7 +262,8 @@
                         work.urgent(),
                         state.nowMillis(),
                         state.nowMillis() + work.remainingMillis(),
-                        0));
+                        0,
+                        work.returnable()));
     }
 
     private static boolean isForwardedTo(State state, RequestId id, EntryId owner) {
@@ -269,18 +288,27 @@
         if (request == null || request.phase() == RequestPhase.SETTLING) {
             return Transition.of(state);
         }
-        State noted = avoidFailed(state, request, result);
+        boolean declined = result.reason() == RefusalReason.BUDGET_USED_UP;
+        FrontRequest ended = request.notReturnable(declined);
+        State refunded = state.withRequests(state.requests().refunded(request).with(ended));
+        State noted = avoidFailed(refunded, ended, result);
         boolean safe = result.outcome() == Outcome.NOT_RUN || request.isIdempotent();
         boolean wanted = result.outcome() != Outcome.DONE && result.retryElsewhere() && safe;
         boolean inTime = state.nowMillis() < request.deadlineMillis();
-        if (wanted && inTime && state.requests().retries().allows()) {
-            return retry(noted, request, result);
+        if (wanted && inTime && noted.requests().retries().allows()) {
+            return retry(noted, ended, result);
         }
-        return finish(noted, request, result);
+        return finish(noted, ended, result);
     }
 
     /** Avoids a shard for a moment after an attempt that says something about the shard. */
     private static State avoidFailed(State state, FrontRequest request, AttemptResult result) {
+        long until = state.nowMillis() + Routing.AVOID_MILLIS;
+        if (result.reason() == RefusalReason.BUDGET_USED_UP && request.shard().isPresent()) {
+            return state.withRequests(
+                    state.requests()
+                            .withUsedUp(request.queue().team(), request.shard().get(), until));
+        }
         boolean failed =
                 switch (result.reason()) {
                     case NOT_OWNER,
@@ -292,11 +320,7 @@
                     default -> false;
                 };
         return failed && request.shard().isPresent()
-                ? state.withRequests(
-                        state.requests()
-                                .avoiding(
-                                        request.shard().get(),
-                                        state.nowMillis() + Routing.AVOID_MILLIS))
+                ? state.withRequests(state.requests().avoiding(request.shard().get(), until))
                 : state;
     }
 
--- a/core/src/main/java/org/jujubefork/core/requests/RetryBudget.java
+++ b/core/src/main/java/org/jujubefork/core/requests/RetryBudget.java
@@ -26,6 +26,11 @@
         return tenths >= COST;
     }
 
+    /** Returns this budget after a retry that was paid for in advance was not needed. */
+    RetryBudget refunded() {
+        return new RetryBudget(Math.min(BURST * COST, tenths + COST));
+    }
+
     /** Returns this budget after a retry. */
     RetryBudget spent() {
         return new RetryBudget(tenths - COST);
--- a/core/src/main/java/org/jujubefork/core/requests/Routing.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Routing.java
@@ -5,12 +5,16 @@
 import java.util.Optional;
 import org.jujubefork.core.configuration.Tuning;
 import org.jujubefork.core.control.State;
+import org.jujubefork.core.limits.Limits;
 import org.jujubefork.core.membership.Member;
 import org.jujubefork.core.membership.Membership;
 import org.jujubefork.core.membership.ShardSummary;
+import org.jujubefork.core.membership.TeamLoad;
 import org.jujubefork.core.model.Distance;
 import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
+import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.placement.ShardState;
 
 /** Chooses the shard in which a request is tried. */
@@ -24,6 +28,12 @@
     /** Price of a shard that is avoided; it is used only if all others are worse. */
     static final double AVOIDED_COST_MILLIS = 10_000;
 
+    /** Price of a shard in which work has to wait until other work of the team ends. */
+    static final double IN_USE_COST_MILLIS = 5_000;
+
+    /** Price of a shard in which no end of work helps; still better than a shard that fails. */
+    static final double NO_BUDGET_COST_MILLIS = 8_000;
+
     /**
      * Routes whose costs differ by less count as equal. Gossip is up to seconds old; if all entries
      * took the cheapest route, they would all send to the same shard until the next gossip.
@@ -37,6 +47,26 @@
 
     private Routing() {}
 
+    /** What the budget of a team in a shard allows. */
+    enum Budget {
+        /** Work can start. */
+        FREE(0),
+        /** Work can start when other work of the team ends. */
+        IN_USE(IN_USE_COST_MILLIS),
+        /** The budget is smaller than the work. */
+        NONE(NO_BUDGET_COST_MILLIS);
+
+        private final double costMillis;
+
+        Budget(double costMillis) {
+            this.costMillis = costMillis;
+        }
+
+        double costMillis() {
+            return costMillis;
+        }
+    }
+
     /**
      * A shard and its owner.
      *
@@ -45,7 +75,9 @@
      * @param peerAddress the owner's address; empty if this entry owns it
      * @param costMillis the price of the route in milliseconds of waiting
      * @param waitMillis the part of the price that is the expected wait
+     * @param budget what the team's budget there allows, as far as this entry knows
      * @param alternatives how many other shards could have been chosen
+     * @param budgetElsewhere whether the team has budget in another of them
      */
     record Route(
             ShardId shard,
@@ -53,9 +85,33 @@
             String peerAddress,
             double costMillis,
             double waitMillis,
-            int alternatives) {
-        Route of(int routes) {
-            return new Route(shard, owner, peerAddress, costMillis, waitMillis, routes - 1);
+            Budget budget,
+            int alternatives,
+            boolean budgetElsewhere) {
+        static Route of(
+                ShardId shard,
+                Optional<EntryId> owner,
+                String address,
+                double fixed,
+                double wait,
+                Budget budget) {
+            double cost = wait + fixed + budget.costMillis();
+            return new Route(shard, owner, address, cost, wait, budget, 0, false);
+        }
+
+        Route among(List<Route> routes) {
+            boolean elsewhere =
+                    routes.stream()
+                            .anyMatch(r -> r.budget() != Budget.NONE && !r.shard().equals(shard));
+            return new Route(
+                    shard,
+                    owner,
+                    peerAddress,
+                    costMillis,
+                    waitMillis,
+                    budget,
+                    routes.size() - 1,
+                    elsewhere);
         }
     }
 
@@ -81,7 +137,7 @@
                         + Math.max(NEAR_MILLIS, NEAR_PART_OF_WAIT * cheapest.waitMillis());
         List<Route> near = routes.stream().filter(r -> r.costMillis() <= bound).toList();
         int index = (int) Long.remainderUnsigned(request.random(), near.size());
-        return Optional.of(near.get(index).of(routes.size()));
+        return Optional.of(near.get(index).among(routes));
     }
 
     private static void addOwned(State state, FrontRequest request, List<Route> routes) {
@@ -92,8 +148,23 @@
                                 shard.index().byFree().freeSlots(),
                                 shard.queue().requestCount(),
                                 shard.index().size());
-                double cost = wait + fixedCost(state, request, shard.id());
-                routes.add(new Route(shard.id(), Optional.empty(), "", cost, wait, 0));
+                Resources size = request.queue().size();
+                TeamId team = request.queue().team();
+                Budget budget =
+                        budget(
+                                state,
+                                request,
+                                shard.id(),
+                                Limits.allows(state, shard, team, size),
+                                size.fitsIn(Limits.available(state, shard, team)));
+                routes.add(
+                        Route.of(
+                                shard.id(),
+                                Optional.empty(),
+                                "",
+                                fixedCost(state, request, shard.id()),
+                                wait,
+                                budget));
             }
         }
     }
@@ -114,20 +185,36 @@
                 }
                 double wait =
                         waitCost(summary.freeSlots(), summary.queuedRequests(), summary.workers());
+                Resources size = request.queue().size();
+                TeamLoad load = summary.teams().get(request.queue().team());
                 routes.add(
-                        new Route(
+                        Route.of(
                                 shard,
                                 Optional.of(member.row().id()),
                                 member.row().peerAddress(),
-                                wait
-                                        + fixedCost(state, request, shard)
-                                        + tuning.crossZoneCostMillis(),
+                                fixedCost(state, request, shard) + tuning.crossZoneCostMillis(),
                                 wait,
-                                0));
+                                budget(
+                                        state,
+                                        request,
+                                        shard,
+                                        load == null || load.hasRoomFor(size),
+                                        load == null
+                                                || load.budget().map(size::fitsIn).orElse(true))));
             }
         }
     }
 
+    private static Budget budget(
+            State state, FrontRequest request, ShardId shard, boolean room, boolean fits) {
+        if (!fits || request.declined().contains(shard)) {
+            return Budget.NONE;
+        }
+        boolean reported =
+                state.requests().isUsedUp(request.queue().team(), shard, state.nowMillis());
+        return room && !reported ? Budget.FREE : Budget.IN_USE;
+    }
+
     private static double waitCost(int freeSlots, int queued, int workers) {
         if (freeSlots > queued) {
             return 0;
--- a/core/src/test/java/org/jujubefork/core/testing/Cluster.java
+++ b/core/src/test/java/org/jujubefork/core/testing/Cluster.java
@@ -176,6 +176,11 @@
         messages.add(new Message(nowMillis + millis, order++, from, delivery));
     }
 
+    /** Delivers an event from outside the cluster, such as a call. */
+    public void deliverTo(Node node, LongFunction<Event> event) {
+        node.deliver(event);
+    }
+
     /** Delivers to the run of an entry that asked, not to a later one. */
     void deliver(Node node, long run, LongFunction<Event> event) {
         if (node.state().self().id().incarnation() == run) {
--- a/core/src/test/java/org/jujubefork/core/testing/Effects.java
+++ b/core/src/test/java/org/jujubefork/core/testing/Effects.java
@@ -5,6 +5,7 @@
 import java.util.function.LongFunction;
 import org.jujubefork.core.effect.Effect;
 import org.jujubefork.core.effect.GossipEffect;
+import org.jujubefork.core.effect.RequestEffect;
 import org.jujubefork.core.effect.StoreEffect;
 import org.jujubefork.core.effect.WorkerEffect;
 import org.jujubefork.core.event.ConfigurationLoaded;
@@ -12,6 +13,7 @@
 import org.jujubefork.core.event.FleetEvent;
 import org.jujubefork.core.event.LimitEvent;
 import org.jujubefork.core.event.MembershipEvent;
+import org.jujubefork.core.event.RequestEvent;
 import org.jujubefork.core.event.TaskEvent;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.Epoch;
@@ -48,6 +50,22 @@
                             false);
             case WorkerEffect.StartTask e -> start(node, e);
             case WorkerEffect.StopTask e -> stop(node, e);
+            case RequestEffect.Forward e -> {
+                EntryId self = node.state().self().id();
+                toPeer(
+                        node,
+                        e.peerAddress(),
+                        at ->
+                                new RequestEvent.RequestForwarded(
+                                        at, e.request(), self, e.forwarded()));
+            }
+            case RequestEffect.AnswerForward e -> {
+                EntryId self = node.state().self().id();
+                toPeer(
+                        node,
+                        e.to().name() + ":70",
+                        at -> new RequestEvent.ForwardAnswered(at, e.request(), self, e.result()));
+            }
             default -> {}
         }
     }
--- a/entry/src/main/java/org/jujubefork/entry/peer/Frame.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/Frame.java
@@ -8,7 +8,7 @@
  */
 public record Frame(long correlation, PeerMessage message) {
     /** Version of the protocol. Entries with different versions refuse each other. */
-    public static final int VERSION = 1;
+    public static final int VERSION = 2;
 
     /** Longest frame in bytes, without its length field. */
     public static final int MAX_BYTES = 256 * 1024;
--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
@@ -163,6 +163,7 @@
         RowCodec.writeResources(out, work.size());
         out.packBoolean(work.urgent());
         out.packLong(work.remainingMillis());
+        out.packBoolean(work.returnable());
         out.packInt(message.bodyBytes());
     }
 
@@ -176,7 +177,8 @@
                         WorkKind.valueOf(in.unpackString()),
                         RowCodec.readResources(in),
                         in.unpackBoolean(),
-                        in.unpackLong());
+                        in.unpackLong(),
+                        in.unpackBoolean());
         return new PeerMessage.Forward(request, work, in.unpackInt());
     }
 
--- a/entry/src/main/java/org/jujubefork/entry/peer/RowCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/RowCodec.java
@@ -128,6 +128,7 @@
             writeResources(out, entry.getValue().running());
             writeResources(out, entry.getValue().waiting());
             out.packInt(entry.getValue().queued());
+            writeBudget(out, entry.getValue().budget());
         }
         out.packString(summary.handoverTo().orElse(""));
     }
@@ -154,11 +155,28 @@
             teams =
                     teams.plus(
                             team,
-                            new TeamLoad(readResources(in), readResources(in), in.unpackInt()));
+                            new TeamLoad(
+                                    readResources(in),
+                                    readResources(in),
+                                    in.unpackInt(),
+                                    readBudget(in)));
         }
         return teams;
     }
 
+    private static void writeBudget(MessagePacker out, Optional<Resources> budget)
+            throws IOException {
+        if (budget.isPresent()) {
+            writeResources(out, budget.get());
+        } else {
+            out.packNil();
+        }
+    }
+
+    private static Optional<Resources> readBudget(MessageUnpacker in) throws IOException {
+        return in.tryUnpackNil() ? Optional.empty() : Optional.of(readResources(in));
+    }
+
     static void writeResources(MessagePacker out, Resources amount) throws IOException {
         out.packLong(amount.cpuMillis());
         out.packLong(amount.memoryMb());
