Move budget to a shard with unmet demand within seconds

Cause: a row was lowered only after 3 s of slack and after all workers had confirmed a renewal, and the renewals that are due anyway are up to 10 s apart. With unmet demand in several shards, each kept an equal part and a whole piece of work more, so parts of a piece were kept from the others.

Ruled out: the release after 60 s is not what work waits for; it applies only without demand elsewhere. With the patience cut to 1 s and the old ceiling, LimitsTest.busyShardsShareALimit failed (4500m and 2000m of 7000m), so the ceiling is now an equal part rounded up to whole pieces.

Change: slack is given up after 1 s while others have unmet demand, and the leases of the shard are renewed to confirm a cap, in rounds at least 1 s plus 20 ms for each worker apart and for at most 15 s.

LimitsTest passed.

Conclusion: budget moves within seconds; slack without demand elsewhere still stays for 60 s.

--- a/core/src/main/java/org/jujubefork/core/limits/Caps.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Caps.java
@@ -3,19 +3,30 @@
 import java.util.Optional;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
+import org.jujubefork.core.membership.Freshness;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.Workers;
 
 /** Decides which rows an owner lowers, and puts a local cap on them first. */
 final class Caps {
-    /** How long a row must have slack before it is given up while another owner has demand. */
-    static final long RELEASE_AFTER_MILLIS = 3_000;
+    /**
+     * How long a row must have slack before it is given up while another owner has demand. Requests
+     * that come and go within a second keep their budget.
+     */
+    static final long RELEASE_AFTER_MILLIS = 1_000;
 
     /** How long a row must be far above usage before it is given up without demand elsewhere. */
     static final long IDLE_RELEASE_AFTER_MILLIS = 60_000;
 
+    /** Least time between two rounds of renewals that confirm caps, with few workers. */
+    static final long CONFIRM_INTERVAL_MILLIS = 1_000;
+
+    /** What each worker adds to this time, so that a large shard is not asked more than it can. */
+    static final long CONFIRM_INTERVAL_PER_WORKER_MILLIS = 20;
+
     /** A row is far above usage if it is more than this many times what is needed. */
     private static final int FAR_ABOVE = 2;
 
@@ -37,7 +48,44 @@
                             ? record.withCaps(record.caps().plus(team, forLimit.get()))
                             : forSlack(state, shard, record, team, free, fleet);
         }
-        return Transition.of(state.withLimits(state.limits().withShard(id, record)));
+        return confirm(state.withLimits(state.limits().withShard(id, record)), id);
+    }
+
+    /**
+     * Renews the leases of {@code id} while a cap only waits for confirmations, because the next
+     * renewals that are due anyway can be 10 s away.
+     */
+    private static Transition confirm(State state, ShardId id) {
+        ShardState shard = state.shards().get(id);
+        long interval =
+                CONFIRM_INTERVAL_MILLIS
+                        + CONFIRM_INTERVAL_PER_WORKER_MILLIS * shard.workers().size();
+        boolean due = state.nowMillis() / interval != state.limits().tickedAtMillis() / interval;
+        if (!due || !Freshness.isStoreContactFresh(state)) {
+            return Transition.of(state);
+        }
+        for (var cap : state.limits().shards().get(id).caps().entrySet()) {
+            long age = state.nowMillis() - cap.getValue().sinceMillis();
+            boolean open =
+                    age > 0
+                            && age < LedgerPlan.CONFIRM_PATIENCE_MILLIS
+                            && shard.usageOf(cap.getKey()).fitsIn(cap.getValue().budget())
+                            && !Budgets.unconfirmed(shard, cap.getValue().sinceMillis()).isZero()
+                            && isAboveCap(state, shard, cap.getKey(), cap.getValue());
+            if (open) {
+                return Workers.renewAll(state, id);
+            }
+        }
+        return Transition.of(state);
+    }
+
+    /** Returns whether the row of {@code team} is still above {@code cap}. */
+    private static boolean isAboveCap(State state, ShardState shard, TeamId team, LocalCap cap) {
+        return state.limits()
+                .ledger()
+                .row(team, shard.id())
+                .map(r -> !r.budget().fitsIn(cap.budget()))
+                .orElse(false);
     }
 
     private static Optional<LocalCap> forLimit(
@@ -109,7 +157,8 @@
     /**
      * What a team has in a shard beyond its need.
      *
-     * @param need what is used, charged and waiting, up to the shard's part while others wait
+     * @param need what is used, charged and waiting, up to the shard's part while others wait; at
+     *     least the capacity of the shard if the limit covers the fleet
      * @param target what the row would be lowered to
      * @param wanted whether another owner has demand that the unallocated budget does not cover
      * @param idle whether the row is far above the need
@@ -127,10 +176,12 @@
                     limit.minus(state.limits().ledger().allocated(team)).max(Resources.ZERO);
             TeamDemand demand = TeamDemand.of(shard, team, free);
             Resources held = shard.usageOf(team).plus(shard.charged());
-            boolean servable = demand.anyFits(budget.plus(unallocated).minus(held));
+            Resources reachable = budget.plus(unallocated).max(Limits.ample(state, team));
+            boolean servable = demand.anyFits(reachable.minus(held));
             Resources ceiling = Demands.ceiling(state, team, limit, demand);
             Resources asked = servable ? Demands.need(shard, team, demand) : held;
-            Resources need = asked.min(ceiling);
+            Resources kept = fleet.fitsIn(limit) ? shard.capacity() : Resources.ZERO;
+            Resources need = asked.min(ceiling).max(kept);
             Resources chunk = LedgerPlan.chunk(limit);
             Resources missing = Demands.elsewhere(state, team).minus(unallocated);
             Resources tight = need.min(budget);
--- a/core/src/main/java/org/jujubefork/core/limits/Demands.java
+++ b/core/src/main/java/org/jujubefork/core/limits/Demands.java
@@ -81,8 +81,8 @@
 
     /**
      * Returns the most that a shard may keep or ask for while other shards have unmet demand: an
-     * equal part of the limit, and one piece of work more, so that parts that are no multiple of
-     * the sizes are not left over. Without demand elsewhere it is the limit.
+     * equal part of the limit, rounded up to whole pieces of work, so that no part of a piece is
+     * kept from the others. Without demand elsewhere it is the limit.
      */
     static Resources ceiling(State state, TeamId team, Resources limit, TeamDemand demand) {
         int others = 0;
@@ -93,7 +93,18 @@
         }
         return others == 0
                 ? limit
-                : limit.scaled(1.0 / (1 + others)).plus(demand.largestHead()).min(limit);
+                : roundedUp(limit.scaled(1.0 / (1 + others)), demand.largestHead()).min(limit);
+    }
+
+    private static Resources roundedUp(Resources amount, Resources piece) {
+        return Resources.of(
+                roundedUp(amount.cpuMillis(), piece.cpuMillis()),
+                roundedUp(amount.memoryMb(), piece.memoryMb()),
+                roundedUp(amount.accelerators(), piece.accelerators()));
+    }
+
+    private static long roundedUp(long amount, long piece) {
+        return piece == 0 ? amount : Math.ceilDiv(amount, piece) * piece;
     }
 
     private static int countUnmet(Member member, TeamId team) {
--- a/core/src/main/java/org/jujubefork/core/limits/package-info.java
+++ b/core/src/main/java/org/jujubefork/core/limits/package-info.java
@@ -77,6 +77,14 @@
  * owners reduce their rows. Work above the cap is stopped, then the row is lowered. No row is
  * raised until the sum fits.
  *
+ * <h2>Limits that cannot bind</h2>
+ *
+ * <p>A component of a limit that is at least twice what the fleet holds is not checked: what runs
+ * on a worker is within its capacity, so the sum is within what the fleet holds. The entry takes
+ * the larger of the capacity on its VM list and that in gossip, and the factor covers what it has
+ * not heard of. Rows are kept for such teams too, and are at least the capacity of their shard, so
+ * that what runs is within them when the limit is lowered.
+ *
  * <h2>Limits of the argument</h2>
  *
  * <p>A worker that restarts forgets its epoch, and a worker that is added keeps none. An owner that
@@ -89,7 +97,7 @@
  * <p>An entry writes at most once a second, and not while it has no contact with the store. A team
  * whose limit covers the fleet gets the capacity of each shard with the claim, and needs no write
  * after that until the shard grows. Other teams ask for a sixteenth of their limit beyond their
- * need, and give back what they do not need after 3 s if others wait for it, or after 60 s. Moving
- * budget between shards takes up to 20 s, most of which is the wait for the workers' renewals.
+ * need, and give back what they do not need after 1 s if others wait for it, or after 60 s. The
+ * leases are renewed at once to confirm a cap, so that budget moves between shards within seconds.
  */
 package org.jujubefork.core.limits;
