End each store and worker effect in an event when its executor throws

Cause: the executors run effects on virtual threads; a runtime exception ended the thread without an event, so a claim, a job write, a lease or a start stayed pending for ever. A failed read of the ledger posted no event either and was not repeated: the watch delivers only a changed ledger.

Ruled out: catching in each call, because new calls would miss it; posting an event for a failed read of the ledger, because the control state answers it by another read at once (StoreExecutorTest guards that).

Change: EffectFailures maps an effect to the event that ends it and that allows for a command that took effect (start: unknown, claim: maybe written). The ledger is read once a second until it is there, one reader at a time.

Conclusion: every effect but the removal of a job record, for which nothing waits, ends in an event.

--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreExecutor.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.jboss.logging.Logger;
 import org.jujubefork.client.store.KeyValue;
 import org.jujubefork.client.store.StoreClient;
@@ -10,6 +11,7 @@
 import org.jujubefork.client.store.WriteResult;
 import org.jujubefork.core.effect.StoreEffect;
 import org.jujubefork.core.event.ClaimEvent;
+import org.jujubefork.core.event.Event;
 import org.jujubefork.core.event.JobEvent;
 import org.jujubefork.core.event.LimitEvent;
 import org.jujubefork.core.jobs.StoredJob;
@@ -31,6 +33,9 @@
     private static final Logger log = Logger.getLogger(StoreExecutor.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
+    /** Time between two attempts to read the ledger, so that an outage costs one call a second. */
+    private static final Duration LEDGER_RETRY = Duration.ofSeconds(1);
+
     /** Longest answer that is kept in a claim, in bytes. */
     private static final int MAX_KEPT_BODY_BYTES = 512 * 1024;
 
@@ -40,6 +45,7 @@
     private final EventSink events;
     private final DaemonMetrics metrics;
     private final ClaimWriter claims;
+    private final AtomicBoolean readingLedger = new AtomicBoolean();
 
     /** Creates an executor that takes the answers to be kept from {@code registry}. */
     public StoreExecutor(
@@ -77,7 +83,16 @@
 
     @Override
     public void execute(StoreEffect effect) {
-        Thread.startVirtualThread(() -> carryOut(effect));
+        Thread.startVirtualThread(
+                () -> {
+                    try {
+                        carryOut(effect);
+                    } catch (RuntimeException e) {
+                        // Without an event the control state would wait for ever.
+                        EffectFailures.log(effect, e);
+                        EffectFailures.eventOf(effect, clock.millis()).ifPresent(events::post);
+                    }
+                });
     }
 
     private void carryOut(StoreEffect effect) {
@@ -240,28 +255,64 @@
         }
     }
 
+    /**
+     * Reads the ledger until the store gives it. A failed attempt posts no event, because the
+     * control state would answer it by another read at once; the watch does not deliver a ledger
+     * that has not changed.
+     */
     private void readLedger() {
+        if (!readingLedger.compareAndSet(false, true)) {
+            return;
+        }
+        try {
+            Optional<Event> loaded = ledger();
+            while (loaded.isEmpty()) {
+                Thread.sleep(LEDGER_RETRY);
+                loaded = ledger();
+            }
+            events.post(loaded.get());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            readingLedger.set(false);
+        }
+    }
+
+    private Optional<Event> ledger() {
         try {
             Optional<KeyValue> found = get(StoreKeys.LEDGER);
             long revision = found.map(KeyValue::revision).orElse(StoreClient.ABSENT);
-            events.post(
-                    new LimitEvent.LedgerLoaded(
-                            clock.millis(),
-                            revision,
-                            found.isPresent()
-                                    ? LedgerCodec.decode(StoreText.decode(found.get().value()))
-                                    : Ledger.EMPTY));
-        } catch (StoreException | MalformedRecordException e) {
-            // No event: a failed read would be answered by another read at once. The watch delivers
-            // the
-            // ledger when the store is back.
+            Ledger ledger =
+                    found.isPresent()
+                            ? LedgerCodec.decode(StoreText.decode(found.get().value()))
+                            : Ledger.EMPTY;
+            return Optional.of(new LimitEvent.LedgerLoaded(clock.millis(), revision, ledger));
+        } catch (StoreException | MalformedRecordException | RuntimeException e) {
             log.warnf("event=ledger-unreadable reason=\"%s\"", e.getMessage());
+            return Optional.empty();
         }
     }
 
     /** Gives the caller the answer that is kept in the claim {@code claimKey}. */
     public void replay(RequestId request, String claimKey) {
-        Thread.startVirtualThread(() -> replayNow(request, claimKey));
+        Thread.startVirtualThread(
+                () -> {
+                    try {
+                        replayNow(request, claimKey);
+                    } catch (RuntimeException e) {
+                        log.errorf(e, "event=replay-failed request=%s", request);
+                        replayRefused(request);
+                    }
+                });
+    }
+
+    private void replayRefused(RequestId request) {
+        registry.channel(request)
+                .ifPresent(
+                        c ->
+                                c.refuse(
+                                        AttemptResult.unknown(
+                                                RefusalReason.EARLIER_OUTCOME_UNKNOWN)));
     }
 
     private void replayNow(RequestId request, String claimKey) {
@@ -285,8 +336,7 @@
                                             c::replayWithoutBody));
         } catch (StoreException | MalformedRecordException e) {
             log.warnf("event=claim-unreadable request=%s reason=\"%s\"", request, e.getMessage());
-            channel.ifPresent(
-                    c -> c.refuse(AttemptResult.unknown(RefusalReason.EARLIER_OUTCOME_UNKNOWN)));
+            replayRefused(request);
         }
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
@@ -49,7 +49,17 @@
 
     @Override
     public void execute(WorkerEffect effect) {
-        Thread.startVirtualThread(() -> events.post(carryOut(effect)));
+        Thread.startVirtualThread(() -> events.post(eventOf(effect)));
+    }
+
+    private Event eventOf(WorkerEffect effect) {
+        try {
+            return carryOut(effect);
+        } catch (RuntimeException e) {
+            // Without an event the control state would wait for ever.
+            EffectFailures.log(effect, e);
+            return EffectFailures.eventOf(effect, clock.millis());
+        }
     }
 
     private Event carryOut(WorkerEffect effect) {
