Keep the selector thread free and fail a forward whose answer cannot be sent

Cause: the receiver of peer messages posted to the bounded event queue and waited while it was full; the one selector thread then read from no entry. A RESPONSE_END, a chunk or a credit that found the queue of a link full, or whose connection could not be made, was dropped, and a FORWARD longer than the owner's limit was only logged: the front entry waited for its deadline. Links to entries that were gone kept a thread and a queue for ever.

Ruled out: a bounded wait on the selector thread, because each message would wait again; waiting in the link's queue with RESPONSE_END, because a link whose peer does not read empties at one write timeout per parcel.

Change: EventSink.offer never waits. Gossip and probes are dropped, counted (jujube_events_refused_total) and logged once a second; a FORWARD is answered "not run, overloaded"; answers and cancels are posted by a virtual thread, of which there are no more than open forwards. If a part of an answer cannot be sent, the owner closes the connection over which the request came, and the loss of a connection also fails what was forwarded to its sender. A FORWARD that is too long is answered "not run here". A link without a connection ends after 60 s without messages; one with a connection stays, because its loss is how a front entry notices the end of an owner.

Conclusion: no receiver waits for the control thread, and each forward that loses its answer fails at once. The refusal of a FORWARD that is too long uses the reason entry-unreachable, because core has none of its own.

--- a/entry/src/main/java/org/jujubefork/entry/control/ControlLoop.java
+++ b/entry/src/main/java/org/jujubefork/entry/control/ControlLoop.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 import org.jujubefork.core.control.Reducer;
@@ -23,12 +25,17 @@
     /** Time between two ticks. */
     public static final long TICK_MILLIS = 100;
 
+    /** Least time between two log lines about refused events. */
+    private static final long REFUSAL_LOG_MILLIS = 1_000;
+
     private static final Logger log = Logger.getLogger(ControlLoop.class);
 
     private final BlockingQueue<Event> events;
     private final Clock clock;
     private final RandomGenerator random;
     private final Thread thread;
+    private final LongAdder refused = new LongAdder();
+    private final AtomicLong refusalLogDue = new AtomicLong(Long.MIN_VALUE);
     private volatile EffectExecutor<Effect> effects = effect -> {};
     private volatile State state;
     private volatile boolean open = true;
@@ -73,6 +80,27 @@
         }
     }
 
+    @Override
+    public boolean offer(Event event) {
+        if (events.offer(event)) {
+            return true;
+        }
+        refused.increment();
+        long now = clock.millis();
+        long due = refusalLogDue.get();
+        if (now >= due && refusalLogDue.compareAndSet(due, now + REFUSAL_LOG_MILLIS)) {
+            log.warnf(
+                    "event=event-queue-full last=%s refused_total=%d",
+                    event.getClass().getSimpleName(), refused.sum());
+        }
+        return false;
+    }
+
+    /** Returns how many events were refused because the queue was full. */
+    public long refused() {
+        return refused.sum();
+    }
+
     private void run() {
         long nextTick = clock.millis();
         while (open) {
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
@@ -12,11 +12,13 @@
 import org.jujubefork.config.cell.ConfigurationDocumentCodec;
 import org.jujubefork.core.effect.GossipEffect;
 import org.jujubefork.core.effect.RequestEffect;
+import org.jujubefork.core.event.Event;
 import org.jujubefork.core.event.MembershipEvent;
 import org.jujubefork.core.event.RequestEvent;
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.entry.answers.AnswerChannel;
 import org.jujubefork.entry.answers.RequestRegistry;
@@ -86,7 +88,7 @@
     }
 
     private void send(String peerAddress, PeerMessage message) {
-        transport.link(peerAddress).offer(new PeerLink.Parcel(List.of(Frame.of(message)), IGNORED));
+        transport.offer(peerAddress, new PeerLink.Parcel(List.of(Frame.of(message)), IGNORED));
     }
 
     /** Sends a request with its body to the owner of a shard. */
@@ -111,11 +113,9 @@
                             attempt.correlation(),
                             new PeerMessage.BodyChunk(Arrays.copyOfRange(body.get(), from, to))));
         }
-        transport
-                .link(effect.peerAddress())
-                .offer(
-                        new PeerLink.Parcel(
-                                frames, sent -> forwardFailed(attempt.correlation(), sent)));
+        transport.offer(
+                effect.peerAddress(),
+                new PeerLink.Parcel(frames, sent -> forwardFailed(attempt.correlation(), sent)));
     }
 
     /** Tells the owner of a shard that an answer is no longer wanted. */
@@ -123,33 +123,48 @@
         outgoing.of(effect.request())
                 .ifPresent(
                         a ->
-                                transport
-                                        .link(effect.peerAddress())
-                                        .offer(
-                                                new PeerLink.Parcel(
-                                                        List.of(
-                                                                Frame.of(
-                                                                        a.correlation(),
-                                                                        new PeerMessage.Cancel())),
-                                                        IGNORED)));
+                                transport.offer(
+                                        effect.peerAddress(),
+                                        new PeerLink.Parcel(
+                                                List.of(
+                                                        Frame.of(
+                                                                a.correlation(),
+                                                                new PeerMessage.Cancel())),
+                                                IGNORED)));
     }
 
     /** Tells another entry what became of the request that it forwarded. */
     public void answer(RequestEffect.AnswerForward effect) {
+        Optional<IncomingForwards.Incoming> request = incoming.remove(effect.request());
         registry.remove(effect.request());
-        incoming.remove(effect.request())
-                .ifPresent(
-                        i ->
-                                transport
-                                        .link(i.peerAddress())
-                                        .offer(
-                                                new PeerLink.Parcel(
-                                                        List.of(
-                                                                Frame.of(
-                                                                        i.correlation(),
-                                                                        new PeerMessage.ResponseEnd(
-                                                                                effect.result()))),
-                                                        IGNORED)));
+        request.ifPresent(i -> answer(i.sender(), i.correlation(), effect.result()));
+    }
+
+    private void end(IncomingForwards.Incoming request, AttemptResult result) {
+        answer(new RequestEffect.AnswerForward(request.id(), request.from(), result));
+    }
+
+    private void answer(PeerMessage.Hello sender, long correlation, AttemptResult result) {
+        transport.offer(
+                sender.peerAddress(),
+                answerParcel(sender, correlation, new PeerMessage.ResponseEnd(result)));
+    }
+
+    /**
+     * Returns a part of an answer. If it cannot be sent, the connection over which the request came
+     * is closed: the other entry then treats the request as failed instead of waiting for the
+     * deadline.
+     */
+    private PeerLink.Parcel answerParcel(
+            PeerMessage.Hello sender, long correlation, PeerMessage message) {
+        return new PeerLink.Parcel(
+                List.of(Frame.of(correlation, message)),
+                sent -> {
+                    log.warnf(
+                            "event=answer-not-sent to=%s purpose=%s sent=%b",
+                            sender.from(), message.purpose(), sent);
+                    transport.disconnect(sender);
+                });
     }
 
     /** Reports requests that were forwarded to an entry whose connection was closed. */
@@ -185,16 +200,17 @@
     public void receive(PeerMessage.Hello sender, Frame frame) {
         long now = clock.millis();
         switch (frame.message()) {
+            // Gossip and probes are sent again after a second; a lost one does no harm.
             case PeerMessage.Gossip m ->
-                    events.post(
+                    events.offer(
                             new MembershipEvent.GossipReceived(
                                     now, sender.from(), m.rows(), m.heartbeats()));
             case PeerMessage.Probe m ->
-                    events.post(
+                    events.offer(
                             new MembershipEvent.ProbeReceived(
                                     now, sender.from(), sender.peerAddress(), m.probeId()));
             case PeerMessage.ProbeReply m ->
-                    events.post(
+                    events.offer(
                             new MembershipEvent.ProbeReplied(
                                     now, sender.from(), m.probeId(), m.configurationVersion()));
             case PeerMessage.Forward m -> receiveForward(sender, frame.correlation(), m);
@@ -218,19 +234,32 @@
     /**
      * Gives up the requests that came over a connection that was closed: the entry that forwarded
      * them treats them as failed, so that neither credit nor the rest of a body comes any more.
+     * Requests that were forwarded to the sender fail as well, because their answers were to come
+     * over this connection and may be lost.
      */
     @Override
     public void senderLost(PeerMessage.Hello sender) {
+        connectionLost(sender.peerAddress());
         List<IncomingForwards.Incoming> lost = incoming.on(sender);
         if (!lost.isEmpty()) {
             Thread.startVirtualThread(() -> lost.forEach(this::giveUp));
         }
     }
 
+    /**
+     * Posts an event that must not be lost. The caller is a selector thread, which must not wait
+     * while the queue is full; there are no more such events than open forwards.
+     */
+    private void postLater(Event event) {
+        if (!events.offer(event)) {
+            Thread.startVirtualThread(() -> events.post(event));
+        }
+    }
+
     private void giveUp(IncomingForwards.Incoming request) {
         request.end();
         if (request.isWhole()) {
-            events.post(new RequestEvent.RequestCancelled(clock.millis(), request.id()));
+            postLater(new RequestEvent.RequestCancelled(clock.millis(), request.id()));
         } else {
             incoming.remove(request.id());
         }
@@ -242,6 +271,7 @@
             log.warnf(
                     "event=forward-refused from=%s body_bytes=%d",
                     sender.from(), message.bodyBytes());
+            answer(sender, correlation, AttemptResult.notRunHere(RefusalReason.ENTRY_UNREACHABLE));
             return;
         }
         IncomingForwards.Incoming added = incoming.add(sender, correlation, message);
@@ -266,12 +296,16 @@
 
     private void accept(IncomingForwards.Incoming request) {
         registry.add(request.id(), request.body().toByteArray(), relayTo(request));
-        events.post(
-                new RequestEvent.RequestForwarded(
-                        clock.millis(),
-                        request.id(),
-                        request.from(),
-                        request.message().forwarded()));
+        boolean taken =
+                events.offer(
+                        new RequestEvent.RequestForwarded(
+                                clock.millis(),
+                                request.id(),
+                                request.from(),
+                                request.message().forwarded()));
+        if (!taken) {
+            end(request, AttemptResult.notRunHere(RefusalReason.OVERLOADED));
+        }
     }
 
     /** Returns a sink that sends an answer to the entry that forwarded the request. */
@@ -303,12 +337,9 @@
             }
 
             private void relay(PeerMessage message) throws InterruptedException {
-                transport
-                        .link(request.peerAddress())
-                        .put(
-                                new PeerLink.Parcel(
-                                        List.of(Frame.of(request.correlation(), message)),
-                                        IGNORED));
+                transport.put(
+                        request.peerAddress(),
+                        answerParcel(request.sender(), request.correlation(), message));
             }
         };
     }
@@ -318,12 +349,12 @@
     }
 
     private void credit(OutgoingForwards.Attempt attempt) {
-        transport
-                .link(attempt.peerAddress())
-                .offer(
-                        new PeerLink.Parcel(
-                                List.of(Frame.of(attempt.correlation(), new PeerMessage.Credit(1))),
-                                IGNORED));
+        transport.offer(
+                attempt.peerAddress(),
+                new PeerLink.Parcel(
+                        List.of(Frame.of(attempt.correlation(), new PeerMessage.Credit(1))),
+                        // Without the credit the rest of the answer would not come.
+                        sent -> forwardFailed(attempt.correlation(), true)));
     }
 
     private void receiveComplete(long correlation, PeerMessage.ResponseComplete message) {
@@ -340,7 +371,7 @@
         RequestId request = attempt.get().request();
         boolean incomplete =
                 result.outcome() == Outcome.DONE && !attempt.get().channel().isFinished();
-        events.post(
+        postLater(
                 incomplete
                         ? new RequestEvent.ForwardFailed(
                                 clock.millis(), request, attempt.get().to(), true)
@@ -362,7 +393,7 @@
                             new PeerMessage.ConfigurationPart(
                                     text.substring(from, to), to == text.length())));
         }
-        transport.link(peerAddress).offer(new PeerLink.Parcel(frames, IGNORED));
+        transport.offer(peerAddress, new PeerLink.Parcel(frames, IGNORED));
     }
 
     private void receiveConfiguration(
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerLink.java
@@ -1,25 +1,28 @@
 package org.jujubefork.entry.peer;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.glassfish.grizzly.Connection;
 import org.jboss.logging.Logger;
 
 /**
  * Sends frames to one other entry over one connection, in order. The connection is opened when
- * there is something to send.
+ * there is something to send. A link whose connection is gone ends when nothing is sent for some
+ * time, so that links to entries that are gone do not pile up.
  */
 final class PeerLink implements AutoCloseable {
     /**
-     * Frames that may wait; a control message that finds the queue full is dropped and reported as
+     * Parcels that may wait; one that is offered while the queue is full is dropped and reported as
      * not sent.
      */
-    private static final int QUEUE_FRAMES = 256;
+    static final int QUEUE_PARCELS = 256;
 
     private static final Logger log = Logger.getLogger(PeerLink.class);
 
@@ -48,50 +51,115 @@
     private final String peerAddress;
     private final Connector connector;
     private final Frame hello;
-    private final BlockingQueue<Parcel> parcels = new LinkedBlockingQueue<>(QUEUE_FRAMES);
+    private final BlockingQueue<Parcel> parcels = new LinkedBlockingQueue<>(QUEUE_PARCELS);
+    private final Duration idle;
+    private final Consumer<PeerLink> onRetired;
     private final Thread thread;
-    private Connection<?> connection;
-
-    private PeerLink(String peerAddress, Connector connector, Frame hello) {
+    private volatile Connection<?> connection;
+    private volatile boolean retired;
+
+    private PeerLink(
+            String peerAddress,
+            Connector connector,
+            Frame hello,
+            Duration idle,
+            Consumer<PeerLink> onRetired) {
         this.peerAddress = peerAddress;
         this.connector = connector;
         this.hello = hello;
+        this.idle = idle;
+        this.onRetired = onRetired;
         this.thread = Thread.ofVirtual().name("peer-" + peerAddress).unstarted(this::run);
     }
 
-    /** Returns a link whose first frame on each connection is {@code hello}. */
-    static PeerLink open(String peerAddress, Connector connector, Frame hello) {
-        PeerLink link = new PeerLink(peerAddress, connector, hello);
+    /**
+     * Returns a link whose first frame on each connection is {@code hello}.
+     *
+     * @param idle time without parcels after which a link without a connection ends
+     * @param onRetired is told of that end
+     */
+    static PeerLink open(
+            String peerAddress,
+            Connector connector,
+            Frame hello,
+            Duration idle,
+            Consumer<PeerLink> onRetired) {
+        PeerLink link = new PeerLink(peerAddress, connector, hello, idle, onRetired);
         link.thread.start();
         return link;
     }
 
-    /** Sends {@code parcel}, or reports at once that it was not sent if too much waits. */
-    void offer(Parcel parcel) {
+    /** Returns the address of the other entry. */
+    String peerAddress() {
+        return peerAddress;
+    }
+
+    /**
+     * Sends {@code parcel}, or reports at once that it was not sent if too much waits.
+     *
+     * @return false if the link has ended and did nothing with the parcel
+     */
+    boolean offer(Parcel parcel) {
         if (!parcels.offer(parcel)) {
             parcel.failure().failed(false);
+            return true;
         }
+        return !takeBack(parcel);
     }
 
-    /** Sends {@code parcel}, waiting until there is room for it. */
-    void put(Parcel parcel) throws InterruptedException {
+    /**
+     * Sends {@code parcel}, waiting until there is room for it.
+     *
+     * @return false if the link has ended and did nothing with the parcel
+     */
+    boolean put(Parcel parcel) throws InterruptedException {
         parcels.put(parcel);
+        return !takeBack(parcel);
+    }
+
+    private boolean takeBack(Parcel parcel) {
+        return retired && parcels.remove(parcel);
     }
 
     private void run() {
         try {
-            while (true) {
-                send(parcels.take());
+            boolean open = true;
+            while (open) {
+                Parcel parcel = parcels.poll(idle.toMillis(), TimeUnit.MILLISECONDS);
+                if (parcel != null) {
+                    send(parcel);
+                } else if (!isConnected()) {
+                    open = !retire();
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private boolean isConnected() {
+        Connection<?> current = connection;
+        return current != null && current.isOpen();
+    }
+
+    /**
+     * Ends the link unless a parcel has just come. The mark is set before the queue is read, and a
+     * sender reads the mark after it has put its parcel, so that one of the two sees the other.
+     */
+    private boolean retire() {
+        retired = true;
+        if (!parcels.isEmpty()) {
+            retired = false;
+            return false;
+        }
+        onRetired.accept(this);
+        return true;
+    }
+
     private void send(Parcel parcel) throws InterruptedException {
         boolean sent = false;
         try {
-            if (connection == null || !connection.isOpen()) {
+            if (!isConnected()) {
                 connection = connector.connect(peerAddress);
                 write(hello);
             }
@@ -119,8 +187,9 @@
     private static final int WRITE_TIMEOUT_SECONDS = 10;
 
     private void disconnect() {
-        if (connection != null) {
-            connection.terminateSilently();
+        Connection<?> current = connection;
+        if (current != null) {
+            current.terminateSilently();
             connection = null;
         }
     }
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -1,6 +1,10 @@
 package org.jujubefork.entry.peer;
 
 import java.io.IOException;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +30,10 @@
 public final class PeerTransport implements AutoCloseable {
     private static final int SELECTOR_THREADS = 1;
     private static final int CONNECT_TIMEOUT_SECONDS = 1;
+
+    /** Time without messages after which a link without a connection is removed. */
+    private static final Duration LINK_IDLE = Duration.ofSeconds(60);
+
     private static final Attribute<PeerMessage.Hello> SENDER =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("jujubefork.sender");
     private static final Attribute<String> TARGET =
@@ -47,9 +55,20 @@
     private final ConcurrentHashMap<String, PeerLink> links = new ConcurrentHashMap<>();
     private final Consumer<String> connectionLost;
 
+    private final Duration linkIdle;
+
+    /** The connections on which other entries have introduced themselves, by the introduction. */
+    private final Map<PeerMessage.Hello, Connection<?>> senders =
+            Collections.synchronizedMap(new IdentityHashMap<>());
+
     private PeerTransport(
-            Frame hello, Receiver receiver, Consumer<String> connectionLost, TrafficMeter meter) {
+            Frame hello,
+            Receiver receiver,
+            Consumer<String> connectionLost,
+            TrafficMeter meter,
+            Duration linkIdle) {
         this.hello = hello;
+        this.linkIdle = linkIdle;
         this.connectionLost = connectionLost;
         this.transport =
                 TCPNIOTransportBuilder.newInstance()
@@ -62,7 +81,7 @@
                 FilterChainBuilder.stateless()
                         .add(new TransportFilter())
                         .add(new FrameFilter(counting(meter)))
-                        .add(new ReceiveFilter(receiver))
+                        .add(new ReceiveFilter(receiver, senders))
                         .build());
     }
 
@@ -83,7 +102,19 @@
             Consumer<String> connectionLost,
             TrafficMeter meter)
             throws IOException {
-        PeerTransport peers = new PeerTransport(Frame.of(hello), receiver, connectionLost, meter);
+        return start(listen, hello, receiver, connectionLost, meter, LINK_IDLE);
+    }
+
+    static PeerTransport start(
+            HostPort listen,
+            PeerMessage.Hello hello,
+            Receiver receiver,
+            Consumer<String> connectionLost,
+            TrafficMeter meter,
+            Duration linkIdle)
+            throws IOException {
+        PeerTransport peers =
+                new PeerTransport(Frame.of(hello), receiver, connectionLost, meter, linkIdle);
         peers.transport.bind(listen.host(), listen.port());
         peers.transport.start();
         return peers;
@@ -96,10 +127,45 @@
         };
     }
 
-    /** Returns the link to the entry at {@code peerAddress}. */
-    PeerLink link(String peerAddress) {
+    /** Sends {@code parcel}, or reports at once that it was not sent if too much waits. */
+    void offer(String peerAddress, PeerLink.Parcel parcel) {
+        PeerLink link = link(peerAddress);
+        while (!link.offer(parcel)) {
+            remove(link);
+            link = link(peerAddress);
+        }
+    }
+
+    /** Sends {@code parcel}, waiting until there is room for it. */
+    void put(String peerAddress, PeerLink.Parcel parcel) throws InterruptedException {
+        PeerLink link = link(peerAddress);
+        while (!link.put(parcel)) {
+            remove(link);
+            link = link(peerAddress);
+        }
+    }
+
+    private PeerLink link(String peerAddress) {
         return links.computeIfAbsent(
-                peerAddress, address -> PeerLink.open(address, this::connect, hello));
+                peerAddress,
+                address -> PeerLink.open(address, this::connect, hello, linkIdle, this::remove));
+    }
+
+    private void remove(PeerLink link) {
+        links.remove(link.peerAddress(), link);
+    }
+
+    /** Returns how many links there are. */
+    int links() {
+        return links.size();
+    }
+
+    /** Closes the connection that {@code sender} introduced, which tells the other entry. */
+    void disconnect(PeerMessage.Hello sender) {
+        Connection<?> connection = senders.get(sender);
+        if (connection != null) {
+            connection.terminateSilently();
+        }
     }
 
     private Connection<?> connect(String peerAddress) throws IOException {
@@ -140,9 +206,11 @@
     /** Hands decoded frames to the receiver, after the sender has introduced itself. */
     private static final class ReceiveFilter extends BaseFilter {
         private final Receiver receiver;
+        private final Map<PeerMessage.Hello, Connection<?>> senders;
 
-        ReceiveFilter(Receiver receiver) {
+        ReceiveFilter(Receiver receiver, Map<PeerMessage.Hello, Connection<?>> senders) {
             this.receiver = receiver;
+            this.senders = senders;
         }
 
         @Override
@@ -151,6 +219,7 @@
             Connection<?> connection = context.getConnection();
             if (frame.message() instanceof PeerMessage.Hello introduced) {
                 SENDER.set(connection, introduced);
+                senders.put(introduced, connection);
             } else if (frame.message() instanceof PeerMessage.ProtocolError error) {
                 log.warnf(
                         "event=peer-protocol-error from=%s reason=\"%s\"",
@@ -169,6 +238,7 @@
         public NextAction handleClose(FilterChainContext context) {
             PeerMessage.Hello sender = SENDER.get(context.getConnection());
             if (sender != null) {
+                senders.remove(sender);
                 receiver.senderLost(sender);
             }
             return context.getInvokeAction();
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/DaemonMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/DaemonMetrics.java
@@ -1,6 +1,7 @@
 package org.jujubefork.entry.telemetry;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -63,7 +64,13 @@
     }
 
     /** Exposes figures of the control state. */
-    public void observe(Supplier<State> state, Supplier<Integer> backlog) {
+    public void observe(
+            Supplier<State> state, Supplier<Integer> backlog, Supplier<Long> refusedEvents) {
+        CounterWithCallback.builder()
+                .name("jujube_events_refused_total")
+                .help("Messages of other entries refused because the event queue was full.")
+                .callback(callback -> callback.call(refusedEvents.get()))
+                .register(registry);
         gauge("jujube_event_backlog", "Events that wait for the control thread.", backlog::get);
         gauge(
                 "jujube_configuration_version",
--- a/entry/src/test/java/org/jujubefork/entry/control/ControlLoopTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/control/ControlLoopTest.java
@@ -1,6 +1,7 @@
 package org.jujubefork.entry.control;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.Random;
@@ -93,4 +94,15 @@
             assertEquals(posted.get(), 2 * CAPACITY);
         }
     }
+
+    @Test
+    public void aFullQueueDoesNotHoldBackAThreadThatMustNotWait() {
+        try (ControlLoop loop = loop()) {
+            for (int i = 0; i < CAPACITY; i++) {
+                assertTrue(loop.offer(new DrainRequested(Clock.SYSTEM.millis())));
+            }
+            assertFalse(loop.offer(new DrainRequested(Clock.SYSTEM.millis())));
+            assertEquals(loop.refused(), 1);
+        }
+    }
 }
--- a/entry/src/test/java/org/jujubefork/entry/peer/ForwardingTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/peer/ForwardingTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.jujubefork.config.settings.HostPort;
 import org.jujubefork.core.effect.RequestEffect;
@@ -21,7 +22,9 @@
 import org.jujubefork.core.event.RequestEvent;
 import org.jujubefork.core.model.AttemptResult;
 import org.jujubefork.core.model.EntryId;
+import org.jujubefork.core.model.Outcome;
 import org.jujubefork.core.model.QueueId;
+import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.ShardId;
@@ -30,6 +33,7 @@
 import org.jujubefork.core.requests.ForwardedRequest;
 import org.jujubefork.entry.answers.AnswerChannel;
 import org.jujubefork.entry.answers.RequestRegistry;
+import org.jujubefork.entry.control.EventSink;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -53,25 +57,58 @@
                     false,
                     10_000);
 
+    /** An event queue that can be full: then it refuses offers, and a post waits. */
+    private static final class FullQueue implements EventSink {
+        private final BlockingQueue<Event> events;
+        private final Semaphore room = new Semaphore(Integer.MAX_VALUE);
+
+        FullQueue(BlockingQueue<Event> events) {
+            this.events = events;
+        }
+
+        void fill() {
+            room.drainPermits();
+        }
+
+        void empty() {
+            room.release(Short.MAX_VALUE);
+        }
+
+        @Override
+        public void post(Event event) {
+            room.acquireUninterruptibly();
+            events.add(event);
+        }
+
+        @Override
+        public boolean offer(Event event) {
+            return room.tryAcquire() && events.add(event);
+        }
+    }
+
     /** The parts of an entry that forward requests. */
     private static final class Side implements AutoCloseable {
         private final EntryId id;
         private final String address;
         private final RequestRegistry registry = new RequestRegistry();
         private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+        private final FullQueue queue = new FullQueue(events);
         private final PeerExecutor executor;
         private final PeerTransport transport;
 
         Side(String name) throws IOException {
+            this(name, Optional.empty());
+        }
+
+        /** Creates a side that tells others that it is at {@code announced}. */
+        Side(String name, Optional<String> announced) throws IOException {
             id = EntryId.of(name, 1);
             address = "127.0.0.1:" + PeerTransportTest.freePort();
-            executor =
-                    new PeerExecutor(
-                            () -> 0, events::add, registry, null, Optional::empty, MAX_BYTES);
+            executor = new PeerExecutor(() -> 0, queue, registry, null, Optional::empty, MAX_BYTES);
             transport =
                     PeerTransport.start(
                             HostPort.parse(address),
-                            new PeerMessage.Hello(id, address),
+                            new PeerMessage.Hello(id, announced.orElse(address)),
                             executor,
                             executor::connectionLost,
                             (peer, purpose, bytes) -> {});
@@ -243,4 +280,44 @@
         arrive();
         assertTrue(owner.events.isEmpty(), "accepted twice");
     }
+
+    @Test
+    public void anOwnerWithAFullEventQueueRefusesAndGoesOnReceiving() throws Exception {
+        owner.queue.fill();
+        forward(random(100));
+        AttemptResult result = front.next(RequestEvent.ForwardAnswered.class).result();
+        assertEquals(result, AttemptResult.notRunHere(RefusalReason.OVERLOADED));
+        owner.queue.empty();
+        again();
+        arrive();
+    }
+
+    @Test
+    public void anAnswerIsNotLostWhileTheEventQueueIsFull() throws Exception {
+        forward(random(10));
+        RequestId request = arrive();
+        front.queue.fill();
+        AttemptResult result = AttemptResult.notRunHere(RefusalReason.WORKER_REFUSED);
+        end(request, result);
+        assertEquals(front.events.poll(200, TimeUnit.MILLISECONDS), null);
+        front.queue.empty();
+        assertEquals(front.next(RequestEvent.ForwardAnswered.class).result(), result);
+    }
+
+    @Test
+    public void aRequestThatIsTooLargeForTheOwnerIsAnswered() throws Exception {
+        forward(random(MAX_BYTES + 1));
+        AttemptResult result = front.next(RequestEvent.ForwardAnswered.class).result();
+        assertEquals(result.outcome(), Outcome.NOT_RUN);
+    }
+
+    @Test
+    public void anAnswerThatCannotBeSentFailsTheForward() throws Exception {
+        String closed = "127.0.0.1:" + PeerTransportTest.freePort();
+        front.close();
+        front = new Side("e1", Optional.of(closed));
+        forward(random(10));
+        end(arrive(), AttemptResult.done());
+        assertTrue(front.next(RequestEvent.ForwardFailed.class).sent());
+    }
 }
--- a/entry/src/test/java/org/jujubefork/entry/peer/PeerTransportTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/peer/PeerTransportTest.java
@@ -10,6 +10,8 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -173,4 +175,37 @@
         }
         assertEquals(lost.poll(WAIT_MILLIS, TimeUnit.MILLISECONDS), HELLO);
     }
+
+    @Test
+    public void linksToEntriesThatAreGoneAreRemoved() throws Exception {
+        int own = freePort();
+        try (PeerTransport sender =
+                PeerTransport.start(
+                        HostPort.parse("127.0.0.1:" + own),
+                        HELLO,
+                        (from, frame) -> {},
+                        address -> {},
+                        (address, purpose, bytes) -> {},
+                        Duration.ofMillis(50))) {
+            sender.offer("127.0.0.1:" + port, parcel());
+            sender.offer("127.0.0.1:" + freePort(), parcel());
+            assertEquals(sender.links(), 2);
+            next();
+            awaitLinks(sender, 1);
+            peers.close();
+            awaitLinks(sender, 0);
+        }
+    }
+
+    private static PeerLink.Parcel parcel() {
+        return new PeerLink.Parcel(List.of(Frame.of(new PeerMessage.Probe(1))), sent -> {});
+    }
+
+    private static void awaitLinks(PeerTransport transport, int links) throws Exception {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+        while (transport.links() != links) {
+            assertTrue(System.nanoTime() < deadline, transport.links() + " links");
+            Thread.sleep(10);
+        }
+    }
 }
