Close the connection after a refused body and stop when no request is open

Cause: after a 413 Grizzly went on reading the announced body without a limit, so the connection stayed open. The stop of the HTTP server used Grizzly's own count of requests, which keeps each request whose connection was aborted; one aborted answer made the stop wait for the whole 5 s.

Ruled out: closing at once after a 413, because unread bytes make the kernel reset the connection and the caller loses the response; Grizzly's shutdown followed by shutdownNow, because its shutdown thread then throws.

Change: the connection ends 1 s after the response.

Tests: HttpFrontEndTest has 3 new tests.

Conclusion: the stop takes as long as its requests.

--- a/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
@@ -6,6 +6,7 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.Method;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -131,7 +132,11 @@
 
     /** Closes the connection, so that the caller sees that the response is not complete. */
     public void abort() {
-        request.getRequest().getConnection().terminateSilently();
+        connection().terminateSilently();
+    }
+
+    Connection<?> connection() {
+        return request.getRequest().getConnection();
     }
 
     Response response() {
--- a/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
@@ -1,14 +1,13 @@
 package org.jujubefork.entry.http;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -26,16 +25,28 @@
     private static final Logger log = Logger.getLogger(HttpFrontEnd.class);
     private static final int SELECTOR_THREADS = 1;
     private static final int WORKER_THREADS = 4;
-    private static final int GRACE_SECONDS = 5;
+    private static final Duration GRACE = Duration.ofSeconds(5);
+
+    /**
+     * Time between the refusal of a body and the end of its connection. Closing at once would reset
+     * the connection, and a caller that still sends would not see the response.
+     */
+    private static final Duration REFUSAL_LINGER = Duration.ofSeconds(1);
 
     private final HttpServer server;
     private final ExecutorService executor;
     private final AtomicBoolean stopping;
+    private final OpenExchanges open;
 
-    private HttpFrontEnd(HttpServer server, ExecutorService executor, AtomicBoolean stopping) {
+    private HttpFrontEnd(
+            HttpServer server,
+            ExecutorService executor,
+            AtomicBoolean stopping,
+            OpenExchanges open) {
         this.server = server;
         this.executor = executor;
         this.stopping = stopping;
+        this.open = open;
     }
 
     /**
@@ -46,6 +57,7 @@
     public static HttpFrontEnd start(HostPort address, List<Route> routes) throws IOException {
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
         AtomicBoolean stopping = new AtomicBoolean();
+        OpenExchanges open = new OpenExchanges();
         HttpServer server = new HttpServer();
         NetworkListener listener = new NetworkListener("callers", address.host(), address.port());
         listener.getTransport().setSelectorRunnersCount(SELECTOR_THREADS);
@@ -58,9 +70,9 @@
         listener.getFileCache().setEnabled(false);
         server.addListener(listener);
         server.getServerConfiguration()
-                .addHttpHandler(new Dispatcher(routes, executor, stopping), "/");
+                .addHttpHandler(new Dispatcher(routes, executor, stopping, open), "/");
         server.start();
-        return new HttpFrontEnd(server, executor, stopping);
+        return new HttpFrontEnd(server, executor, stopping, open);
     }
 
     /**
@@ -71,17 +83,29 @@
         stopping.set(true);
     }
 
-    /** Stops to accept connections, lets requests in progress end, and stops. */
+    /** Stops as {@link #close(Duration)} does, with a bound of 5 s. */
     @Override
     public void close() {
+        close(GRACE);
+    }
+
+    /**
+     * Stops to accept connections and ends as soon as the responses to all requests are sent, after
+     * {@code bound} at the latest.
+     */
+    public void close(Duration bound) {
+        // Grizzly's own shutdown waits for requests whose connection was aborted, because it never
+        // takes them off its count.
+        endConnections();
+        server.getListeners().forEach(listener -> listener.getTransport().unbindAll());
         try {
-            server.shutdown(GRACE_SECONDS, TimeUnit.SECONDS)
-                    .get(GRACE_SECONDS + 1, TimeUnit.SECONDS);
+            if (!open.awaitNone(bound)) {
+                log.warnf("event=http-stop-incomplete open_requests=%d", open.count());
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException e) {
-            log.warnf("event=http-stop-incomplete reason=\"%s\"", e);
         }
+        server.shutdownNow();
         executor.shutdownNow();
     }
 
@@ -90,15 +114,22 @@
         private final List<Route> routes;
         private final ExecutorService executor;
         private final AtomicBoolean stopping;
+        private final OpenExchanges open;
 
-        Dispatcher(List<Route> routes, ExecutorService executor, AtomicBoolean stopping) {
+        Dispatcher(
+                List<Route> routes,
+                ExecutorService executor,
+                AtomicBoolean stopping,
+                OpenExchanges open) {
             this.routes = routes;
             this.executor = executor;
             this.stopping = stopping;
+            this.open = open;
         }
 
         @Override
         public void service(Request request, Response response) {
+            open.add(request);
             response.suspend();
             if (stopping.get()) {
                 response.setHeader("Connection", "close");
@@ -153,16 +184,28 @@
                             Outcome.NOT_RUN));
         }
 
-        private static void refuseBody(Exchange exchange, BodyException e) {
+        private void refuseBody(Exchange exchange, BodyException e) {
             try {
                 String code = e.isTooLarge() ? ErrorCodes.TOO_LARGE : ErrorCodes.INVALID_REQUEST;
                 exchange.header("Connection", "close");
                 exchange.error(
                         e.isTooLarge() ? 413 : 400,
                         ErrorView.of(code, e.getMessage(), Outcome.NOT_RUN));
+                // The request is recycled after its response; its connection is not.
+                Connection<?> connection = exchange.connection();
+                executor.execute(() -> closeLater(connection));
             } catch (IOException lost) {
                 exchange.abort();
             }
         }
+
+        private static void closeLater(Connection<?> connection) {
+            try {
+                Thread.sleep(REFUSAL_LINGER);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            connection.closeSilently();
+        }
     }
 }
--- a/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
@@ -309,4 +310,72 @@
         assertTrue(isComplete(response), "the end is missing");
         assertEquals(response.chars().filter(c -> c == 'x').count(), 600_000);
     }
+
+    private static String kept(String... headers) {
+        return "POST " + PATH + " HTTP/1.1\r\nHost: e\r\n" + String.join("", headers) + "\r\n";
+    }
+
+    @Test
+    public void aRefusedBodyEndsTheConnection() throws IOException {
+        String announced = "Content-Length: " + 100 * MAX_BODY_BYTES + "\r\n";
+        // The exchange ends only when the server closes the connection.
+        assertStatus(exchange(kept(announced)), 413);
+        assertStatus(exchange(kept(announced) + "x".repeat(50 * MAX_BODY_BYTES)), 413);
+    }
+
+    @Test
+    public void aServerWithoutRequestsClosesAtOnce() throws IOException {
+        producer =
+                channel -> {
+                    write(channel, new byte[AnswerChannel.HOLD_BYTES + 1]);
+                    channel.refuse(AttemptResult.unknown(RefusalReason.WORKER_CONNECTION_LOST));
+                };
+        exchange(post("{}")); // the server aborts this connection
+        producer = channel -> answer(channel, "hello", "text/plain");
+        try (Socket idle = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            idle.getOutputStream()
+                    .write(
+                            (kept("Content-Length: 2\r\n") + "{}")
+                                    .getBytes(StandardCharsets.ISO_8859_1));
+            assertTrue(idle.getInputStream().read() > 0);
+            long start = System.nanoTime();
+            server.close();
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            assertTrue(millis < 2_000, "closing took " + millis + " ms");
+        }
+    }
+
+    @Test
+    public void aServerThatClosesLetsARequestInProgressEnd() throws Exception {
+        producer =
+                channel -> {
+                    write(channel, "x".repeat(60_000).getBytes(StandardCharsets.UTF_8));
+                    sleep(500);
+                    answer(channel, "end", "text/plain");
+                };
+        CompletableFuture<String> response =
+                CompletableFuture.supplyAsync(
+                        () -> {
+                            try {
+                                return exchange(post("{}"));
+                            } catch (IOException e) {
+                                throw new java.io.UncheckedIOException(e);
+                            }
+                        });
+        while (events.isEmpty()) {
+            sleep(10);
+        }
+        server.close();
+        String got = response.get();
+        assertTrue(isComplete(got), "the end is missing");
+        assertTrue(got.contains("end"), "the end is missing");
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
 }
