Keep the bound of a planned stop and report deletions after a trimmed watch

Cause: the interrupt of the store watch at a stop was taken for a failure of the store. The drain bound was followed by the notice time and the grace of the HTTP server, and closing had no bound at all. After a 410 the watcher read the range but reported no record that was gone.

Ruled out: a change of Claims.settled. A response that is passed on before its outcome is durable is true: the request ran and its whole answer is there.

Change: one deadline covers notice, drain and HTTP server; the process ends 2 s after it in any case. The watcher keeps the keys of job records and reports those that a new reading lacks, and the same for entries.

Conclusion: a stop keeps its bound without the store and logs no false store-failed.

--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -207,11 +207,12 @@
      */
     @Override
     public void close() throws IOException {
+        long deadline = Clock.SYSTEM.millis() + settings.drainTimeoutMillis();
         log.infof("event=stopping entry=%s", settings.name());
         stopping = true;
         http.endConnections();
-        boolean drained = drain();
-        http.close();
+        boolean drained = drain(deadline);
+        http.close(Duration.ofMillis(Math.max(0, deadline - Clock.SYSTEM.millis())));
         vmList.close();
         registration.close();
         watcher.close();
@@ -221,11 +222,10 @@
         log.infof("event=stopped entry=%s drained=%b", settings.name(), drained);
     }
 
-    private boolean drain() {
+    private boolean drain(long deadline) {
         try {
-            Thread.sleep(STOP_NOTICE_MILLIS);
+            Thread.sleep(Math.min(STOP_NOTICE_MILLIS, settings.drainTimeoutMillis()));
             loop.post(new DrainRequested(Clock.SYSTEM.millis()));
-            long deadline = Clock.SYSTEM.millis() + settings.drainTimeoutMillis();
             while (!isDrained() && Clock.SYSTEM.millis() < deadline) {
                 Thread.sleep(DRAIN_POLL_MILLIS);
             }
--- a/entry/src/main/java/org/jujubefork/entry/EntryMain.java
+++ b/entry/src/main/java/org/jujubefork/entry/EntryMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.BindException;
 import java.nio.file.Path;
+import java.time.Duration;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -15,6 +16,9 @@
 
 /** The command {@code jujube-entry}. */
 public final class EntryMain {
+    /** Time for closing connections and threads after the drain time of the settings. */
+    private static final long STOP_MARGIN_MILLIS = 2_000;
+
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_SETTINGS = 3;
@@ -66,13 +70,27 @@
 
     private static void run(DaemonSettings settings) throws IOException, InterruptedException {
         Daemon daemon = Daemon.start(settings);
-        Thread stop = Thread.ofPlatform().name("stop").unstarted(() -> stop(daemon));
+        long bound = settings.drainTimeoutMillis() + STOP_MARGIN_MILLIS;
+        Thread stop = Thread.ofPlatform().name("stop").unstarted(() -> stop(daemon, bound));
         Runtime.getRuntime().addShutdownHook(stop);
         System.out.println("ready entry=" + settings.name() + " http=" + settings.httpAddress());
         Thread.currentThread().join();
     }
 
-    private static void stop(Daemon daemon) {
+    /** Stops {@code daemon}; the process ends after {@code boundMillis} in any case. */
+    private static void stop(Daemon daemon, long boundMillis) {
+        Thread closing =
+                Thread.ofPlatform().daemon().name("closing").start(() -> closeQuietly(daemon));
+        try {
+            if (!closing.join(Duration.ofMillis(boundMillis))) {
+                System.err.println("error: stopping took longer than " + boundMillis + " ms");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void closeQuietly(Daemon daemon) {
         try {
             daemon.close();
         } catch (IOException e) {
--- a/entry/src/main/java/org/jujubefork/entry/platform/StoreWatcher.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/StoreWatcher.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
@@ -50,6 +52,7 @@
     private final RandomGenerator random;
     private final DaemonMetrics metrics;
     private final Map<String, String> entryAddresses = new TreeMap<>();
+    private final Set<String> jobKeys = new HashSet<>();
     private final Thread thread;
 
     private StoreWatcher(
@@ -94,6 +97,9 @@
                     backoff = FIRST_BACKOFF_MILLIS;
                     Thread.sleep(Math.max(0, MIN_INTERVAL_MILLIS - (clock.millis() - sent)));
                 } catch (StoreException e) {
+                    if (Thread.currentThread().isInterrupted()) {
+                        return; // the entry stops; the store has not failed
+                    }
                     log.warnf("event=store-failed reason=\"%s\"", e.getMessage());
                     events.post(new StoreEvent.StoreFailed(clock.millis()));
                     // Jitter keeps entries from calling a store that comes back all at once.
@@ -124,9 +130,14 @@
         metrics.countStoreCall("range");
         RangeResult range = store.range(StoreKeys.SHARED, RANGE_TIMEOUT);
         List<Change> changes = new ArrayList<>();
+        // The deletions between the last watch and this reading are known only by their absence.
+        Set<String> gone = new HashSet<>(jobKeys);
+        gone.addAll(entryAddresses.keySet());
         for (KeyValue item : range.items()) {
             changes.add(new Change(item.key(), item.revision(), Optional.of(item.value())));
+            gone.remove(item.key());
         }
+        gone.forEach(key -> changes.add(new Change(key, range.revision(), Optional.empty())));
         apply(changes);
         return range.revision();
     }
@@ -148,7 +159,11 @@
                 Optional<StoredJob> job = change.value().flatMap(v -> job(change.revision(), v));
                 if (job.isPresent()) {
                     jobs = jobs.plus(job.get());
-                } else if (change.isDeletion()) {
+                }
+                if (!change.isDeletion()) {
+                    jobKeys.add(key);
+                } else {
+                    jobKeys.remove(key);
                     removed = removed.plus(JobId.of(key.substring(StoreKeys.JOBS.length())));
                 }
             }
