Show a quarantined worker with its reason and next probe

Cause: 'jujubectl workers' showed a quarantined worker as active with the reason 'not eligible', which a paused worker had as well.

Ruled out: showing the quarantine instead of the phase in all cases, because it would hide that a worker is unreachable.

Change: the state of an active worker in quarantine is 'quarantined'; the reason names the failed tasks, the last subject and the time to the next probe, or that a probe is due or runs. A pause has a text of its own.

Conclusion: the table and the JSON tell quarantine, pause and leaving apart.

--- a/entry/src/main/java/org/jujubefork/entry/http/StatusViews.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/StatusViews.java
@@ -28,6 +28,8 @@
 import org.jujubefork.core.placement.QueuedWork;
 import org.jujubefork.core.placement.RunningTask;
 import org.jujubefork.core.placement.ShardState;
+import org.jujubefork.core.placement.WorkerHealth;
+import org.jujubefork.core.placement.WorkerPhase;
 import org.jujubefork.core.placement.WorkerState;
 
 /** The API's form of the fleet as one entry sees it. */
@@ -139,17 +141,14 @@
     }
 
     private static WorkerView worker(State state, ShardState shard, WorkerState worker) {
-        boolean quarantined = !worker.isEligible() && !worker.leaving();
-        String condition = worker.phase().name().toLowerCase(Locale.ROOT);
-        String reason = worker.leaving() ? "leaving" : quarantined ? "not eligible" : "";
         return new WorkerView(
                 worker.id().value(),
                 worker.listing().location().zone(),
                 worker.listing().location().rack(),
                 worker.listing().address(),
                 shard.id().value(),
-                condition,
-                reason,
+                condition(worker),
+                reason(worker, state.nowMillis()),
                 ResourcesView.of(worker.capacity()),
                 ResourcesView.of(worker.committed()),
                 worker.slots(),
@@ -158,6 +157,37 @@
                 state.nowMillis() - worker.leaseSentMillis());
     }
 
+    static String condition(WorkerState worker) {
+        return worker.phase() == WorkerPhase.ACTIVE && worker.quarantined()
+                ? "quarantined"
+                : worker.phase().name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns why {@code worker} takes no work, empty if it does as far as its health goes. */
+    static String reason(WorkerState worker, long now) {
+        if (worker.leaving()) {
+            return "leaving";
+        }
+        WorkerHealth health = worker.health();
+        long wait = Math.max(0, health.untilMillis() - now);
+        return switch (health.phase()) {
+            case GOOD -> "";
+            case PAUSED -> "paused after a failed task, takes work in " + wait + " ms";
+            case QUARANTINED -> failures(health) + ", next probe in " + wait + " ms";
+            case PROBE_DUE -> failures(health) + ", the next task is the probe";
+            case PROBING -> failures(health) + ", a probe runs";
+        };
+    }
+
+    private static String failures(WorkerHealth health) {
+        int failed = health.failures().size();
+        String last =
+                health.failures().isEmpty()
+                        ? ""
+                        : ", the last one of " + health.failures().getLast().subject();
+        return failed + " failed tasks" + last;
+    }
+
     static TasksView tasks(State state) {
         List<TaskView> tasks = new ArrayList<>();
         for (ShardState shard : state.shards().values()) {
