Gather workers and tasks of all shards for operators

Cause: 'jujubectl workers' and 'tasks' showed the shards of the entry that answered; an operator had to ask each owner and was not told what was missing.

Ruled out: HTTP calls between entries, because they would need the operator's key to travel on; rows in gossip, because of their volume.

Shards without a live owner are named as well. The protocol version stays 1: an entry without these messages closes the connection on which it is asked.

JujubectlTest has 3 more assertions.

Conclusion: one call shows the cell; its time is bounded by 2 s.

--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/api/MissingView.java
@@ -0,0 +1,17 @@
+package org.jujubefork.client.api;
+
+import java.util.List;
+
+/**
+ * Shards whose rows an answer lacks.
+ *
+ * @param entry their owner, empty if no live one is known
+ * @param shards the shards
+ * @param reason why their rows are missing
+ */
+public record MissingView(String entry, List<String> shards, String reason) {
+    /** Copies the list. */
+    public MissingView {
+        shards = Views.copyOf(shards);
+    }
+}
--- a/client/src/main/java/org/jujubefork/client/api/TasksView.java
+++ b/client/src/main/java/org/jujubefork/client/api/TasksView.java
@@ -5,11 +5,13 @@
 /**
  * The answer to {@code GET /v1/admin/tasks}.
  *
- * @param tasks requests and tasks of the shards that the answering entry owns
+ * @param tasks requests and tasks of all shards whose owners answered
+ * @param missing shards whose owners did not answer in time
  */
-public record TasksView(List<TaskView> tasks) {
-    /** Copies the list. */
+public record TasksView(List<TaskView> tasks, List<MissingView> missing) {
+    /** Copies the lists. */
     public TasksView {
         tasks = Views.copyOf(tasks);
+        missing = Views.copyOf(missing);
     }
 }
--- a/client/src/main/java/org/jujubefork/client/api/WorkersView.java
+++ b/client/src/main/java/org/jujubefork/client/api/WorkersView.java
@@ -5,11 +5,13 @@
 /**
  * The answer to {@code GET /v1/admin/workers}.
  *
- * @param workers workers of the shards that the answering entry owns
+ * @param workers workers of all shards whose owners answered
+ * @param missing shards whose owners did not answer in time
  */
-public record WorkersView(List<WorkerView> workers) {
-    /** Copies the list. */
+public record WorkersView(List<WorkerView> workers, List<MissingView> missing) {
+    /** Copies the lists. */
     public WorkersView {
         workers = Views.copyOf(workers);
+        missing = Views.copyOf(missing);
     }
 }
--- a/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
@@ -10,6 +10,7 @@
 import org.jujubefork.client.api.DrainView;
 import org.jujubefork.client.api.ExplainView;
 import org.jujubefork.client.api.InvalidMessageException;
+import org.jujubefork.client.api.MissingView;
 import org.jujubefork.client.api.NotReachableException;
 import org.jujubefork.client.api.ResourcesView;
 import org.jujubefork.client.api.StatusView;
@@ -40,12 +41,12 @@
                 CommandSpec.of(
                         "workers",
                         List.of(),
-                        "Lists the workers of the shards that the answering entry owns.",
+                        "Lists the workers of all shards.",
                         ViewCommands::workers),
                 CommandSpec.of(
                         "tasks",
                         List.of(),
-                        "Lists requests and tasks of the shards that the answering entry owns.",
+                        "Lists the requests and tasks of all shards.",
                         ViewCommands::tasks,
                         OptionSpecs.value("team", "TEAM", "only of this team"),
                         OptionSpecs.value("job", "ID", "only of this job"),
@@ -196,6 +197,7 @@
                                                 Integer.toString(worker.running()),
                                                 worker.leaseAgeMillis() + " ms"))
                         .toList());
+        printMissing(console, view.missing());
     }
 
     private static ExitCode tasks(Invocation invocation)
@@ -235,6 +237,18 @@
                                                 text(task.size()),
                                                 task.ageMillis() + " ms"))
                         .toList());
+        printMissing(console, view.missing());
+    }
+
+    private static void printMissing(Console console, List<MissingView> missing) {
+        for (MissingView view : missing) {
+            console.line(
+                    "missing: shards "
+                            + view.shards()
+                            + (view.entry().isEmpty() ? "" : " of entry " + view.entry())
+                            + ": "
+                            + view.reason());
+        }
     }
 
     private static ExitCode explain(Invocation invocation)
--- a/ctl/src/test/java/org/jujubefork/ctl/operator/JujubectlTest.java
+++ b/ctl/src/test/java/org/jujubefork/ctl/operator/JujubectlTest.java
@@ -12,6 +12,7 @@
 import org.jujubefork.client.api.ApplyResult;
 import org.jujubefork.client.api.DrainView;
 import org.jujubefork.client.api.ExplainView;
+import org.jujubefork.client.api.MissingView;
 import org.jujubefork.client.api.RejectedView;
 import org.jujubefork.client.api.StatusView;
 import org.jujubefork.client.api.StoreView;
@@ -190,17 +191,23 @@
                         List.of("limit"),
                         List.of(new RejectedView("no memory", 3)),
                         "memory is free");
+        List<MissingView> missing =
+                List.of(new MissingView("e2", List.of("z2"), "no answer within 2000 ms"));
         cell.answer(
                 Map.of(
                         "GET /v1/admin/status", status,
-                        "GET /v1/admin/workers", new WorkersView(List.of()),
-                        "GET /v1/admin/tasks?team=web", new TasksView(List.of()),
+                        "GET /v1/admin/workers", new WorkersView(List.of(), missing),
+                        "GET /v1/admin/tasks?team=web", new TasksView(List.of(), missing),
                         "GET /v1/admin/explain?subject=job&id=j%2F1", explain,
                         "POST /v1/admin/drain", new DrainView("e1#1", "leaving", 2)));
         assertTrue(run("status").out().contains("store not reachable, last contact 9 ms ago"));
         assertTrue(run("status", "--output", "json").out().contains("\"role\" : \"serving\""));
         assertEquals(run("workers").code(), ExitCode.OK);
         assertEquals(run("tasks", "--team", "web").code(), ExitCode.OK);
+        String named = "missing: shards [z2] of entry e2: no answer within 2000 ms";
+        assertTrue(run("workers").out().contains(named), run("workers").out());
+        assertTrue(run("tasks", "--team", "web").out().contains(named));
+        assertTrue(run("workers", "--output", "json").out().contains("\"missing\""));
         String explained = run("explain", "job", "j/1").out();
         assertTrue(explained.contains("rejected 3 workers: no memory"), explained);
         assertTrue(run("drain", "--entry", cell.address()).out().contains("open requests 2"));
--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -25,6 +25,7 @@
 import org.jujubefork.entry.control.EffectRouter;
 import org.jujubefork.entry.http.ConfigurationEndpoint;
 import org.jujubefork.entry.http.Exchange;
+import org.jujubefork.entry.http.FleetViews;
 import org.jujubefork.entry.http.HttpFrontEnd;
 import org.jujubefork.entry.http.JobEndpoint;
 import org.jujubefork.entry.http.OperatorAccess;
@@ -35,6 +36,7 @@
 import org.jujubefork.entry.peer.PeerExecutor;
 import org.jujubefork.entry.peer.PeerMessage;
 import org.jujubefork.entry.peer.PeerTransport;
+import org.jujubefork.entry.peer.PeerViews;
 import org.jujubefork.entry.platform.ConfigurationApplier;
 import org.jujubefork.entry.platform.EntryRegistration;
 import org.jujubefork.entry.platform.StoreExecutor;
@@ -87,7 +89,7 @@
         peerExecutor.attach(peers);
         loop.start(router(context, peerExecutor));
         postSeeds(context);
-        http = HttpFrontEnd.start(settings.httpAddress(), routes(context));
+        http = HttpFrontEnd.start(settings.httpAddress(), routes(context, peerExecutor));
         watcher =
                 StoreWatcher.start(
                         context.store(),
@@ -137,7 +139,7 @@
         loop.post(new MembershipEvent.PeersDiscovered(context.clock().millis(), seeds));
     }
 
-    private List<Route> routes(DaemonContext context) {
+    private List<Route> routes(DaemonContext context, PeerExecutor peerExecutor) {
         OperatorAccess access = new OperatorAccess(loop::state);
         ConfigurationEndpoint configuration =
                 new ConfigurationEndpoint(
@@ -150,7 +152,8 @@
         RequestIds ids = RequestIds.of(context.id());
         JobEndpoint jobs =
                 new JobEndpoint(ids, context.registry(), loop::state, context.clock(), loop);
-        OperatorEndpoint operators = new OperatorEndpoint(loop::state, this::requestStop, access);
+        OperatorEndpoint operators =
+                new OperatorEndpoint(loop::state, this::requestStop, access, fleet(peerExecutor));
         List<Route> routes = new ArrayList<>(operators.routes());
         routes.addAll(
                 List.of(
@@ -170,6 +173,11 @@
         return routes;
     }
 
+    private FleetViews fleet(PeerExecutor peerExecutor) {
+        PeerViews views = peerExecutor.exchangeViews(view -> FleetViews.own(loop.state(), view));
+        return new FleetViews(loop::state, views::fetch);
+    }
+
     private RequestEndpoint requests(DaemonContext context, RequestIds ids) {
         return new RequestEndpoint(
                 ids,
--- a/entry/src/main/java/org/jujubefork/entry/http/OperatorEndpoint.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/OperatorEndpoint.java
@@ -10,7 +10,6 @@
 import org.jujubefork.client.api.ErrorCodes;
 import org.jujubefork.client.api.ErrorView;
 import org.jujubefork.client.api.ExplainView;
-import org.jujubefork.client.api.TaskView;
 import org.jujubefork.client.api.TasksView;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.model.Outcome;
@@ -20,6 +19,7 @@
     private final Supplier<State> state;
     private final Runnable stop;
     private final OperatorAccess access;
+    private final FleetViews fleet;
 
     /**
      * Creates an endpoint.
@@ -27,8 +27,11 @@
      * @param state the newest control state
      * @param stop starts the planned stop; returns at once
      * @param access checks the operator's key
+     * @param fleet gathers the rows of all shards
      */
-    public OperatorEndpoint(Supplier<State> state, Runnable stop, OperatorAccess access) {
+    public OperatorEndpoint(
+            Supplier<State> state, Runnable stop, OperatorAccess access, FleetViews fleet) {
+        this.fleet = fleet;
         this.state = state;
         this.stop = stop;
         this.access = access;
@@ -48,21 +51,24 @@
         exchange.json(200, StatusViews.status(state.get()));
     }
 
-    private void workers(Exchange exchange, String variable) throws IOException {
-        exchange.json(200, StatusViews.workers(state.get()));
+    private void workers(Exchange exchange, String variable)
+            throws IOException, InterruptedException {
+        exchange.json(200, fleet.workers());
     }
 
-    private void tasks(Exchange exchange, String variable) throws IOException {
-        List<TaskView> all = StatusViews.tasks(state.get()).tasks();
+    private void tasks(Exchange exchange, String variable)
+            throws IOException, InterruptedException {
+        TasksView all = fleet.tasks();
         exchange.json(
                 200,
                 new TasksView(
-                        all.stream()
+                        all.tasks().stream()
                                 .filter(t -> matches(exchange, "team", t.team()))
                                 .filter(t -> matches(exchange, "queue", t.queue()))
                                 .filter(t -> matches(exchange, "job", t.job()))
                                 .filter(t -> matches(exchange, "worker", t.worker()))
-                                .toList()));
+                                .toList(),
+                        all.missing()));
     }
 
     private static boolean matches(Exchange exchange, String parameter, String value) {
--- a/entry/src/main/java/org/jujubefork/entry/http/StatusViews.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/StatusViews.java
@@ -137,7 +137,7 @@
                 workers.add(worker(state, shard, worker));
             }
         }
-        return new WorkersView(workers);
+        return new WorkersView(workers, List.of());
     }
 
     private static WorkerView worker(State state, ShardState shard, WorkerState worker) {
@@ -195,7 +195,7 @@
                 tasks.add(task(state, shard, task));
             }
         }
-        return new TasksView(tasks);
+        return new TasksView(tasks, List.of());
     }
 
     private static TaskView task(State state, ShardState shard, RunningTask task) {
--- a/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/FrameCodec.java
@@ -96,6 +96,8 @@
             case PeerMessage.ConfigurationFetch m -> MessageType.CONFIGURATION_FETCH;
             case PeerMessage.ConfigurationPart m -> MessageType.CONFIGURATION_PART;
             case PeerMessage.ProtocolError m -> MessageType.PROTOCOL_ERROR;
+            case PeerMessage.ViewFetch m -> MessageType.VIEW_FETCH;
+            case PeerMessage.ViewPart m -> MessageType.VIEW_PART;
         };
     }
 
@@ -121,6 +123,11 @@
             case PeerMessage.ConfigurationFetch m -> out.packNil();
             case PeerMessage.ConfigurationPart m -> out.packString(m.text()).packBoolean(m.last());
             case PeerMessage.ProtocolError m -> out.packString(m.text());
+            case PeerMessage.ViewFetch m -> out.packString(m.view());
+            case PeerMessage.ViewPart m -> {
+                writeBytes(out, m.bytes());
+                out.packBoolean(m.last());
+            }
         }
     }
 
@@ -141,6 +148,8 @@
             case CREDIT -> new PeerMessage.Credit(in.unpackInt());
             case CANCEL -> nil(in, new PeerMessage.Cancel());
             case CONFIGURATION_FETCH -> nil(in, new PeerMessage.ConfigurationFetch());
+            case VIEW_FETCH -> new PeerMessage.ViewFetch(in.unpackString());
+            case VIEW_PART -> new PeerMessage.ViewPart(readBytes(in), in.unpackBoolean());
             case CONFIGURATION_PART ->
                     new PeerMessage.ConfigurationPart(in.unpackString(), in.unpackBoolean());
             case PROTOCOL_ERROR -> new PeerMessage.ProtocolError(in.unpackString());
--- a/entry/src/main/java/org/jujubefork/entry/peer/MessageType.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/MessageType.java
@@ -15,7 +15,9 @@
     CANCEL(11),
     CONFIGURATION_FETCH(12),
     CONFIGURATION_PART(13),
-    PROTOCOL_ERROR(14);
+    PROTOCOL_ERROR(14),
+    VIEW_FETCH(15),
+    VIEW_PART(16);
 
     private final int code;
 
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.jujubefork.config.cell.ConfigurationDocument;
@@ -43,6 +44,7 @@
     private final ConcurrentHashMap<EntryId, StringBuilder> configurationTexts =
             new ConcurrentHashMap<>();
     private PeerTransport transport;
+    private volatile Optional<PeerViews> views = Optional.empty();
 
     /**
      * Creates an executor; {@link #attach} must follow before effects are carried out.
@@ -71,6 +73,17 @@
         transport = peers;
     }
 
+    /**
+     * Starts to exchange views for operators with other entries.
+     *
+     * @param own gives a view of this entry's shards by its name, in the API's JSON form
+     */
+    public PeerViews exchangeViews(Function<String, Optional<byte[]>> own) {
+        PeerViews exchange = new PeerViews(own, transport);
+        views = Optional.of(exchange);
+        return exchange;
+    }
+
     /** Carries out messages about membership and configuration. */
     public void execute(GossipEffect effect) {
         switch (effect) {
@@ -225,6 +238,10 @@
                     incoming.of(sender.from(), frame.correlation()).ifPresent(this::giveUp);
             case PeerMessage.ConfigurationFetch m -> sendConfiguration(sender.peerAddress());
             case PeerMessage.ConfigurationPart m -> receiveConfiguration(sender, m);
+            case PeerMessage.ViewFetch m ->
+                    views.ifPresent(v -> v.serve(sender, frame.correlation(), m.view()));
+            case PeerMessage.ViewPart m ->
+                    views.ifPresent(v -> v.receive(sender, frame.correlation(), m));
             case PeerMessage.Hello m -> log.debugf("event=peer-hello from=%s", m.from());
             case PeerMessage.ProtocolError m ->
                     log.warnf("event=peer-protocol-error reason=\"%s\"", m.text());
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerMessage.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerMessage.java
@@ -29,6 +29,8 @@
             case ConfigurationFetch m -> "configuration";
             case ConfigurationPart m -> "configuration";
             case ProtocolError m -> "error";
+            case ViewFetch m -> "view";
+            case ViewPart m -> "view";
         };
     }
 
@@ -125,6 +127,22 @@
      */
     record ConfigurationPart(String text, boolean last) implements PeerMessage {}
 
+    /**
+     * Asks for the rows of the receiver's shards in a view for operators.
+     *
+     * @param view the name of the view
+     */
+    record ViewFetch(String view) implements PeerMessage {}
+
+    /**
+     * A part of a view, in the API's JSON form. A view without bytes is not available.
+     *
+     * @param bytes the part
+     * @param last whether it is the last one
+     */
+    @SuppressWarnings("ArrayRecordComponent") // rows are not copied
+    record ViewPart(byte[] bytes, boolean last) implements PeerMessage {}
+
     /**
      * The receiver cannot go on with this connection.
      *
--- a/entry/src/test/java/org/jujubefork/entry/peer/FrameCodecTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/peer/FrameCodecTest.java
@@ -103,7 +103,7 @@
     }
 
     private static PeerMessage message(Random random) {
-        return switch (random.nextInt(11)) {
+        return switch (random.nextInt(12)) {
             case 0 -> new PeerMessage.Hello(entry(random), "127.0.0.1:2000");
             case 1 ->
                     new PeerMessage.Gossip(
@@ -124,6 +124,7 @@
             case 7 -> new PeerMessage.Credit(1 + random.nextInt(9));
             case 8 -> new PeerMessage.Cancel();
             case 9 -> new PeerMessage.ConfigurationPart("{\"ä\":1}", random.nextBoolean());
+            case 10 -> new PeerMessage.ViewFetch("workers");
             default -> new PeerMessage.ProtocolError("why");
         };
     }
@@ -190,7 +191,7 @@
             random.nextBytes(bytes);
             if (bytes.length > 1) {
                 bytes[0] = (byte) Frame.VERSION;
-                bytes[1] = (byte) (1 + random.nextInt(14));
+                bytes[1] = (byte) (1 + random.nextInt(16));
             }
             decodeAnything(bytes, "random, seed " + SEED + " round " + i);
         }
