--- a/standins/src/test/java/org/jujubefork/standins/cell/SmallCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/SmallCell.java
@@ -6,9 +6,13 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import org.jujubefork.config.edit.AccessKeys;
+import org.jujubefork.core.configuration.KindPolicy;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.WorkKind;
 
 /**
  * Builds small cells. Entry N and shard N are in zone "zN" of region "rN". Each team T has the
@@ -25,7 +29,9 @@
     private final ObjectMapper mapper = new ObjectMapper();
     private final int entries;
     private final Map<String, Resources> teams = new LinkedHashMap<>();
+    private final Map<String, Double> weights = new LinkedHashMap<>();
     private final Map<String, Long> settings = new LinkedHashMap<>();
+    private final Map<String, Long> tuning = new LinkedHashMap<>();
     private final List<String> fleetFlags = new ArrayList<>();
     private int zones = 2;
     private int workersPerZone = 2;
@@ -33,6 +39,7 @@
     private boolean workerRelays;
     private Resources reserve = Resources.ZERO;
     private int reservedSlots;
+    private Optional<KindPolicy> policy = Optional.empty();
     private Resources taskSize = Resources.of(1_000, 1_024, 0);
 
     private SmallCell(int entries) {
@@ -66,6 +73,24 @@
         return this;
     }
 
+    /** Sets the weight of a team; without it, the weight is 1. */
+    public SmallCell weight(String team, double weight) {
+        weights.put(team, weight);
+        return this;
+    }
+
+    /** Sets how work of every kind is ordered and placed, in place of the defaults. */
+    public SmallCell policy(KindPolicy forAllKinds) {
+        policy = Optional.of(forAllKinds);
+        return this;
+    }
+
+    /** Sets a number in the part {@code tuning} of the configuration. */
+    public SmallCell tuning(String name, long value) {
+        tuning.put(name, value);
+        return this;
+    }
+
     /** Sets the size of requests and tasks of all queues. */
     public SmallCell taskSize(Resources size) {
         taskSize = size;
@@ -153,7 +178,11 @@
         ArrayNode queues = root.putArray("queues");
         teams.forEach(
                 (team, limit) -> {
-                    ObjectNode node = teamNodes.addObject().put("name", team).put("weight", 1);
+                    ObjectNode node =
+                            teamNodes
+                                    .addObject()
+                                    .put("name", team)
+                                    .put("weight", weights.getOrDefault(team, 1.0));
                     size(node.putObject("limit"), limit);
                     keyNodes.addObject()
                             .put("id", team + "-key")
@@ -170,12 +199,25 @@
                 .addObject()
                 .put("id", "operator")
                 .put("sha256", AccessKeys.hash(OPERATOR));
-        root.putObject("tuning")
-                .put("reservedSlots", reservedSlots)
-                .putObject("requestReserve")
+        addScheduling(root);
+        return root;
+    }
+
+    private void addScheduling(ObjectNode root) {
+        ObjectNode figures = root.putObject("tuning").put("reservedSlots", reservedSlots);
+        tuning.forEach(figures::put);
+        figures.putObject("requestReserve")
                 .put("cpuMillis", reserve.cpuMillis())
                 .put("memoryMb", reserve.memoryMb());
-        return root;
+        policy.ifPresent(
+                p -> {
+                    ObjectNode policies = root.putObject("policies");
+                    for (WorkKind kind : WorkKind.values()) {
+                        policies.putObject(kind.name().toLowerCase(Locale.ROOT))
+                                .put("order", p.order())
+                                .put("placement", p.placement());
+                    }
+                });
     }
 
     private ObjectNode queue(ArrayNode queues, String team, String name, String kind) {
--- a/standins/src/test/java/org/jujubefork/standins/cell/TestCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/TestCell.java
@@ -38,6 +38,7 @@
     private final Deque<AutoCloseable> opened = new ArrayDeque<>();
     private final List<EntryVm> entries = new ArrayList<>();
     private final Map<String, TcpRelay> workerRelays = new HashMap<>();
+    private final Map<String, Integer> workerPorts = new HashMap<>();
     private int storePort;
     private int fleetPort;
     private int vmListPort;
@@ -81,15 +82,14 @@
     private void startStandins() throws Exception {
         ManagedProcess store =
                 standin(StoreMain.class, "--history", directory.resolve("store.jsonl").toString());
-        Map<String, Integer> ports = new HashMap<>();
         Map<String, Integer> listed = new HashMap<>();
         for (CellPlan.Worker worker : plan.workers()) {
             int port = FreePorts.next();
-            ports.put(worker.id(), port);
+            workerPorts.put(worker.id(), port);
             listed.put(worker.id(), plan.workerRelays() ? relay(worker.id(), port) : port);
         }
         List<String> flags = new ArrayList<>();
-        flags.addAll(List.of("--fleet", fleetFile("fleet.json", ports).toString()));
+        flags.addAll(List.of("--fleet", fleetFile("fleet.json", workerPorts).toString()));
         flags.addAll(List.of("--history", fleetHistoryFile().toString()));
         flags.addAll(plan.fleetFlags());
         ManagedProcess fleet = standin(WorkerFleetMain.class, flags.toArray(String[]::new));
@@ -234,6 +234,11 @@
         Controls.post(vmListPort, "/control/vms/leaving?id=" + id + "&on=true");
     }
 
+    /** Returns where a worker listens, without its relay. */
+    public String workerAddress(String worker) {
+        return "127.0.0.1:" + workerPorts.get(worker);
+    }
+
     public TcpRelay workerRelay(String worker) {
         return workerRelays.get(worker);
     }
