Answer renewals with the changes since the revision that the owner saw

Cause: each answer to a renewal repeated the whole description of each running task, 449 bytes, so an owner of 667 tasks read 32 KB/s (budget of a daemon: 3 KB/s).

Ruled out: a typed partial report in core. The client keeps the last view of each worker, applies each answer to the view that its request named, and core still gets full reports; Reports and the effects are unchanged.

Change: requests carry `seen`, answers `revision`; a worker that knows all changes since `seen` answers with new tasks, changed usage, ids that left and the number of running tasks. A lease, a restart, an unknown revision and a lost answer lead to a full answer. Changes whose `since`, `incarnation` or `total` do not fit are an unknown outcome. Empty `acknowledged` is left out.

Conclusion: tasks that run without change cost nothing to read. What remains is the fixed part of each renewal.

--- a/client/src/main/java/org/jujubefork/client/http/JsonFields.java
+++ b/client/src/main/java/org/jujubefork/client/http/JsonFields.java
@@ -136,6 +136,27 @@
         return List.copyOf(result);
     }
 
+    /** As {@link #list}, but a missing field stands for an empty array. */
+    public <T> List<T> listIfPresent(String name, ElementReader<T> reader)
+            throws MalformedAnswerException {
+        return node.has(name) ? list(name, reader) : List.of();
+    }
+
+    /** Returns the texts in the array field {@code name}; a missing field stands for none. */
+    public List<String> textsIfPresent(String name) throws MalformedAnswerException {
+        List<String> result = new ArrayList<>();
+        if (node.has(name) && !node.path(name).isArray()) {
+            throw new MalformedAnswerException("no array field '" + name + "' in the answer");
+        }
+        for (JsonNode element : node.path(name)) {
+            if (!element.isTextual()) {
+                throw new MalformedAnswerException("element of '" + name + "' is no text");
+            }
+            result.add(element.textValue());
+        }
+        return List.copyOf(result);
+    }
+
     /** Returns the resources in the object field {@code name}. */
     public Resources resources(String name) throws MalformedAnswerException {
         JsonFields child = child(name);
--- a/client/src/main/java/org/jujubefork/client/worker/LeaseResult.java
+++ b/client/src/main/java/org/jujubefork/client/worker/LeaseResult.java
@@ -12,6 +12,7 @@
      *
      * @param worker the worker's identifier
      * @param incarnation changes with each restart of the worker
+     * @param revision the worker's name for this state of its running tasks, 0 if it gives none
      * @param capacity what tasks may use
      * @param slots how many requests run at once
      * @param leaving whether the worker is about to be removed
@@ -21,6 +22,7 @@
     record Granted(
             WorkerId worker,
             long incarnation,
+            long revision,
             Resources capacity,
             int slots,
             boolean leaving,
--- a/client/src/main/java/org/jujubefork/client/worker/RenewResult.java
+++ b/client/src/main/java/org/jujubefork/client/worker/RenewResult.java
@@ -10,14 +10,16 @@
      * The lease runs for another time to live, counted from when the renewal was sent.
      *
      * @param incarnation changes with each restart of the worker
+     * @param revision the worker's name for this state of its running tasks, 0 if it gives none
      * @param capacity what tasks may use
      * @param slots how many requests run at once
      * @param leaving whether the worker is about to be removed
-     * @param running tasks that run now, with their lagging usage
+     * @param running all tasks that run now, with their lagging usage; never a part of them
      * @param ended tasks that ended and are not acknowledged
      */
     record Renewed(
             long incarnation,
+            long revision,
             Resources capacity,
             int slots,
             boolean leaving,
--- a/client/src/main/java/org/jujubefork/client/worker/TaskJson.java
+++ b/client/src/main/java/org/jujubefork/client/worker/TaskJson.java
@@ -71,6 +71,10 @@
         return new RunningTask(read(fields), fields.resources("usage"), fields.number("ageMillis"));
     }
 
+    static WorkerView.Usage usage(JsonFields fields) throws MalformedAnswerException {
+        return new WorkerView.Usage(TaskId.of(fields.text("taskId")), fields.resources("usage"));
+    }
+
     static EndedTask ended(JsonFields fields) throws MalformedAnswerException {
         return new EndedTask(
                 read(fields),
--- a/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
@@ -8,6 +8,7 @@
 import org.jujubefork.core.model.EndReason;
 import org.jujubefork.core.model.Epoch;
 import org.jujubefork.core.model.StartRefusal;
+import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.WorkerId;
 
 /**
@@ -42,6 +43,7 @@
                                     new LeaseResult.Granted(
                                             WorkerId.of(f.text("workerId")),
                                             f.number("incarnation"),
+                                            revision(f),
                                             f.resources("capacity"),
                                             f.smallNumber("slots"),
                                             f.flag("leaving"),
@@ -53,13 +55,18 @@
                 : new LeaseResult.Unknown(unexpected(reply));
     }
 
-    static RenewResult renew(CallResult result) {
+    private static long revision(JsonFields fields) throws MalformedAnswerException {
+        return fields.has("revision") ? fields.number("revision") : 0;
+    }
+
+    /** Returns the result of a renewal that named the revision of {@code base}, if there is one. */
+    static RenewResult renew(CallResult result, Optional<WorkerView> base) {
         return switch (result) {
             case CallResult.NotConnected n -> new RenewResult.NotConnected(n.reason());
             case CallResult.Unknown u -> new RenewResult.Unknown(u.reason());
             case CallResult.Reply reply -> {
                 try {
-                    yield renewReply(reply);
+                    yield renewReply(reply, base);
                 } catch (MalformedAnswerException e) {
                     yield new RenewResult.Unknown(malformed(reply, e));
                 }
@@ -67,11 +74,16 @@
         };
     }
 
-    private static RenewResult renewReply(CallResult.Reply reply) throws MalformedAnswerException {
+    private static RenewResult renewReply(CallResult.Reply reply, Optional<WorkerView> base)
+            throws MalformedAnswerException {
         if (reply.status() == 200) {
             JsonFields f = fields(reply);
+            if (f.has("since")) {
+                return partial(f, base);
+            }
             return new RenewResult.Renewed(
                     f.number("incarnation"),
+                    revision(f),
                     f.resources("capacity"),
                     f.smallNumber("slots"),
                     f.flag("leaving"),
@@ -86,6 +98,32 @@
                 : new RenewResult.Unknown(unexpected(reply));
     }
 
+    private static RenewResult partial(JsonFields fields, Optional<WorkerView> base)
+            throws MalformedAnswerException {
+        if (base.isEmpty()) {
+            throw new MalformedAnswerException("partial answer to a request for a full one");
+        }
+        WorkerView.Changes changes =
+                fields.model(
+                        "changes",
+                        f ->
+                                new WorkerView.Changes(
+                                        f.number("incarnation"),
+                                        f.number("since"),
+                                        f.listIfPresent("running", TaskJson::running),
+                                        f.listIfPresent("usage", TaskJson::usage),
+                                        f.textsIfPresent("gone").stream().map(TaskId::of).toList(),
+                                        f.smallNumber("total")));
+        return new RenewResult.Renewed(
+                changes.incarnation(),
+                fields.number("revision"),
+                base.get().capacity(),
+                base.get().slots(),
+                fields.flag("leaving"),
+                base.get().apply(changes),
+                fields.listIfPresent("ended", TaskJson::ended));
+    }
+
     static StartResult start(CallResult result, boolean request) {
         return switch (result) {
             case CallResult.NotConnected n -> new StartResult.NotConnected(n.reason());
--- a/client/src/main/java/org/jujubefork/client/worker/WorkerClient.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerClient.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Optional;
 import org.jujubefork.client.http.Address;
 import org.jujubefork.client.http.CallResult;
 import org.jujubefork.client.http.ChunkSink;
@@ -22,9 +23,14 @@
  *
  * <p>Each call blocks, has a time limit and is sent at most once (see {@link Transport}). Safe for
  * use by many threads.
+ *
+ * <p>A renewal names the revision that the last answer of the worker had, and the worker answers
+ * with the changes since then. The client completes them to the full list of running tasks, so that
+ * no caller sees a partial list.
  */
 public final class WorkerClient {
     private final Transport transport;
+    private final WorkerViews views = new WorkerViews();
 
     /** Creates a client; the transport stays with the caller. */
     public WorkerClient(Transport transport) {
@@ -38,7 +44,20 @@
      */
     public LeaseResult lease(Address worker, Epoch epoch, Duration ttl, Duration timeout) {
         ObjectNode body = authority(epoch).put("ttlMillis", ttl.toMillis());
-        return WorkerAnswers.lease(post(worker, "/v1/lease", body, timeout));
+        LeaseResult result = WorkerAnswers.lease(post(worker, "/v1/lease", body, timeout));
+        if (result instanceof LeaseResult.Granted g && g.revision() > 0) {
+            views.keep(
+                    worker,
+                    new WorkerView(
+                            epoch,
+                            g.incarnation(),
+                            g.revision(),
+                            g.capacity(),
+                            g.slots(),
+                            g.running()),
+                    ttl);
+        }
+        return result;
     }
 
     /**
@@ -53,9 +72,30 @@
             Collection<TaskId> acknowledged,
             Duration timeout) {
         ObjectNode body = authority(epoch).put("ttlMillis", ttl.toMillis());
-        ArrayNode list = body.putArray("acknowledged");
-        acknowledged.forEach(id -> list.add(id.value()));
-        return WorkerAnswers.renew(post(worker, "/v1/renew", body, timeout));
+        if (!acknowledged.isEmpty()) {
+            ArrayNode list = body.putArray("acknowledged");
+            acknowledged.forEach(id -> list.add(id.value()));
+        }
+        Optional<WorkerView> base = views.of(worker, epoch);
+        base.ifPresent(view -> body.put("seen", view.revision()));
+        RenewResult result = WorkerAnswers.renew(post(worker, "/v1/renew", body, timeout), base);
+        switch (result) {
+            case RenewResult.Renewed r when r.revision() > 0 ->
+                    views.keep(
+                            worker,
+                            new WorkerView(
+                                    epoch,
+                                    r.incarnation(),
+                                    r.revision(),
+                                    r.capacity(),
+                                    r.slots(),
+                                    r.running()),
+                            ttl);
+            // Nothing was sent, so the worker's last answer is still the one that is kept.
+            case RenewResult.NotConnected n -> {}
+            default -> views.drop(worker);
+        }
+        return result;
     }
 
     /**
--- /dev/null
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerView.java
@@ -0,0 +1,96 @@
+package org.jujubefork.client.worker;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.jujubefork.client.http.MalformedAnswerException;
+import org.jujubefork.core.model.Epoch;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.TaskId;
+
+/**
+ * A worker's running tasks as one answer showed them. A partial answer to the next renewal is
+ * completed from it, so that callers of {@link WorkerClient} always see all running tasks.
+ *
+ * @param epoch the epoch under which the answer was given
+ * @param incarnation the worker's incarnation
+ * @param revision the worker's name for this state of its tasks; at least 1
+ * @param capacity what tasks may use
+ * @param slots how many requests run at once
+ * @param running all tasks that run
+ */
+record WorkerView(
+        Epoch epoch,
+        long incarnation,
+        long revision,
+        Resources capacity,
+        int slots,
+        List<RunningTask> running) {
+    /** What changed on a worker since a revision. */
+    record Changes(
+            long incarnation,
+            long since,
+            List<RunningTask> started,
+            List<Usage> used,
+            Collection<TaskId> gone,
+            int total) {
+        boolean isEmpty() {
+            return started.isEmpty() && used.isEmpty() && gone.isEmpty();
+        }
+    }
+
+    /** A task's usage where it differs from the last one listed. */
+    record Usage(TaskId task, Resources usage) {}
+
+    /** Returns whether {@code other} shows an older state than this view. */
+    boolean isNewerThan(WorkerView other) {
+        if (!epoch.equals(other.epoch)) {
+            return epoch.isAbove(other.epoch);
+        }
+        return incarnation == other.incarnation
+                ? revision > other.revision
+                : incarnation > other.incarnation;
+    }
+
+    /**
+     * Returns all running tasks after {@code changes}.
+     *
+     * @throws MalformedAnswerException if the changes do not follow this view or do not give the
+     *     number of tasks that the worker runs; a task must never count as gone because of that
+     */
+    List<RunningTask> apply(Changes changes) throws MalformedAnswerException {
+        if (changes.incarnation() != incarnation || changes.since() != revision) {
+            throw new MalformedAnswerException(
+                    "changes since revision "
+                            + changes.since()
+                            + " of incarnation "
+                            + changes.incarnation()
+                            + " do not follow revision "
+                            + revision
+                            + " of incarnation "
+                            + incarnation);
+        }
+        List<RunningTask> result = changes.isEmpty() ? running : merged(changes);
+        if (result.size() != changes.total()) {
+            throw new MalformedAnswerException(
+                    result.size() + " running tasks after the changes, not " + changes.total());
+        }
+        return result;
+    }
+
+    private List<RunningTask> merged(Changes changes) throws MalformedAnswerException {
+        Map<TaskId, RunningTask> tasks = new LinkedHashMap<>();
+        running.forEach(t -> tasks.put(t.spec().id(), t));
+        changes.gone().forEach(tasks::remove);
+        changes.started().forEach(t -> tasks.put(t.spec().id(), t));
+        for (Usage used : changes.used()) {
+            RunningTask task = tasks.get(used.task());
+            if (task == null) {
+                throw new MalformedAnswerException("usage of an unknown task: " + used.task());
+            }
+            tasks.put(used.task(), new RunningTask(task.spec(), used.usage(), task.ageMillis()));
+        }
+        return List.copyOf(tasks.values());
+    }
+}
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerCommand.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerCommand.java
@@ -9,7 +9,17 @@
 sealed interface WorkerCommand {
     record Lease(Epoch epoch, long ttlNanos) implements WorkerCommand {}
 
-    record Renew(Epoch epoch, long ttlNanos, List<TaskId> acknowledged) implements WorkerCommand {}
+    /**
+     * Renews the lease.
+     *
+     * @param seen the revision of the owner's last answer, 0 for none
+     */
+    record Renew(Epoch epoch, long ttlNanos, List<TaskId> acknowledged, long seen)
+            implements WorkerCommand {
+        Renew(Epoch epoch, long ttlNanos, List<TaskId> acknowledged) {
+            this(epoch, ttlNanos, acknowledged, 0);
+        }
+    }
 
     record Start(Epoch epoch, long incarnation, TaskSpec spec, TaskBehavior behavior)
             implements WorkerCommand {}
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleet.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerFleet.java
@@ -23,7 +23,7 @@
 
     private WorkerFleet(FleetFile file, FleetOptions options, HistorySink history)
             throws IOException {
-        this.http = new WorkerHttp(options.usageLag().toNanos());
+        this.http = new WorkerHttp();
         this.timer =
                 new ScheduledThreadPoolExecutor(
                         1, Thread.ofPlatform().daemon().name("fleet-timer").factory());
@@ -31,7 +31,10 @@
         timer.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
         this.server = StandinServer.start(options.controlPort(), this::handle);
         WorkerTransitions transitions =
-                new WorkerTransitions(options.enforceCapacity(), options.ignoreEpochs());
+                new WorkerTransitions(
+                        options.enforceCapacity(),
+                        options.ignoreEpochs(),
+                        options.usageLag().toNanos());
         // The wall clock makes the incarnations of a restarted process differ from earlier ones.
         long incarnation = System.currentTimeMillis();
         for (FleetFile.Worker spec : file.workers()) {
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerHttp.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerHttp.java
@@ -1,7 +1,6 @@
 package org.jujubefork.standins.fleet;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -27,12 +26,6 @@
     private static final String TASKS = "/v1/tasks";
     private static final int CHUNK_BYTES = 64 * 1024;
 
-    private final long usageLagNanos;
-
-    WorkerHttp(long usageLagNanos) {
-        this.usageLagNanos = usageLagNanos;
-    }
-
     Reply handle(SimulatedWorker worker, Call call) throws InterruptedException {
         Reply reply = answer(worker, call);
         if (worker.delayMillis() > 0) {
@@ -47,14 +40,15 @@
             case "/v1/lease" -> {
                 SimulatedWorker.Applied applied =
                         worker.apply(new WorkerCommand.Lease(epoch(body), ttl(body)));
-                yield refusalOr(applied, lease(applied));
+                yield refusalOr(applied, WorkerReport.lease(applied));
             }
             case "/v1/renew" -> {
+                long seen = body.path("seen").asLong();
                 SimulatedWorker.Applied applied =
                         worker.apply(
                                 new WorkerCommand.Renew(
-                                        epoch(body), ttl(body), acknowledged(body)));
-                yield refusalOr(applied, report(applied));
+                                        epoch(body), ttl(body), acknowledged(body), seen));
+                yield refusalOr(applied, WorkerReport.renewal(applied, seen));
             }
             case TASKS -> start(worker, call, body);
             default -> command(worker, call, body);
@@ -170,40 +164,6 @@
         return Reply.json(refused.status(), answer);
     }
 
-    private ObjectNode lease(SimulatedWorker.Applied applied) {
-        WorkerState state = applied.state();
-        ObjectNode answer = report(applied);
-        answer.put("workerId", state.spec().id());
-        return answer;
-    }
-
-    private ObjectNode report(SimulatedWorker.Applied applied) {
-        WorkerState state = applied.state();
-        ObjectNode answer =
-                Reply.object()
-                        .put("incarnation", state.incarnation())
-                        .put("leaving", state.leaving())
-                        .put("slots", state.spec().slots());
-        TaskJson.writeResources(answer.putObject("capacity"), state.spec().capacity());
-        ArrayNode running = answer.putArray("running");
-        for (SimulatedTask task : state.running().values()) {
-            ObjectNode node = running.addObject();
-            TaskJson.write(node, task.spec());
-            TaskJson.writeResources(
-                    node.putObject("usage"), task.usage(applied.nowNanos(), usageLagNanos));
-            node.put("ageMillis", task.ageMillis(applied.nowNanos()));
-        }
-        ArrayNode ended = answer.putArray("ended");
-        for (EndedTask end : state.ended().values()) {
-            ObjectNode node = ended.addObject();
-            TaskJson.write(node, end.spec());
-            node.put("reason", end.reason().name()).put("message", end.message());
-            TaskJson.writeResources(node.putObject("peakUsage"), end.peakUsage());
-            node.put("progressMillis", end.progressMillis());
-        }
-        return answer;
-    }
-
     private static TaskSpec spec(Call call) {
         try {
             return TaskJson.read(JsonFields.parse(call.body()));
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerState.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerState.java
@@ -22,6 +22,7 @@
  * @param ended tasks that ended and are not acknowledged
  * @param known every task that was started or stopped in this incarnation; none of them is started
  *     again
+ * @param log what answers to renewals showed of the running tasks
  */
 record WorkerState(
         FleetFile.Worker spec,
@@ -32,7 +33,8 @@
         boolean failStarts,
         PMap<TaskId, SimulatedTask> running,
         PMap<TaskId, EndedTask> ended,
-        PSet<TaskId> known) {
+        PSet<TaskId> known,
+        ReportLog log) {
     static WorkerState initial(FleetFile.Worker spec, long incarnation) {
         return new WorkerState(
                 spec,
@@ -43,7 +45,8 @@
                 false,
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
-                HashTreePSet.empty());
+                HashTreePSet.empty(),
+                ReportLog.empty());
     }
 
     Resources used() {
@@ -77,7 +80,8 @@
                 failStarts,
                 running,
                 ended,
-                known);
+                known,
+                log);
     }
 
     WorkerState withoutLease() {
@@ -90,7 +94,8 @@
                 failStarts,
                 running,
                 ended,
-                known);
+                known,
+                log);
     }
 
     WorkerState withTasks(
@@ -104,7 +109,8 @@
                 failStarts,
                 newRunning,
                 newEnded,
-                known);
+                known,
+                log);
     }
 
     WorkerState withFaults(boolean newLeaving, boolean newFailStarts) {
@@ -117,7 +123,8 @@
                 newFailStarts,
                 running,
                 ended,
-                known);
+                known,
+                log);
     }
 
     WorkerState knowing(TaskId task) {
@@ -130,7 +137,8 @@
                 failStarts,
                 running,
                 ended,
-                known.plus(task));
+                known.plus(task),
+                log);
     }
 
     WorkerState restarted() {
@@ -143,6 +151,21 @@
                 failStarts,
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
-                HashTreePSet.empty());
+                HashTreePSet.empty(),
+                log.restarted());
+    }
+
+    WorkerState withLog(ReportLog newLog) {
+        return new WorkerState(
+                spec,
+                incarnation,
+                epoch,
+                leaseEndsNanos,
+                leaving,
+                failStarts,
+                running,
+                ended,
+                known,
+                newLog);
     }
 }
--- a/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/WorkerTransitions.java
@@ -21,24 +21,26 @@
 
     private final boolean enforceCapacity;
     private final boolean ignoreEpochs;
+    private final long usageLagNanos;
 
     /** With {@code enforceCapacity}, a start above the capacity is refused, not only recorded. */
     WorkerTransitions(boolean enforceCapacity) {
-        this(enforceCapacity, false);
+        this(enforceCapacity, false, 0);
     }
 
     /**
      * With {@code ignoreEpochs}, commands of lower epochs are obeyed; tests use it to see that the
-     * checkers notice what the epochs prevent.
+     * checkers notice what the epochs prevent. Reports show the usage of {@code usageLagNanos} ago.
      */
-    WorkerTransitions(boolean enforceCapacity, boolean ignoreEpochs) {
+    WorkerTransitions(boolean enforceCapacity, boolean ignoreEpochs, long usageLagNanos) {
         this.enforceCapacity = enforceCapacity;
         this.ignoreEpochs = ignoreEpochs;
+        this.usageLagNanos = usageLagNanos;
     }
 
     /** Ends what is due and then executes the command. */
     WorkerStep apply(WorkerState before, WorkerCommand command, long nowNanos) {
-        Work work = new Work(before, nowNanos, ignoreEpochs);
+        Work work = new Work(before, nowNanos, ignoreEpochs, usageLagNanos);
         work.passTime();
         WorkerOutcome outcome =
                 switch (command) {
@@ -69,15 +71,17 @@
     private static final class Work {
         private final long now;
         private final boolean ignoreEpochs;
+        private final long usageLagNanos;
         private final List<WorkerStep.Note> notes = new ArrayList<>();
         private final List<EndedTask> ended = new ArrayList<>();
         private final List<TaskId> lost = new ArrayList<>();
         private WorkerState state;
 
-        Work(WorkerState state, long now, boolean ignoreEpochs) {
+        Work(WorkerState state, long now, boolean ignoreEpochs, long usageLagNanos) {
             this.state = state;
             this.now = now;
             this.ignoreEpochs = ignoreEpochs;
+            this.usageLagNanos = usageLagNanos;
         }
 
         void passTime() {
@@ -122,6 +126,7 @@
                 return refuse("lease", "", lease.epoch(), 409, STALE_EPOCH, "higher epoch known");
             }
             state = state.withLease(lease.epoch(), OptionalLong.of(now + lease.ttlNanos()));
+            state = state.withLog(observed().leased());
             notes.add(Notes.lease(state, lease.epoch()));
             return new WorkerOutcome.Accepted();
         }
@@ -137,9 +142,14 @@
                     state.withLease(renew.epoch(), OptionalLong.of(now + renew.ttlNanos()))
                             .withTasks(
                                     state.running(), state.ended().minusAll(renew.acknowledged()));
+            state = state.withLog(observed().confirmed(renew.seen()));
             return new WorkerOutcome.Accepted();
         }
 
+        private ReportLog observed() {
+            return state.log().observed(state.running().values(), now, usageLagNanos);
+        }
+
         WorkerOutcome start(WorkerCommand.Start start, boolean enforceCapacity) {
             TaskSpec spec = start.spec();
             Resources used = state.used().plus(spec.size());
