Measure job records, any sizes and trial flags in bin/jujube-capacity

Cause: memory for 2,200 job records, more than 8 entries and other JVM flags could not be measured without changing the code.

Ruled out: several cells at once on one machine. Ports of the stand-ins collided (BindException) in two of three trials that ran side by side.

--- a/client/src/main/java/org/jujubefork/client/worker/WorkerClient.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerClient.java
@@ -185,6 +185,8 @@
     private static HttpRequest.Builder postRequest(Address worker, String path, ObjectNode body) {
         return HttpRequest.newBuilder(worker.uri(path))
                 .header("Content-Type", "application/json")
+                // Shorter than the default, which names the Java version in each renewal.
+                .header("User-Agent", "jujube")
                 .POST(BodyPublishers.ofByteArray(JsonFields.encode(body)));
     }
 }
--- a/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
+++ b/standins/src/test/java/org/jujubefork/standins/capacity/Capacity.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -37,11 +38,27 @@
 
     private static final long RUN_MILLIS = 3_600_000;
     private static final long DEFAULT_SETTLE_SECONDS = 8;
+    private static final String DEFAULT_ENTRIES = "3,5,8,12,16";
     private static final String DEFAULT_WORKERS = "30,120,300,600";
+    private static final String DEFAULT_TASKS = "0,500,1000,2000";
+    private static final String DEFAULT_RECORDS = "0,1100,2200";
 
     /** Small enough that each worker of 8 cores holds its part of the tasks. */
     private static final Resources TASK = Resources.of(200, 256, 0);
 
+    private static final Set<String> OPTIONS =
+            Set.of(
+                    "out",
+                    "seconds",
+                    "settle",
+                    "entries",
+                    "workers",
+                    "tasks",
+                    "records",
+                    "task-workers",
+                    "only",
+                    "entry-flags");
+
     private static final List<Figure> FIGURES =
             List.of(
                     new Figure("memory, MiB", EntryCost::residentMb),
@@ -68,16 +85,17 @@
     private record Point(int size, EntryCost cost, double load) {}
 
     public static void main(String[] args) throws Exception {
-        Flags flags =
-                Flags.parse(args, Set.of("out", "seconds", "settle", "workers", "only"), Set.of());
+        Flags flags = Flags.parse(args, OPTIONS, Set.of());
         Path out = Path.of(flags.required("out"));
         Capacity capacity =
                 new Capacity(
                         Duration.ofSeconds(flags.number("settle", DEFAULT_SETTLE_SECONDS)),
                         Duration.ofSeconds(flags.number("seconds", DEFAULT_SECONDS)));
-        String only = flags.text("only").orElse("entries,workers,tasks");
+        flags.text("entry-flags").ifPresent(f -> System.setProperty(EntryVm.FLAGS_PROPERTY, f));
+        int taskWorkers = (int) flags.number("task-workers", TASK_WORKERS);
+        String only = flags.text("only").orElse("entries,workers,tasks,records");
         if (only.contains("entries")) {
-            capacity.byEntries();
+            capacity.byEntries(flags.text("entries").orElse(DEFAULT_ENTRIES));
             Files.writeString(out, capacity.report);
         }
         if (only.contains("workers")) {
@@ -85,14 +103,18 @@
             Files.writeString(out, capacity.report);
         }
         if (only.contains("tasks")) {
-            capacity.byTasks();
+            capacity.byTasks(flags.text("tasks").orElse(DEFAULT_TASKS), taskWorkers);
+            Files.writeString(out, capacity.report);
+        }
+        if (only.contains("records")) {
+            capacity.byRecords(flags.text("records").orElse(DEFAULT_RECORDS), taskWorkers);
             Files.writeString(out, capacity.report);
         }
     }
 
-    private void byEntries() throws Exception {
+    private void byEntries(String sizes) throws Exception {
         List<Point> points = new ArrayList<>();
-        for (int entries : new int[] {3, 4, 6, 8}) {
+        for (int entries : sizes(sizes)) {
             try (TestCell cell = start(entries, FEW_WORKERS)) {
                 points.add(point(cell, entries));
             }
@@ -102,8 +124,7 @@
 
     private void byWorkers(String sizes) throws Exception {
         List<Point> points = new ArrayList<>();
-        for (String size : sizes.split(",", -1)) {
-            int workers = Integer.parseInt(size);
+        for (int workers : sizes(sizes)) {
             try (TestCell cell = start(FEW_ENTRIES, workers)) {
                 points.add(point(cell, workers));
             }
@@ -111,13 +132,13 @@
         write("workers", points);
     }
 
-    private void byTasks() throws Exception {
+    private void byTasks(String sizes, int workers) throws Exception {
         List<Point> points = new ArrayList<>();
-        try (TestCell cell = start(FEW_ENTRIES, TASK_WORKERS)) {
+        try (TestCell cell = start(FEW_ENTRIES, workers)) {
             int running = 0;
-            for (int tasks : new int[] {0, 500, 1_000, 2_000}) {
+            for (int tasks : sizes(sizes)) {
                 if (tasks > running) {
-                    submit(cell, tasks - running);
+                    submit(cell, tasks - running, RUN_MILLIS);
                     running = tasks;
                     awaitTasks(cell, tasks);
                 }
@@ -127,12 +148,31 @@
         write("tasks", points);
     }
 
+    /** By records of ended jobs, of which each entry holds all. */
+    private void byRecords(String sizes, int workers) throws Exception {
+        List<Point> points = new ArrayList<>();
+        try (TestCell cell = start(FEW_ENTRIES, workers)) {
+            int submitted = 0;
+            for (int records : sizes(sizes)) {
+                for (; submitted < records; submitted++) {
+                    submit(cell, 1, 0);
+                }
+                points.add(point(cell, records));
+            }
+        }
+        write("job records", points);
+    }
+
+    private static int[] sizes(String list) {
+        return Arrays.stream(list.split(",", -1)).mapToInt(Integer::parseInt).toArray();
+    }
+
     private static TestCell start(int entries, int workers) throws Exception {
         return TestCell.start(
                 SmallCell.of(entries).workers(ZONES, workers / ZONES, SLOTS).taskSize(TASK).plan());
     }
 
-    private static void submit(TestCell cell, int tasks) throws Exception {
+    private static void submit(TestCell cell, int tasks, long runMillis) throws Exception {
         try (ApiClient client = cell.client(0, Optional.of(SmallCell.key("red")))) {
             client.submit(
                     new JobRequest(
@@ -140,7 +180,7 @@
                             "capacity",
                             tasks,
                             Optional.empty(),
-                            "{\"runMillis\":" + RUN_MILLIS + "}",
+                            "{\"runMillis\":" + runMillis + "}",
                             Optional.of("capacity-" + tasks + "-" + System.nanoTime())));
         }
     }
--- a/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeoutException;
 import org.jujubefork.entry.EntryMain;
@@ -15,6 +16,11 @@
 
 /** An entry's VM: its settings, its relay to the store and its process, which can be replaced. */
 public final class EntryVm implements AutoCloseable {
+    /**
+     * System property with further flags of the JVM of entries, separated by spaces, for trials.
+     */
+    public static final String FLAGS_PROPERTY = "jujubefork.entryFlags";
+
     // The same bounds as in bin/jujube-entry.
     private static final int HEAP_MB = 48;
     private static final List<String> JVM_FLAGS =
@@ -60,12 +66,20 @@
                                 : EntryMain.class.getName(),
                         "",
                         HEAP_MB,
-                        JVM_FLAGS,
+                        flags(),
                         pausable
                                 ? List.of(settings.toString())
                                 : List.of("--settings", settings.toString()));
     }
 
+    private static List<String> flags() {
+        List<String> result = new ArrayList<>(JVM_FLAGS);
+        String further = System.getProperty(FLAGS_PROPERTY, "");
+        // Of two settings of one flag, the JVM takes the last.
+        result.addAll(further.isBlank() ? List.of() : List.of(further.trim().split(" +")));
+        return List.copyOf(result);
+    }
+
     /** Takes ports and opens the relay to the store; starts no process. */
     static EntryVm of(CellPlan.Entry spec, Path directory, int storePort, boolean pausable)
             throws IOException {
