--- a/core/src/main/java/org/jujubefork/core/limits/LedgerSync.java
+++ b/core/src/main/java/org/jujubefork/core/limits/LedgerSync.java
@@ -48,7 +48,7 @@
 
     /** Writes the ledger if a change is due. */
     public static Transition tick(State state, Tick tick) {
-        Resources fleet = Demands.fleetCapacity(state).max(FleetUsage.capacity(state));
+        Resources fleet = state.fleet().capacity().max(FleetUsage.capacity(state));
         LimitState limits = state.limits().ticked(state.nowMillis(), Orphans.update(state), fleet);
         if (!Freshness.isStoreContactFresh(state)) {
             // Entries that wait for the store draw the time of their next write when it is back.
