Give the figures when work waits for the upper limit of its team

Cause: the reason "limit reached" had no figures, explain team named no first work, and the time of a team was 0, which was shown as 1970.

Ruled out: asking the owner of a shard over the network. Gossip has the limit's figures by team and shard, apart from the time since when work waits, which is left out for shards of other entries.

Change: a wait for a limit carries the limit, the usage of the team, the budget of the shard and what is in use of it, and since when the work waits. explain team shows why the first queued work waits and since when; jujubectl leaves out a time that is not known.

Results: ExplainTest, ExplainViewsTest, FrameCodecTest (now with budgets and returnable requests) and JujubectlTest passed. All 297 tests of core passed on this code; 56 tests of entry and 9 of ctl, chosen by name, passed.

Conclusion: an operator sees which limit holds work back, and by how much.

--- a/client/src/main/java/org/jujubefork/client/api/ExplainView.java
+++ b/client/src/main/java/org/jujubefork/client/api/ExplainView.java
@@ -7,7 +7,7 @@
  *
  * @param subject what is explained, such as job J1
  * @param state its state
- * @param sinceMillis when it got into the state, in milliseconds since 1970
+ * @param sinceMillis when it got into the state, in milliseconds since 1970; 0 if that is not known
  * @param reasons what led to the state, the most important first
  * @param rejected rejected alternatives with counts
  * @param wouldRunWhen what has to change for it to run, empty if it runs
--- a/core/src/main/java/org/jujubefork/core/explain/Explain.java
+++ b/core/src/main/java/org/jujubefork/core/explain/Explain.java
@@ -96,7 +96,10 @@
         boolean writing =
                 stage == RequestExplanation.Stage.CLAIMING
                         || stage == RequestExplanation.Stage.SETTLING;
-        WaitReason reason = writing ? WaitReason.STORE_WRITE_PENDING : WaitReason.OTHER_OWNER;
+        Wait wait =
+                request.shard().isEmpty() || writing
+                        ? Wait.of(writing ? WaitReason.STORE_WRITE_PENDING : WaitReason.OTHER_OWNER)
+                        : Waits.elsewhere(state, request.shard().get(), request.queue().team());
         return new RequestExplanation(
                 request.id(),
                 request.queue().team(),
@@ -106,7 +109,7 @@
                 request.shard(),
                 request.owner().map(Object::toString),
                 Optional.empty(),
-                TreePVector.singleton(Wait.of(reason)),
+                TreePVector.singleton(wait),
                 Optional.empty());
     }
 
@@ -125,6 +128,7 @@
                             .map(l -> l.queued())
                             .orElse(0);
         }
+        Optional<FirstWork> first = FirstWork.of(state, team.id());
         double share = usage.dominantShareOf(FleetUsage.capacity(state));
         double entitled = team.weight() / configuration.totalWeight();
         return new TeamExplanation(
@@ -135,24 +139,30 @@
                 usage,
                 team.limit(),
                 queued,
-                queued == 0 ? TreePVector.empty() : teamWaits(state, team, usage, share, entitled));
+                first.map(f -> f.work().sinceMillis()),
+                queued == 0
+                        ? TreePVector.empty()
+                        : teamWaits(state, team, first, share > entitled));
     }
 
     private static PVector<Wait> teamWaits(
-            State state, Team team, Resources usage, double share, double entitled) {
+            State state, Team team, Optional<FirstWork> first, boolean aboveShare) {
         PVector<Wait> waits = TreePVector.empty();
         if (!Freshness.isFresh(state)) {
             waits = waits.plus(Wait.of(WaitReason.CONFIGURATION_NOT_FRESH));
         }
-        boolean limited =
-                usage.cpuMillis() >= team.limit().cpuMillis()
-                        || usage.memoryMb() >= team.limit().memoryMb()
-                        || (team.limit().accelerators() > 0
-                                && usage.accelerators() >= team.limit().accelerators());
-        if (limited) {
-            waits = waits.plus(Wait.of(WaitReason.LIMIT_REACHED));
+        if (first.isPresent()) {
+            return waits.plusAll(Waits.of(state, first.get().shard(), first.get().work()));
         }
-        return share > entitled ? waits.plus(Wait.of(WaitReason.BEHIND_OTHER_TEAMS)) : waits;
+        for (ShardId shard : state.fleet().byShard().keySet()) {
+            boolean queued =
+                    Owners.of(state, shard)
+                            .map(o -> o.summary().teams().get(team.id()))
+                            .map(l -> l.queued() > 0)
+                            .orElse(false);
+            waits = queued ? waits.plus(Waits.elsewhere(state, shard, team.id())) : waits;
+        }
+        return aboveShare ? waits.plus(Wait.of(WaitReason.BEHIND_OTHER_TEAMS)) : waits;
     }
 
     /** Returns how {@code worker} stands, if it is on the VM list. */
--- a/core/src/main/java/org/jujubefork/core/explain/JobExplanations.java
+++ b/core/src/main/java/org/jujubefork/core/explain/JobExplanations.java
@@ -38,11 +38,12 @@
         ShardState owned = state.shards().get(part.shard());
         Optional<String> owner = Owners.name(state, part.shard());
         if (owned == null) {
-            WaitReason reason = owner.isPresent() ? WaitReason.OTHER_OWNER : WaitReason.NO_OWNER;
+            Wait wait =
+                    owner.isPresent()
+                            ? Waits.elsewhere(state, part.shard(), record.team())
+                            : Wait.of(WaitReason.NO_OWNER);
             PVector<Wait> waits =
-                    record.state().isFinal()
-                            ? TreePVector.empty()
-                            : TreePVector.singleton(Wait.of(reason));
+                    record.state().isFinal() ? TreePVector.empty() : TreePVector.singleton(wait);
             return new PartExplanation(
                     part.shard(),
                     owner,
--- a/core/src/main/java/org/jujubefork/core/explain/TeamExplanation.java
+++ b/core/src/main/java/org/jujubefork/core/explain/TeamExplanation.java
@@ -1,5 +1,6 @@
 package org.jujubefork.core.explain;
 
+import java.util.Optional;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TeamId;
 import org.pcollections.PVector;
@@ -14,7 +15,9 @@
  * @param usage what it has running
  * @param limit what it may have running
  * @param queued how many requests and tasks wait
- * @param waits why they wait, as far as that concerns the team as a whole
+ * @param waitingSinceMillis since when the first of them waits, in milliseconds of the answering
+ *     entry's clock; empty if none waits in a shard of this entry
+ * @param waits why the first of them waits
  */
 public record TeamExplanation(
         TeamId team,
@@ -24,4 +27,5 @@
         Resources usage,
         Resources limit,
         int queued,
+        Optional<Long> waitingSinceMillis,
         PVector<Wait> waits) {}
--- a/core/src/main/java/org/jujubefork/core/explain/WaitReason.java
+++ b/core/src/main/java/org/jujubefork/core/explain/WaitReason.java
@@ -18,8 +18,8 @@
     NO_FREE_WORKER("the end of running work, or more workers"),
     /** The workers that would have room take no work. */
     WORKERS_UNAVAILABLE("the return of workers that are unreachable, leaving or quarantined"),
-    /** The team has reached its upper limit. */
-    LIMIT_REACHED("the end of the team's running work, or a higher limit"),
+    /** The team has reached its upper limit, or its budget in the shard. */
+    LIMIT_REACHED("the end of the team's running work, budget from other shards or a higher limit"),
     /** Teams farther below their share go first. */
     BEHIND_OTHER_TEAMS("less usage by the team, or a larger weight"),
     /** Older work of the same team, or work of a more urgent lane, goes first. */
--- a/core/src/main/java/org/jujubefork/core/explain/Waits.java
+++ b/core/src/main/java/org/jujubefork/core/explain/Waits.java
@@ -1,10 +1,15 @@
 package org.jujubefork.core.explain;
 
+import java.util.Optional;
+import org.jujubefork.core.configuration.Team;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.limits.Limits;
+import org.jujubefork.core.membership.TeamLoad;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.placement.Demand;
+import org.jujubefork.core.placement.FleetUsage;
 import org.jujubefork.core.placement.LaneKey;
 import org.jujubefork.core.placement.QueuedWork;
 import org.jujubefork.core.placement.Scheduler;
@@ -37,11 +42,49 @@
                         ? work.size().times(gang.tasks())
                         : work.size();
         if (!Limits.allows(state, shard, work.team(), wanted)) {
-            waits = waits.plus(Wait.of(WaitReason.LIMIT_REACHED));
+            waits =
+                    waits.plus(
+                            Wait.of(
+                                    new LimitFigures(
+                                            limitOf(state, work.team()),
+                                            FleetUsage.of(state, work.team()),
+                                            shard.id(),
+                                            Limits.available(state, shard, work.team()),
+                                            shard.usageOf(work.team()),
+                                            Optional.of(work.sinceMillis()))));
         }
         return waits.plusAll(order(state, shard, work));
     }
 
+    /**
+     * Returns why work of {@code team} waits in {@code shard}, which another entry owns: the limit
+     * if gossip shows that the budget does not cover what waits, otherwise that the owner knows.
+     */
+    static Wait elsewhere(State state, ShardId shard, TeamId team) {
+        Optional<TeamLoad> load =
+                Owners.of(state, shard)
+                        .flatMap(o -> Optional.ofNullable(o.summary().teams().get(team)));
+        return load.filter(l -> !l.waiting().isZero() && l.budget().isPresent())
+                .map(
+                        l ->
+                                Wait.of(
+                                        new LimitFigures(
+                                                limitOf(state, team),
+                                                FleetUsage.of(state, team),
+                                                shard,
+                                                l.budget().get(),
+                                                l.running(),
+                                                Optional.empty())))
+                .orElse(Wait.of(WaitReason.OTHER_OWNER));
+    }
+
+    private static Resources limitOf(State state, TeamId team) {
+        return state.configuration()
+                .flatMap(c -> c.team(team))
+                .map(Team::limit)
+                .orElse(Resources.ZERO);
+    }
+
     private static Wait noWorker(Rejections rejections) {
         if (rejections.tooSmall() == rejections.considered()) {
             return new Wait(WaitReason.NO_WORKER_LARGE_ENOUGH, 0, rejections.considered());
--- a/core/src/test/java/org/jujubefork/core/explain/ExplainTest.java
+++ b/core/src/test/java/org/jujubefork/core/explain/ExplainTest.java
@@ -59,32 +59,7 @@
     public void start() {
         EntryIdentity self = new EntryIdentity(EntryId.of("entry-0", 1), ZONE, "a:80", "a:90");
         state = State.initial(self, Timing.DEFAULT, now);
-        QueueId queue = QueueId.of("batch");
-        apply(
-                new ConfigurationLoaded(
-                        now,
-                        new Configuration(
-                                3,
-                                "cell",
-                                1,
-                                1,
-                                720,
-                                HashTreePMap.singleton(TEAM, new Team(TEAM, 1, CORE.times(100))),
-                                HashTreePMap.singleton(
-                                        queue,
-                                        new Queue(
-                                                queue,
-                                                TEAM,
-                                                true,
-                                                WorkKind.BATCH,
-                                                CORE,
-                                                false,
-                                                1_000,
-                                                1_000)),
-                                HashTreePMap.empty(),
-                                HashTreePMap.empty(),
-                                Tuning.DEFAULT),
-                        Optional.empty()));
+        apply(new ConfigurationLoaded(now, configuration(3, 100), Optional.empty()));
         WorkerListing zone0 = listing("worker-0", ZONE);
         WorkerListing zone1 = listing("worker-1", Location.of("region", "zone-1", "rack-1"));
         apply(new FleetEvent.WorkersListed(now, TreePVector.from(List.of(zone0, zone1))));
@@ -93,6 +68,23 @@
         }
     }
 
+    private static Configuration configuration(long version, int limit) {
+        QueueId queue = QueueId.of("batch");
+        return new Configuration(
+                version,
+                "cell",
+                1,
+                1,
+                720,
+                HashTreePMap.singleton(TEAM, new Team(TEAM, 1, CORE.times(limit))),
+                HashTreePMap.singleton(
+                        queue,
+                        new Queue(queue, TEAM, true, WorkKind.BATCH, CORE, false, 1_000, 1_000)),
+                HashTreePMap.empty(),
+                HashTreePMap.empty(),
+                Tuning.DEFAULT);
+    }
+
     private static WorkerListing listing(String id, Location location) {
         return new WorkerListing(WorkerId.of(id), id + ":1", location, CORE.times(5), 8, false);
     }
@@ -202,6 +194,40 @@
         assertEquals(worker.condition(), WorkerExplanation.Condition.UNREACHABLE);
     }
 
+    /** Guards against an answer that names the limit of a team without any figure. */
+    @Test
+    public void givesTheFiguresOfALimit() {
+        grant();
+        apply(new ConfigurationLoaded(now, configuration(4, 8), Optional.empty()));
+        BudgetRow row = new BudgetRow(state.shards().get(SHARD).epoch(), CORE.times(3));
+        apply(new LimitEvent.LedgerLoaded(now, 2, Ledger.EMPTY.with(TEAM, SHARD, row)));
+        PartExplanation part = explain(WorkKind.BATCH, 10, CORE, SHARD);
+        assertEquals(part.running(), 3);
+        Wait wait = limitWait(part.waits());
+        LimitFigures figures = wait.limit().orElseThrow();
+        assertEquals(figures.limit(), CORE.times(8));
+        assertEquals(figures.usage(), CORE.times(3));
+        assertEquals(figures.shard(), SHARD);
+        assertEquals(figures.budget(), CORE.times(3));
+        assertEquals(figures.usedInShard(), CORE.times(3));
+        long since = figures.sinceMillis().orElseThrow();
+        assertTrue(since >= 10_000 && since <= now, "waits since " + since);
+        TeamExplanation team = Explain.team(state, TEAM).orElseThrow();
+        assertEquals(limitWait(team.waits()), wait);
+        assertEquals(team.waitingSinceMillis(), Optional.of(since));
+        assertEquals(team.limit(), CORE.times(8));
+        assertEquals(team.usage(), CORE.times(3));
+    }
+
+    private static Wait limitWait(Iterable<Wait> waits) {
+        for (Wait wait : waits) {
+            if (wait.reason() == WaitReason.LIMIT_REACHED) {
+                return wait;
+            }
+        }
+        throw new AssertionError("no limit among " + waits);
+    }
+
     @Test
     public void sumsUpTheFleet() {
         grant();
--- a/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
@@ -256,12 +256,9 @@
     }
 
     private static void print(Console console, ExplainView view) {
-        console.line(
-                view.subject()
-                        + " is "
-                        + view.state()
-                        + " since "
-                        + Instant.ofEpochMilli(view.sinceMillis()));
+        String since =
+                view.sinceMillis() > 0 ? " since " + Instant.ofEpochMilli(view.sinceMillis()) : "";
+        console.line(view.subject() + " is " + view.state() + since);
         view.reasons().forEach(reason -> console.line("  because " + reason));
         view.rejected()
                 .forEach(
--- a/ctl/src/test/java/org/jujubefork/ctl/operator/JujubectlTest.java
+++ b/ctl/src/test/java/org/jujubefork/ctl/operator/JujubectlTest.java
@@ -203,6 +203,7 @@
         assertEquals(run("tasks", "--team", "web").code(), ExitCode.OK);
         String explained = run("explain", "job", "j/1").out();
         assertTrue(explained.contains("rejected 3 workers: no memory"), explained);
+        assertTrue(!explained.contains("1970"), "a time that is not known: " + explained);
         assertTrue(run("drain", "--entry", cell.address()).out().contains("open requests 2"));
         assertEquals(run("explain", "job", "other").code(), ExitCode.FAILED);
     }
--- a/entry/src/main/java/org/jujubefork/entry/http/ExplainViews.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/ExplainViews.java
@@ -1,5 +1,6 @@
 package org.jujubefork.entry.http;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.jujubefork.core.explain.Explain;
 import org.jujubefork.core.explain.JobExplanation;
 import org.jujubefork.core.explain.JobExplanations;
+import org.jujubefork.core.explain.LimitFigures;
 import org.jujubefork.core.explain.PartExplanation;
 import org.jujubefork.core.explain.Rejections;
 import org.jujubefork.core.explain.RequestExplanation;
@@ -38,7 +40,7 @@
         return switch (subject) {
             case "request" -> Explain.request(state, RequestId.of(id)).map(e -> request(state, e));
             case "job" -> JobExplanations.of(state, JobId.of(id)).map(e -> job(state, e));
-            case "team" -> Explain.team(state, TeamId.of(id)).map(ExplainViews::team);
+            case "team" -> Explain.team(state, TeamId.of(id)).map(e -> team(state, e));
             case "worker" -> Explain.worker(state, WorkerId.of(id)).map(e -> worker(state, e));
             default ->
                     throw new IllegalArgumentException(
@@ -47,7 +49,7 @@
     }
 
     private static ExplainView request(State state, RequestExplanation request) {
-        List<String> reasons = new ArrayList<>(texts(request.waits()));
+        List<String> reasons = new ArrayList<>(texts(state, request.waits()));
         request.shard().ifPresent(s -> reasons.add("shard " + s));
         request.worker().ifPresent(w -> reasons.add("worker " + w));
         request.owner().ifPresent(o -> reasons.add("owner " + o));
@@ -71,7 +73,8 @@
             reasons.add(
                     "shard %s: %d of %d tasks run, %d wait"
                             .formatted(part.shard(), part.running(), part.tasks(), part.queued()));
-            texts(part.waits()).forEach(t -> reasons.add("shard " + part.shard() + ": " + t));
+            texts(state, part.waits())
+                    .forEach(t -> reasons.add("shard " + part.shard() + ": " + t));
             waits.addAll(part.waits());
             part.rejections().ifPresent(r -> rejected.addAll(rejected(r)));
         }
@@ -84,7 +87,7 @@
                 remedies(waits));
     }
 
-    private static ExplainView team(TeamExplanation team) {
+    private static ExplainView team(State state, TeamExplanation team) {
         List<String> reasons = new ArrayList<>();
         reasons.add(
                 String.format(
@@ -94,11 +97,11 @@
                         team.entitledShare()));
         reasons.add("running " + team.usage() + " of limit " + team.limit());
         reasons.add(team.queued() + " requests and tasks wait");
-        reasons.addAll(texts(team.waits()));
+        texts(state, team.waits()).forEach(t -> reasons.add("the first work waits: " + t));
         return new ExplainView(
                 "team " + team.team(),
                 team.queued() > 0 ? "waiting" : "served",
-                0,
+                team.waitingSinceMillis().map(m -> wallClock(state, m)).orElse(0L),
                 reasons,
                 List.of(),
                 remedies(team.waits()));
@@ -119,15 +122,36 @@
                 "");
     }
 
-    private static List<String> texts(Collection<Wait> waits) {
-        return waits.stream().map(ExplainViews::text).toList();
+    private static List<String> texts(State state, Collection<Wait> waits) {
+        return waits.stream().map(w -> text(state, w)).toList();
     }
 
-    private static String text(Wait wait) {
+    private static String text(State state, Wait wait) {
         String reason = name(wait.reason());
+        if (wait.limit().isPresent()) {
+            return reason + ": " + text(state, wait.limit().get());
+        }
         return wait.need() == 0 ? reason : reason + " (" + wait.have() + " of " + wait.need() + ")";
     }
 
+    private static String text(State state, LimitFigures limit) {
+        String figures =
+                "the limit is %s, the team uses %s, its budget in shard %s is %s with %s in use"
+                        .formatted(
+                                limit.limit(),
+                                limit.usage(),
+                                limit.shard(),
+                                limit.budget(),
+                                limit.usedInShard());
+        return limit.sinceMillis()
+                .map(m -> figures + ", waiting since " + instant(state, m))
+                .orElse(figures);
+    }
+
+    private static Instant instant(State state, long monotonicMillis) {
+        return Instant.ofEpochMilli(wallClock(state, monotonicMillis));
+    }
+
     private static String remedies(Collection<Wait> waits) {
         return waits.stream()
                 .map(w -> w.reason().remedy())
--- a/entry/src/test/java/org/jujubefork/entry/peer/FrameCodecTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/peer/FrameCodecTest.java
@@ -53,7 +53,12 @@
                         teams.plus(
                                 TeamId.of("t" + t),
                                 new TeamLoad(
-                                        resources(random), resources(random), random.nextInt(100)));
+                                        resources(random),
+                                        resources(random),
+                                        random.nextInt(100),
+                                        random.nextBoolean()
+                                                ? Optional.of(resources(random))
+                                                : Optional.empty()));
             }
             ShardSummary summary =
                     new ShardSummary(
@@ -99,7 +104,8 @@
                 random.nextBoolean() ? WorkKind.LOOKUP : WorkKind.COMMAND,
                 resources(random),
                 random.nextBoolean(),
-                random.nextInt(30_000));
+                random.nextInt(30_000),
+                random.nextBoolean());
     }
 
     private static PeerMessage message(Random random) {
