Bound the heap, connections and starts of an entry, and end with a full heap

Cause: an owner at the design size (157 workers, 1,571 tasks) did not fit. A trial with -Xmn8m -Xmx40m -Xms20m, and later one with -Xmn6m -Xmx32m, ran one full collection of 100 to 300 ms after the other (38M->38M of 39M) after a job of 4,713 tasks was submitted, and a scrape of /metrics timed out. The histogram showed 973 open connections to workers with 16 KiB each, 20 of 32 MB in use: each start that is under way has a connection, which stays for 30 s, and all tasks of a job are started at once.

Ruled out: the view of workers' tasks and the records as the cause (live heap 16 MB after the connections were closed); a bound of concurrent starts alone (trial with 128: still 30 MB, because each worker's starts come one after the other); -Xmx32m (entries ended in the burst).

Change: at most 128 starts of job tasks at a time, at most 256 idle connections, buffers of 4 KiB; -Xms20m -Xmx40m -Xmn8m with free ratios of 20 and 40%; no performance data file, which a timer updates. With -XX:+ExitOnOutOfMemoryError an entry ends on a failed allocation.

With -Xmx16m the entries ended after about 15 s; which of the two ends applied was not recorded.

--- a/entry/src/main/java/org/jujubefork/entry/EntryMain.java
+++ b/entry/src/main/java/org/jujubefork/entry/EntryMain.java
@@ -19,6 +19,7 @@
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_SETTINGS = 3;
     private static final int EXIT_ADDRESS = 4;
+    private static final int EXIT_HEAP = 5;
 
     private EntryMain() {}
 
@@ -69,7 +70,10 @@
         Thread stop = Thread.ofPlatform().name("stop").unstarted(() -> stop(daemon));
         Runtime.getRuntime().addShutdownHook(stop);
         System.out.println("ready entry=" + settings.name() + " http=" + settings.httpAddress());
-        Thread.currentThread().join();
+        HeapGuard.ofProcess().awaitExhaustion();
+        // A graceful stop needs memory that there is not; successors take over as after a kill.
+        System.err.println("error: the heap is full; a larger -Xmx or more entries are needed");
+        Runtime.getRuntime().halt(EXIT_HEAP);
     }
 
     private static void stop(Daemon daemon) {
--- a/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.Semaphore;
 import org.jujubefork.client.http.Address;
 import org.jujubefork.client.worker.CommandResult;
 import org.jujubefork.client.worker.LeaseResult;
@@ -31,10 +32,18 @@
     private static final Duration START_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(60);
 
+    /**
+     * Starts of job tasks that are sent at a time. Each call that is under way has a connection of
+     * its own, which keeps about 10 KiB of heap until 30 s after the call; a burst of 1,500 starts
+     * filled the heap with 973 connections.
+     */
+    private static final int MAX_STARTS = 128;
+
     private final WorkerClient workers;
     private final RequestRegistry registry;
     private final Clock clock;
     private final EventSink events;
+    private final Semaphore starts = new Semaphore(MAX_STARTS);
 
     /**
      * Creates an executor that takes request bodies from {@code registry} and gives answers to it.
@@ -107,14 +116,19 @@
     }
 
     private Event start(WorkerEffect.StartTask effect) {
-        StartResult result =
-                workers.start(
-                        Address.parse(effect.address()),
-                        effect.epoch(),
-                        effect.incarnation(),
-                        effect.task(),
-                        START_TIMEOUT);
-        return startEvent(effect, result);
+        starts.acquireUninterruptibly();
+        try {
+            StartResult result =
+                    workers.start(
+                            Address.parse(effect.address()),
+                            effect.epoch(),
+                            effect.incarnation(),
+                            effect.task(),
+                            START_TIMEOUT);
+            return startEvent(effect, result);
+        } finally {
+            starts.release();
+        }
     }
 
     private Event request(WorkerEffect.StartTask effect) {
--- a/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
@@ -22,10 +22,13 @@
     public static final String FLAGS_PROPERTY = "jujubefork.entryFlags";
 
     // The same bounds as in bin/jujube-entry.
-    private static final int HEAP_MB = 48;
+    private static final int HEAP_MB = 40;
     private static final List<String> JVM_FLAGS =
             List.of(
-                    "-Xms24m",
+                    "-Xms20m",
+                    "-Xmn8m",
+                    "-XX:MinHeapFreeRatio=20",
+                    "-XX:MaxHeapFreeRatio=40",
                     "-XX:MaxMetaspaceSize=40m",
                     "-XX:ReservedCodeCacheSize=16m",
                     "-XX:MaxDirectMemorySize=8m",
@@ -33,7 +36,11 @@
                     "--sun-misc-unsafe-memory-access=allow",
                     "-XX:TieredStopAtLevel=1",
                     "-XX:+UseCompactObjectHeaders",
+                    "-XX:+ExitOnOutOfMemoryError",
+                    "-XX:-UsePerfData",
                     "-Djdk.virtualThreadScheduler.parallelism=2",
+                    "-Djdk.httpclient.bufsize=4096",
+                    "-Djdk.httpclient.connectionPoolSize=256",
                     "-Djava.util.logging.manager=org.jboss.logmanager.LogManager");
 
     private final CellPlan.Entry spec;
