Let smaller work pass a head that does not fit, for a bounded time

Cause: only the head of a team's lane was tried for placement. A large head held back smaller work of the team that would have fitted.

Change: LookAhead notes when a head is first tried in vain. For 10 s from then, ticks also try work behind it, at most 32 pieces of a lane each, going on where the last tick ended. After that only the head is tried. The time ends at once when running work is preempted for the head. Work with the size and queue of the head is skipped. Gangs are left out.

Ruled out: counting the 10 s from arrival (on a loaded queue heads have waited longer before they become heads, so nothing could pass); looking ahead on every event (it costs each decision); a reservation and an index by size (see D8 in docs/design.md).

--- a/core/src/main/java/org/jujubefork/core/placement/Reclaim.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reclaim.java
@@ -151,7 +151,9 @@
             long pauseMillis) {
         ShardState owned = state.shards().get(shard);
         long pause = victims.isEmpty() ? IN_VAIN_MILLIS : pauseMillis;
-        Scheduling paused = owned.scheduling().reclaimingUntil(lane, state.nowMillis() + pause);
+        Scheduling noted =
+                victims.isEmpty() ? owned.scheduling() : LookAhead.ended(owned.scheduling(), lane);
+        Scheduling paused = noted.reclaimingUntil(lane, state.nowMillis() + pause);
         Transition result = Transition.of(state.withShard(owned.withScheduling(paused)));
         for (RunningTask victim : victims) {
             result = result.then(s -> stopOne(s, shard, lane.team(), victim, mode));
--- a/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Scheduler.java
@@ -46,7 +46,8 @@
         State noted =
                 state.withShard(
                         owned.withScheduling(
-                                pruned.withDrain(pruned.drain().at(state.nowMillis()))));
+                                pruned.withDrain(pruned.drain().at(state.nowMillis()))
+                                        .withBlocked(LookAhead.current(owned))));
         return Transition.of(Gangs.review(noted, shard));
     }
 
@@ -56,7 +57,8 @@
      *
      * @param state the state
      * @param shard the shard, which must be owned
-     * @param all whether to try lanes whose head was tried before without success
+     * @param all whether time has passed, so that lanes whose head was tried before without success
+     *     are tried again, and work behind such heads
      */
     public static Transition run(State state, ShardId shard, boolean all) {
         if (state.configuration().isEmpty()) {
@@ -89,7 +91,7 @@
                 }
             }
         }
-        return result;
+        return all ? LookAhead.run(result, shard, shares, left) : result;
     }
 
     /**
@@ -160,13 +162,18 @@
     }
 
     private static Optional<Transition> placeHead(State state, ShardId shard, LaneKey key) {
-        ShardState owned = state.shards().get(shard);
-        Map.Entry<Long, QueuedWork> head = owned.queue().head(key).orElseThrow();
+        Map.Entry<Long, QueuedWork> head =
+                state.shards().get(shard).queue().head(key).orElseThrow();
         WorkQueue.Position position = new WorkQueue.Position(key, head.getKey());
-        if (head.getValue() instanceof QueuedWork.Gang gang) {
-            return Gangs.place(state, shard, position, gang);
-        }
-        QueuedWork work = head.getValue();
+        return head.getValue() instanceof QueuedWork.Gang gang
+                ? Gangs.place(state, shard, position, gang)
+                : place(state, shard, position, head.getValue());
+    }
+
+    /** Starts {@code work}, which waits at {@code position}, if a worker has room for it. */
+    static Optional<Transition> place(
+            State state, ShardId shard, WorkQueue.Position position, QueuedWork work) {
+        ShardState owned = state.shards().get(shard);
         if (!Limits.allows(state, owned, work.team(), work.size())) {
             return Optional.empty();
         }
@@ -183,7 +190,11 @@
 
     private static State tried(State state, ShardId shard, LaneKey key) {
         ShardState owned = state.shards().get(shard);
-        return state.withShard(owned.withQueue(owned.queue().tried(key)));
+        return owned.queue().ready().contains(key)
+                ? state.withShard(
+                        LookAhead.noted(owned, key, state.nowMillis())
+                                .withQueue(owned.queue().tried(key)))
+                : state;
     }
 
     private static State unfinished(State state, ShardId shard) {
--- a/core/src/main/java/org/jujubefork/core/placement/Scheduling.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Scheduling.java
@@ -17,6 +17,7 @@
  * @param succeeded jobs and queues of which a task succeeded lately, and when
  * @param learned sizes by experience
  * @param drain how fast requests are started
+ * @param blocked heads of lanes that were tried and did not fit
  */
 public record Scheduling(
         boolean recheck,
@@ -25,7 +26,8 @@
         PSortedMap<String, Long> preempted,
         PSortedMap<String, Long> succeeded,
         PSortedMap<QueueId, LearnedSize> learned,
-        DrainRate drain) {
+        DrainRate drain,
+        PSortedMap<LaneKey, BlockedHead> blocked) {
     /** Nothing has happened yet. */
     public static final Scheduling INITIAL =
             new Scheduling(
@@ -35,7 +37,8 @@
                     TreePMap.empty(),
                     TreePMap.empty(),
                     TreePMap.empty(),
-                    DrainRate.UNKNOWN);
+                    DrainRate.UNKNOWN,
+                    TreePMap.empty());
 
     /** How long the success of a job or queue shows that its failures are a worker's fault. */
     static final long PROVEN_MILLIS = 600_000;
@@ -50,11 +53,19 @@
         return value == recheck
                 ? this
                 : new Scheduling(
-                        value, reservation, reclaiming, preempted, succeeded, learned, drain);
+                        value,
+                        reservation,
+                        reclaiming,
+                        preempted,
+                        succeeded,
+                        learned,
+                        drain,
+                        blocked);
     }
 
     Scheduling withReservation(Optional<Reservation> value) {
-        return new Scheduling(recheck, value, reclaiming, preempted, succeeded, learned, drain);
+        return new Scheduling(
+                recheck, value, reclaiming, preempted, succeeded, learned, drain, blocked);
     }
 
     Scheduling reclaimingUntil(LaneKey lane, long millis) {
@@ -65,7 +76,8 @@
                 preempted,
                 succeeded,
                 learned,
-                drain);
+                drain,
+                blocked);
     }
 
     Scheduling withPreempted(JobTask task, long nowMillis) {
@@ -76,7 +88,8 @@
                 preempted.plus(subject(task), nowMillis),
                 succeeded,
                 learned,
-                drain);
+                drain,
+                blocked);
     }
 
     Scheduling withSuccess(String subject, long nowMillis) {
@@ -90,7 +103,8 @@
                         preempted,
                         succeeded.plus(subject, nowMillis),
                         learned,
-                        drain);
+                        drain,
+                        blocked);
     }
 
     Scheduling withPeak(QueueId queue, Resources peak, Resources declared) {
@@ -102,12 +116,18 @@
                 preempted,
                 succeeded,
                 learned.plus(queue, known.plus(peak, declared)),
-                drain);
+                drain,
+                blocked);
     }
 
     Scheduling withDrain(DrainRate value) {
         return new Scheduling(
-                recheck, reservation, reclaiming, preempted, succeeded, learned, value);
+                recheck, reservation, reclaiming, preempted, succeeded, learned, value, blocked);
+    }
+
+    Scheduling withBlocked(PSortedMap<LaneKey, BlockedHead> value) {
+        return new Scheduling(
+                recheck, reservation, reclaiming, preempted, succeeded, learned, drain, value);
     }
 
     /** Returns the size to expect of a task of {@code queue} that declares {@code declared}. */
@@ -139,7 +159,8 @@
                 without(preempted, nowMillis, PROTECTED_MILLIS),
                 without(succeeded, nowMillis, PROVEN_MILLIS),
                 learned,
-                drain);
+                drain,
+                blocked);
     }
 
     private static <K> PSortedMap<K, Long> without(
