Check the region of an entry and name the address that is taken

A port that was taken was not named. A refused connection was reported as 'connect failed: null'.

Ruled out: a check of the region at the start of the daemon, because the store may be down then and the site may be added later.

The error for a taken port names the setting and the address. 'status' says that there was no contact since the start.

--- a/client/src/main/java/org/jujubefork/client/http/Transport.java
+++ b/client/src/main/java/org/jujubefork/client/http/Transport.java
@@ -148,7 +148,12 @@
         }
         String reason = String.valueOf(cause.getMessage());
         if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
-            return new CallResult.NotConnected("connect failed: " + reason);
+            // The HTTP client gives no message when the connection is refused.
+            return new CallResult.NotConnected(
+                    "connect failed: "
+                            + (cause.getMessage() == null
+                                    ? "refused, or the address is not reachable"
+                                    : reason));
         }
         return new CallResult.Unknown(
                 cause.getClass().getSimpleName() + ": " + reason,
--- a/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
@@ -91,9 +91,11 @@
         console.line(
                 "store "
                         + (status.store().reachable() ? "reachable" : "not reachable")
-                        + ", last contact "
-                        + status.store().lastContactAgeMillis()
-                        + " ms ago");
+                        + (status.store().lastContactAgeMillis() < 0
+                                ? ", no contact since the entry started"
+                                : ", last contact "
+                                        + status.store().lastContactAgeMillis()
+                                        + " ms ago"));
         console.line("");
         console.table(
                 List.of("entry", "region", "zone", "state", "configuration"),
--- a/entry/src/main/java/org/jujubefork/entry/DaemonContext.java
+++ b/entry/src/main/java/org/jujubefork/entry/DaemonContext.java
@@ -60,7 +60,7 @@
         DaemonMetrics metrics = DaemonMetrics.create();
         metrics.observe(loop::state, loop::backlog, loop::refused);
         Transport transport = Transport.create(CONNECT_TIMEOUT);
-        CellReader reader = CellReader.of(policyNames());
+        CellReader reader = cellReader();
         return new DaemonContext(
                 settings,
                 id,
@@ -94,6 +94,11 @@
                 settings.renewIntervalMillis());
     }
 
+    /** Returns a reader that knows the policies of this version. */
+    static CellReader cellReader() {
+        return CellReader.of(policyNames());
+    }
+
     private static PolicyNames policyNames() {
         return PolicyNames.of(
                 List.copyOf(QueueOrders.names()), List.copyOf(PlacementPolicies.names()));
--- a/entry/src/main/java/org/jujubefork/entry/EntryMain.java
+++ b/entry/src/main/java/org/jujubefork/entry/EntryMain.java
@@ -37,7 +37,11 @@
                                         .argName("FILE")
                                         .desc("settings of this entry, JSON with comments")
                                         .get())
-                        .addOption("c", "check", false, "check the settings and exit")
+                        .addOption(
+                                "c",
+                                "check",
+                                false,
+                                "check the settings, and the region against the store, and exit")
                         .addOption("h", "help", false, "print this help and exit");
         try {
             CommandLine line = new DefaultParser().parse(options, arguments);
@@ -51,7 +55,7 @@
             DaemonSettings settings =
                     DaemonSettingsReader.read(Path.of(line.getOptionValue("settings")));
             if (line.hasOption("check")) {
-                System.out.println("settings are valid");
+                check(settings);
                 return;
             }
             run(settings);
@@ -62,12 +66,22 @@
         } catch (BindException e) {
             exit(
                     EXIT_ADDRESS,
-                    "error: an address is in use or not of this machine: " + e.getMessage());
+                    "error: "
+                            + e.getMessage()
+                            + "; end the process that uses the address, or change the setting");
         } catch (IOException e) {
             exit(EXIT_FAILED, "error: " + e.getMessage());
         }
     }
 
+    private static void check(DaemonSettings settings) {
+        SiteCheck.Result site = SiteCheck.of(settings);
+        if (!site.known()) {
+            exit(EXIT_SETTINGS, site.text());
+        }
+        System.out.println("settings are valid; " + site.text());
+    }
+
     private static void run(DaemonSettings settings) throws IOException, InterruptedException {
         Daemon daemon = Daemon.start(settings);
         long bound = settings.drainTimeoutMillis() + STOP_MARGIN_MILLIS;
--- /dev/null
+++ b/entry/src/main/java/org/jujubefork/entry/SiteCheck.java
@@ -0,0 +1,73 @@
+package org.jujubefork.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.jujubefork.client.http.Transport;
+import org.jujubefork.client.store.KeyValue;
+import org.jujubefork.client.store.StoreClient;
+import org.jujubefork.client.store.StoreException;
+import org.jujubefork.config.cell.CellReading;
+import org.jujubefork.config.cell.ConfigurationDocumentCodec;
+import org.jujubefork.config.cell.InvalidDocumentException;
+import org.jujubefork.config.settings.DaemonSettings;
+import org.jujubefork.entry.platform.StoreKeys;
+
+/** Checks that the configuration in the store knows the region of an entry. */
+final class SiteCheck {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    /**
+     * The result.
+     *
+     * @param known whether the entry can use the configuration; true if it could not be read
+     * @param text what was found
+     */
+    record Result(boolean known, String text) {}
+
+    private SiteCheck() {}
+
+    static Result of(DaemonSettings settings) {
+        try (Transport transport = Transport.create(TIMEOUT)) {
+            StoreClient store =
+                    new StoreClient(transport, DaemonContext.address(settings.storeAddress()));
+            Optional<KeyValue> stored = store.get(StoreKeys.CONFIGURATION, TIMEOUT);
+            return stored.isEmpty()
+                    ? notChecked("the store holds no configuration yet")
+                    : of(
+                            settings.region(),
+                            new String(stored.get().value(), StandardCharsets.UTF_8));
+        } catch (StoreException e) {
+            return notChecked(
+                    "the store at " + settings.storeAddress() + " gave none: " + e.getMessage());
+        }
+    }
+
+    /** Checks {@code region} against a configuration in its stored form. */
+    static Result of(String region, String configuration) {
+        try {
+            CellReading reading =
+                    DaemonContext.cellReader()
+                            .read(ConfigurationDocumentCodec.decode(configuration));
+            if (!reading.isUsable()) {
+                return notChecked("the configuration in the store has errors");
+            }
+            if (reading.configuration(region).isPresent()) {
+                return new Result(true, "region \"" + region + "\" is a site of the cell");
+            }
+            return new Result(
+                    false,
+                    "error: region \""
+                            + region
+                            + "\" is not a site of the cell; use one of "
+                            + reading.configurations().keySet()
+                            + ", or add it to \"sites\" in the base file");
+        } catch (InvalidDocumentException e) {
+            return notChecked(e.getMessage());
+        }
+    }
+
+    private static Result notChecked(String reason) {
+        return new Result(true, "warning: the region was not checked: " + reason);
+    }
+}
--- a/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
@@ -1,6 +1,7 @@
 package org.jujubefork.entry.http;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -71,7 +72,11 @@
         server.addListener(listener);
         server.getServerConfiguration()
                 .addHttpHandler(new Dispatcher(routes, executor, stopping, open), "/");
-        server.start();
+        try {
+            server.start();
+        } catch (BindException e) {
+            throw new BindException("httpAddress " + address + ": " + e.getMessage());
+        }
         return new HttpFrontEnd(server, executor, stopping, open);
     }
 
--- a/entry/src/main/java/org/jujubefork/entry/http/StatusViews.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/StatusViews.java
@@ -46,15 +46,21 @@
                 role(state, status),
                 status.configurationVersion(),
                 status.fresh(),
-                new StoreView(
-                        status.storeReachable(),
-                        Math.max(0, state.nowMillis() - state.membership().storeContactMillis())),
+                new StoreView(status.storeReachable(), contactAge(state)),
                 members,
                 status.shards().stream().map(s -> shard(state, s)).toList(),
                 queues(state),
                 status.teams().stream().map(StatusViews::team).toList());
     }
 
+    private static long contactAge(State state) {
+        long contact = state.membership().storeContactMillis();
+        // Before the first contact its time lies far before the start.
+        return contact < state.membership().startedAtMillis()
+                ? -1
+                : Math.max(0, state.nowMillis() - contact);
+    }
+
     private static String role(State state, FleetStatus status) {
         if (status.draining()) {
             return "draining";
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerTransport.java
@@ -1,6 +1,7 @@
 package org.jujubefork.entry.peer;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.time.Duration;
 import java.util.Collections;
 import java.util.IdentityHashMap;
@@ -115,7 +116,11 @@
             throws IOException {
         PeerTransport peers =
                 new PeerTransport(Frame.of(hello), receiver, connectionLost, meter, linkIdle);
-        peers.transport.bind(listen.host(), listen.port());
+        try {
+            peers.transport.bind(listen.host(), listen.port());
+        } catch (BindException e) {
+            throw new BindException("peerAddress " + listen + ": " + e.getMessage());
+        }
         peers.transport.start();
         return peers;
     }
--- /dev/null
+++ b/entry/src/test/java/org/jujubefork/entry/SiteCheckTest.java
@@ -0,0 +1,38 @@
+package org.jujubefork.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.jujubefork.config.cell.ConfigurationDocument;
+import org.jujubefork.config.cell.ConfigurationDocumentCodec;
+import org.testng.annotations.Test;
+
+/** Guards against a misspelt region that is found only when the entry takes no work. */
+public final class SiteCheckTest {
+    private static String stored() throws IOException {
+        String base = Files.readString(Path.of("..", "examples", "plotshare", "base.jsonc"));
+        return ConfigurationDocumentCodec.encode(ConfigurationDocument.of(1, base, Map.of()));
+    }
+
+    @Test
+    public void anUnknownRegionIsFoundAndTheKnownOnesAreNamed() throws IOException {
+        SiteCheck.Result result = SiteCheck.of("acra", stored());
+        assertFalse(result.known());
+        assertTrue(result.text().contains("accra") && result.text().contains("tamale"));
+        assertEquals(
+                SiteCheck.of("accra", stored()),
+                new SiteCheck.Result(true, "region \"accra\" is a site of the cell"));
+    }
+
+    @Test
+    public void aConfigurationThatCannotBeReadIsNoFinding() {
+        SiteCheck.Result result = SiteCheck.of("accra", "{");
+        assertTrue(result.known());
+        assertTrue(result.text().startsWith("warning: the region was not checked"), result.text());
+    }
+}
