Bound the open requests of an entry, and exit when memory runs out

Cause: 400 lookups/s into an entry that had just started, on a machine with a load average of 40, ended in OutOfMemoryError in the log; the entry then lived on, answered neither callers nor /metrics, and a caller had no answer after 30 s. Nothing bounded the open requests of an entry: 275 of them raised the heap from 7.9 to 14.7 MB, 25 KB each, while the queue of a shard may hold 20,000.

Ruled out: a bound in the reducer alone, because requests that wait for the control thread take the memory first; a larger heap, because of the 128 MB per daemon.

Change: above 500 open requests of callers (750 if urgent) a request is refused as overloaded, "not run", with Retry-After 1. -XX:+ExitOnOutOfMemoryError turns an entry that lost threads into a failed one, whose shards move on.

HttpFrontEndTest, with a new test at the bound, AnswersTest and PeerBytesTest pass (18 tests).

Conclusion: the memory of open requests is bounded by count, not by the size of their bodies, and the bound does not look at the shares of teams.

--- a/entry/src/main/java/org/jujubefork/entry/http/RequestEndpoint.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/RequestEndpoint.java
@@ -33,6 +33,19 @@
     private static final long MARGIN_MILLIS = 5_000;
 
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+
+    /**
+     * Open requests above which further ones are refused, unless they are urgent. Each takes about
+     * 25 KB of the heap of 48 MB (measured with 275 of them), most of it buffers of its connection.
+     * Without a bound, a burst that outlasted a pause of the machine ended in an {@code
+     * OutOfMemoryError}.
+     */
+    static final int MAX_OPEN = 500;
+
+    /** As {@link #MAX_OPEN}, for urgent requests. */
+    static final int MAX_OPEN_URGENT = 750;
+
+    private static final long RETRY_AFTER_MILLIS = 1_000;
     private static final Pattern KEY_FORM = Pattern.compile("[A-Za-z0-9._-]{1,100}");
 
     private final RequestIds ids;
@@ -88,6 +101,12 @@
             Exchange exchange, QueueId queue, Optional<String> idempotencyKey, byte[] body)
             throws IOException, InterruptedException {
         Optional<Queue> known = state.get().configuration().flatMap(c -> c.queue(queue));
+        boolean urgent = known.map(Queue::urgent).orElse(false);
+        if (registry.callers() >= (urgent ? MAX_OPEN_URGENT : MAX_OPEN)) {
+            Refusals.send(
+                    exchange, AttemptResult.notRun(RefusalReason.OVERLOADED, RETRY_AFTER_MILLIS));
+            return;
+        }
         boolean command = known.map(q -> q.kind() == WorkKind.COMMAND).orElse(false);
         long timeout = known.map(Queue::timeoutMillis).orElse(DEFAULT_TIMEOUT_MILLIS);
         RequestId request = ids.next();
--- a/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import org.glassfish.grizzly.http.Method;
 import org.jujubefork.client.api.ApiPaths;
 import org.jujubefork.config.settings.HostPort;
@@ -29,6 +30,7 @@
 import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.Location;
 import org.jujubefork.core.model.RefusalReason;
+import org.jujubefork.core.model.RequestId;
 import org.jujubefork.entry.answers.AnswerChannel;
 import org.jujubefork.entry.answers.RequestRegistry;
 import org.jujubefork.entry.answers.TaskFailure;
@@ -148,6 +150,28 @@
         channel.release();
     }
 
+    /** Guards against open requests without a bound, which use up the heap of an entry. */
+    @Test
+    public void requestAboveBoundIsNotRun() throws IOException {
+        List<RequestId> open =
+                IntStream.range(0, RequestEndpoint.MAX_OPEN)
+                        .mapToObj(i -> RequestId.of("open-" + i))
+                        .toList();
+        open.forEach(
+                id -> registry.add(id, new byte[0], AnswerChannel.of(false, MAX_ANSWER_BYTES)));
+        try {
+            String response = exchange(post("{}"));
+            assertStatus(response, 429);
+            assertTrue(response.contains("Jujube-Outcome: not-run"), response);
+            assertTrue(response.contains("Retry-After: 1"), response);
+            assertTrue(events.isEmpty(), "the request reached the control thread");
+        } finally {
+            open.forEach(registry::remove);
+        }
+        producer = channel -> channel.refuse(AttemptResult.notRun(RefusalReason.KEY_UNKNOWN));
+        assertStatus(exchange(post("{}")), 401);
+    }
+
     @Test
     public void aFinishedAnswerReachesTheCallerWhole() throws IOException {
         producer = channel -> answer(channel, "hello", "text/plain");
--- a/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
@@ -27,6 +27,7 @@
                     "--sun-misc-unsafe-memory-access=allow",
                     "-XX:TieredStopAtLevel=1",
                     "-XX:+UseCompactObjectHeaders",
+                    "-XX:+ExitOnOutOfMemoryError",
                     "-Djdk.virtualThreadScheduler.parallelism=2",
                     "-Djava.util.logging.manager=org.jboss.logmanager.LogManager");
 
