Read a request body in one piece of its announced length

Cause: InputStream.readNBytes reads in pieces of 16 KiB unless it is asked for less, and it was always asked for the longest body. In a recording of an owner that took 400 lookups/s for 12 s these buffers were the largest site of allocation, 17% of all.

Ruled out as waste in the same recording and in the code: Nagle's algorithm (off on peer connections, in Grizzly and in the HTTP client), connections per request (kept alive), timers on the path of a request (none). Most processor time goes to the HTTP client towards the worker.

Change: a body with an announced length is read with that length.

HttpFrontEndTest passes (15 tests).

--- a/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
@@ -79,7 +79,8 @@
             throw BodyException.tooLarge(maxBytes);
         }
         InputStream input = request.getInputStream();
-        byte[] body = input.readNBytes(maxBytes + 1);
+        // The stream reads in pieces of 16 KiB unless it is asked for less.
+        byte[] body = input.readNBytes(announced >= 0 ? (int) announced : maxBytes + 1);
         if (body.length > maxBytes) {
             throw BodyException.tooLarge(maxBytes);
         }
