Add the delay report, and say what limits throughput and which tasks started

Cause: the first whole run of bin/jujube-delay (246 s) gave 19,999 ms as the median wait of batch tasks under both policies. Under three times the load most tasks never start, and they counted with their wait up to the end, so the median was that of the end of the run. The direct calls of 40 ms had 24 connections, which carry 600/s, and slowed at that step by themselves.

Ruled out: less load, because the cell would not be full.

Change: waits are those of work that started, with the number that did beside them; direct calls at the steps use as many connections as the worker has slots; the step at which queueing begins names the limit.

--- a/standins/src/test/java/org/jujubefork/standins/delay/ContentionReport.java
+++ b/standins/src/test/java/org/jujubefork/standins/delay/ContentionReport.java
@@ -34,11 +34,11 @@
                 .append(ContendedCell.WEIGHTS.values())
                 .append(
                         ". Waiting times run from the caller's planned send to the start at a"
-                                + " worker; batch tasks that never started count with their wait up to"
-                                + " the end.\n\n| policy | mean distance | distance by team | ")
-                .append("urgent, ms p50 / p99 | lookup | command | batch | packing % |")
+                                + " worker, for work that started.\n\n| policy | mean distance | distance by team | ")
+                .append(
+                        "urgent, ms p50 / p99 | lookup | command | batch | batch tasks started | packing % |")
                 .append(" requests not answered | jobs refused |\n")
-                .append("|---|---|---|---|---|---|---|---|---|---|\n");
+                .append("|---|---|---|---|---|---|---|---|---|---|---|\n");
         report.append(row("default", cell -> cell));
         report.append(row("first fit, arrival order", ContentionReport::arrivalOrder));
         return report.toString();
@@ -74,6 +74,9 @@
         for (String kind : List.of("urgent", "lookup", "command", "batch")) {
             line.append(" | ").append(text(waits.get(kind)));
         }
+        Histogram batch = waits.get("batch");
+        line.append(" | ").append(batch == null ? 0 : batch.getTotalCount());
+        line.append(" of ").append(run.submittedNanos().size() * ContendedCell.JOB_TASKS);
         line.append(String.format(Locale.ROOT, " | %.1f", PERCENT * all / capacity(run)));
         line.append(" | ").append(run.calls().stream().filter(c -> !c.isAnswered()).count());
         line.append(" of ").append(run.calls().size());
@@ -146,8 +149,10 @@
                 .forEach(
                         (job, submitted) -> {
                             for (int i = 0; i < ContendedCell.JOB_TASKS; i++) {
-                                long start = started.getOrDefault(job + "/" + i, run.endedNanos());
-                                record(waits, "batch", start - submitted);
+                                Long start = started.get(job + "/" + i);
+                                if (start != null) {
+                                    record(waits, "batch", start - submitted);
+                                }
                             }
                         });
         return waits;
--- a/standins/src/test/java/org/jujubefork/standins/delay/LookupCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/delay/LookupCell.java
@@ -84,22 +84,20 @@
 
     /** Returns calls to the worker that lookups through its owner also use. */
     Target direct(long runMillis) {
-        return direct("direct", WORKER, runMillis);
+        return direct(WORKER, DIRECT_CONNECTIONS, runMillis);
     }
 
-    /** Returns calls to the worker of the other region, whose connections the owner leaves. */
+    /** Returns calls to the worker of the other region, as many at once as it has slots. */
     Target directElsewhere(long runMillis) {
-        return direct("direct", OTHER_WORKER, runMillis);
+        return direct(OTHER_WORKER, SLOTS, runMillis);
     }
 
-    private Target direct(String name, String worker, long runMillis) {
+    private Target direct(String worker, int atOnce, long runMillis) {
         HistoryEvent lease = last(worker, EventType.LEASE);
         long incarnation = last(worker, EventType.WORKER).number("incarnation");
         URI uri = URI.create("http://" + cell.workerAddress(worker) + "/v1/tasks");
         return Target.bounded(
-                name,
-                id -> post(uri, start(lease, incarnation, id, runMillis)),
-                DIRECT_CONNECTIONS);
+                "direct", id -> post(uri, start(lease, incarnation, id, runMillis)), atOnce);
     }
 
     private HistoryEvent last(String worker, EventType type) {
--- a/standins/src/test/java/org/jujubefork/standins/delay/LookupReport.java
+++ b/standins/src/test/java/org/jujubefork/standins/delay/LookupReport.java
@@ -105,6 +105,7 @@
         line("|---|---|---|---|---|");
         List<Target> targets = List.of(cell.directElsewhere(runMillis), cell.owned(runMillis));
         double first = 0;
+        double firstDirect = 0;
         for (int rate : rates) {
             List<Call> calls =
                     loop.run(
@@ -121,14 +122,28 @@
                             direct.text(),
                             direct.notAnswered()));
             first = first == 0 ? owner.millis(50) : first;
+            firstDirect = firstDirect == 0 ? direct.millis(50) : firstDirect;
             if (owner.millis(50) >= 2 * first || owner.notAnswered() > 0) {
-                line(format("\nQueueing begins at the step of %d requests/s.", rate));
+                boolean slower = direct.millis(50) >= 2 * firstDirect;
+                line(
+                        format(
+                                "\nQueueing begins at the step of %d requests/s; the limit is %s.",
+                                rate, limit(rate, runMillis, slower)));
                 return;
             }
         }
         line("\nQueueing did not begin up to the last step.");
     }
 
+    private static String limit(int rate, long runMillis, boolean directSlower) {
+        if (rate * runMillis >= LookupCell.SLOTS * MILLIS_PER_SECOND) {
+            return "the number of the worker's slots";
+        }
+        return directSlower
+                ? "not the scheduler alone, because direct calls have slowed as well"
+                : "the scheduler, because direct calls have not slowed";
+    }
+
     private void bytes() throws Exception {
         line("\n## Bytes between entries per lookup\n");
         line(
