--- a/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/EntryVm.java
@@ -129,10 +129,6 @@
         }
     }
 
-    public String zone() {
-        return spec.zone();
-    }
-
     public String name() {
         return spec.name();
     }
