--- a/core/src/main/java/org/jujubefork/core/control/State.java
+++ b/core/src/main/java/org/jujubefork/core/control/State.java
@@ -14,7 +14,6 @@
 import org.jujubefork.core.placement.ShardState;
 import org.jujubefork.core.requests.RequestTable;
 import org.pcollections.PSortedMap;
-import org.pcollections.TreePMap;
 
 /**
  * The whole control state of an entry.
@@ -23,32 +22,18 @@
  * @param timing intervals and time limits
  * @param nowMillis the time of the newest event
  * @param configuration the configuration in force, once one is known
- * @param membership other entries, and store contact
- * @param fleet workers on the VM list
- * @param ownership what is known about the owners of shards
- * @param shards the shards that this entry owns
- * @param detached requests that were started in shards that this entry no longer owns
- * @param limits budgets
- * @param requests requests that callers sent to this entry
- * @param jobs jobs of the cell
+ * @param cell what is known of the rest of the cell
+ * @param work what this entry is responsible for
  * @param draining whether this entry is stopping
- * @param totals sums over the shards of other entries
  */
 public record State(
         EntryIdentity self,
         Timing timing,
         long nowMillis,
         Optional<Configuration> configuration,
-        MembershipState membership,
-        FleetState fleet,
-        OwnershipState ownership,
-        PSortedMap<ShardId, ShardState> shards,
-        PSortedMap<TaskId, RunningTask> detached,
-        LimitState limits,
-        RequestTable requests,
-        JobTable jobs,
-        boolean draining,
-        FleetTotals totals) {
+        CellView cell,
+        Work work,
+        boolean draining) {
     /** Returns the state of an entry that has just started. */
     public static State initial(EntryIdentity self, Timing timing, long nowMillis) {
         return new State(
@@ -56,250 +41,128 @@
                 timing,
                 nowMillis,
                 Optional.empty(),
-                MembershipState.initial(nowMillis),
-                FleetState.EMPTY,
-                OwnershipState.EMPTY,
-                TreePMap.empty(),
-                TreePMap.empty(),
-                LimitState.EMPTY,
-                RequestTable.EMPTY,
-                JobTable.EMPTY,
-                false,
-                FleetTotals.NONE);
+                CellView.initial(nowMillis),
+                Work.NONE,
+                false);
+    }
+
+    /** Returns what is known of other entries, and of the contact with the store. */
+    public MembershipState membership() {
+        return cell.membership();
+    }
+
+    /** Returns the workers on the VM list. */
+    public FleetState fleet() {
+        return cell.fleet();
+    }
+
+    /** Returns what is known about the owners of shards. */
+    public OwnershipState ownership() {
+        return cell.ownership();
+    }
+
+    /** Returns sums over the shards of other entries. */
+    public FleetTotals totals() {
+        return cell.totals();
+    }
+
+    /** Returns the shards that this entry owns. */
+    public PSortedMap<ShardId, ShardState> shards() {
+        return work.shards();
+    }
+
+    /** Returns requests that were started in shards that this entry no longer owns. */
+    public PSortedMap<TaskId, RunningTask> detached() {
+        return work.detached();
+    }
+
+    /** Returns the budgets. */
+    public LimitState limits() {
+        return work.limits();
+    }
+
+    /** Returns the requests that callers sent to this entry. */
+    public RequestTable requests() {
+        return work.requests();
+    }
+
+    /** Returns the jobs of the cell. */
+    public JobTable jobs() {
+        return work.jobs();
     }
 
     /** Returns this state at {@code millis}, or as it is if that lies before its time. */
     public State at(long millis) {
         return millis <= nowMillis
                 ? this
-                : new State(
-                        self,
-                        timing,
-                        millis,
-                        configuration,
-                        membership,
-                        fleet,
-                        ownership,
-                        shards,
-                        detached,
-                        limits,
-                        requests,
-                        jobs,
-                        draining,
-                        totals);
+                : new State(self, timing, millis, configuration, cell, work, draining);
     }
 
     /** Returns this state with {@code value} in force. */
     public State withConfiguration(Configuration value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                Optional.of(value),
-                membership,
-                fleet,
-                ownership,
-                shards,
-                detached,
-                limits,
-                requests,
-                jobs,
-                draining,
-                totals);
+        return new State(self, timing, nowMillis, Optional.of(value), cell, work, draining);
     }
 
     /** Returns this state with other membership. */
     public State withMembership(MembershipState value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                value,
-                fleet,
-                ownership,
-                shards,
-                detached,
-                limits,
-                requests,
-                jobs,
-                draining,
-                totals);
+        return withCell(new CellView(value, fleet(), ownership(), totals()));
     }
 
     /** Returns this state with another fleet. */
     public State withFleet(FleetState value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                value,
-                ownership,
-                shards,
-                detached,
-                limits,
-                requests,
-                jobs,
-                draining,
-                totals);
+        return withCell(new CellView(membership(), value, ownership(), totals()));
     }
 
     /** Returns this state with other knowledge of owners. */
     public State withOwnership(OwnershipState value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                value,
-                shards,
-                detached,
-                limits,
-                requests,
-                jobs,
-                draining,
-                totals);
+        return withCell(new CellView(membership(), fleet(), value, totals()));
+    }
+
+    /** Returns this state with other sums over the shards of other entries. */
+    public State withTotals(FleetTotals value) {
+        return withCell(new CellView(membership(), fleet(), ownership(), value));
     }
 
     /** Returns this state with {@code shard} added or replaced. */
     public State withShard(ShardState shard) {
-        return withShards(shards.plus(shard.id(), shard));
+        return withShards(shards().plus(shard.id(), shard));
     }
 
     /** Returns this state with other owned shards. */
     public State withShards(PSortedMap<ShardId, ShardState> value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                ownership,
-                value,
-                detached,
-                limits,
-                requests,
-                jobs,
-                draining,
-                totals);
+        return withWork(new Work(value, detached(), limits(), requests(), jobs()));
     }
 
     /** Returns this state with other detached tasks. */
     public State withDetached(PSortedMap<TaskId, RunningTask> value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                ownership,
-                shards,
-                value,
-                limits,
-                requests,
-                jobs,
-                draining,
-                totals);
+        return withWork(new Work(shards(), value, limits(), requests(), jobs()));
     }
 
     /** Returns this state with other budgets. */
     public State withLimits(LimitState value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                ownership,
-                shards,
-                detached,
-                value,
-                requests,
-                jobs,
-                draining,
-                totals);
+        return withWork(new Work(shards(), detached(), value, requests(), jobs()));
     }
 
     /** Returns this state with other requests. */
     public State withRequests(RequestTable value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                ownership,
-                shards,
-                detached,
-                limits,
-                value,
-                jobs,
-                draining,
-                totals);
+        return withWork(new Work(shards(), detached(), limits(), value, jobs()));
     }
 
     /** Returns this state with other jobs. */
     public State withJobs(JobTable value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                ownership,
-                shards,
-                detached,
-                limits,
-                requests,
-                value,
-                draining,
-                totals);
+        return withWork(new Work(shards(), detached(), limits(), requests(), value));
     }
 
     /** Returns this state marked as stopping. */
     public State withDraining() {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                ownership,
-                shards,
-                detached,
-                limits,
-                requests,
-                jobs,
-                true,
-                totals);
+        return new State(self, timing, nowMillis, configuration, cell, work, true);
     }
 
-    /** Returns this state with other sums over the shards of other entries. */
-    public State withTotals(FleetTotals value) {
-        return new State(
-                self,
-                timing,
-                nowMillis,
-                configuration,
-                membership,
-                fleet,
-                ownership,
-                shards,
-                detached,
-                limits,
-                requests,
-                jobs,
-                draining,
-                value);
+    private State withCell(CellView value) {
+        return new State(self, timing, nowMillis, configuration, value, work, draining);
+    }
+
+    private State withWork(Work value) {
+        return new State(self, timing, nowMillis, configuration, cell, value, draining);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/jobs/JobRecord.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobRecord.java
@@ -10,20 +10,13 @@
 import org.pcollections.PSortedMap;
 import org.pcollections.PSortedSet;
 import org.pcollections.PVector;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePSet;
 
 /**
  * A job as it stands in the store.
  *
- * @param id the job
- * @param team the team that is charged
- * @param queue the queue
- * @param kind batch, service or gang
- * @param name a name for people
- * @param tasks how many tasks or replicas
- * @param size the size of one task
- * @param payload the input of the tasks
- * @param submittedAtEpochMillis when it was accepted, in milliseconds since 1970 by the accepting
- *     entry's clock
+ * @param definition what was submitted
  * @param state its state
  * @param reason why it failed or cannot run; empty otherwise
  * @param parts which shard runs which tasks
@@ -34,15 +27,7 @@
  * @param progress the part that checkpointed tasks have done, from 0 to 1, by task index
  */
 public record JobRecord(
-        JobId id,
-        TeamId team,
-        QueueId queue,
-        WorkKind kind,
-        String name,
-        int tasks,
-        Resources size,
-        String payload,
-        long submittedAtEpochMillis,
+        JobDefinition definition,
         JobState state,
         String reason,
         PVector<JobPart> parts,
@@ -50,17 +35,72 @@
         PSortedMap<Integer, Integer> attempts,
         int run,
         PSortedMap<Integer, Double> progress) {
-    /** Checks the number of tasks and the run. */
+    /** Checks the run. */
     public JobRecord {
-        if (tasks < 1) {
-            throw new IllegalArgumentException(
-                    "job " + id + " must have at least 1 task: " + tasks);
-        }
         if (run < 1) {
-            throw new IllegalArgumentException("run of job " + id + " must be at least 1: " + run);
+            throw new IllegalArgumentException(
+                    "run of job " + definition.id() + " must be at least 1: " + run);
         }
     }
 
+    /** Returns the first record of a job, of which nothing has run. */
+    public static JobRecord submitted(JobDefinition definition, PVector<JobPart> parts) {
+        return new JobRecord(
+                definition,
+                JobState.ACTIVE,
+                "",
+                parts,
+                TreePSet.empty(),
+                TreePMap.empty(),
+                1,
+                TreePMap.empty());
+    }
+
+    /** Returns the job. */
+    public JobId id() {
+        return definition.id();
+    }
+
+    /** Returns the team that is charged. */
+    public TeamId team() {
+        return definition.team();
+    }
+
+    /** Returns the queue. */
+    public QueueId queue() {
+        return definition.queue();
+    }
+
+    /** Returns batch, service or gang. */
+    public WorkKind kind() {
+        return definition.kind();
+    }
+
+    /** Returns a name for people. */
+    public String name() {
+        return definition.name();
+    }
+
+    /** Returns how many tasks or replicas it has. */
+    public int tasks() {
+        return definition.tasks();
+    }
+
+    /** Returns the size of one task. */
+    public Resources size() {
+        return definition.size();
+    }
+
+    /** Returns the input of the tasks. */
+    public String payload() {
+        return definition.payload();
+    }
+
+    /** Returns when it was accepted, in milliseconds since 1970 by the accepting entry's clock. */
+    public long submittedAtEpochMillis() {
+        return definition.submittedAtEpochMillis();
+    }
+
     /** Returns how many attempts of the task {@code index} failed. */
     public int failedAttempts(int index) {
         Integer failed = attempts.get(index);
@@ -85,122 +125,27 @@
     }
 
     JobRecord withParts(PVector<JobPart> value) {
-        return new JobRecord(
-                id,
-                team,
-                queue,
-                kind,
-                name,
-                tasks,
-                size,
-                payload,
-                submittedAtEpochMillis,
-                state,
-                reason,
-                value,
-                succeeded,
-                attempts,
-                run,
-                progress);
+        return new JobRecord(definition, state, reason, value, succeeded, attempts, run, progress);
     }
 
     JobRecord in(JobState value, String why) {
-        return new JobRecord(
-                id,
-                team,
-                queue,
-                kind,
-                name,
-                tasks,
-                size,
-                payload,
-                submittedAtEpochMillis,
-                value,
-                why,
-                parts,
-                succeeded,
-                attempts,
-                run,
-                progress);
+        return new JobRecord(definition, value, why, parts, succeeded, attempts, run, progress);
     }
 
     JobRecord withSucceeded(PSortedSet<Integer> value) {
-        return new JobRecord(
-                id,
-                team,
-                queue,
-                kind,
-                name,
-                tasks,
-                size,
-                payload,
-                submittedAtEpochMillis,
-                state,
-                reason,
-                parts,
-                value,
-                attempts,
-                run,
-                progress);
+        return new JobRecord(definition, state, reason, parts, value, attempts, run, progress);
     }
 
     JobRecord withAttempts(PSortedMap<Integer, Integer> value) {
-        return new JobRecord(
-                id,
-                team,
-                queue,
-                kind,
-                name,
-                tasks,
-                size,
-                payload,
-                submittedAtEpochMillis,
-                state,
-                reason,
-                parts,
-                succeeded,
-                value,
-                run,
-                progress);
+        return new JobRecord(definition, state, reason, parts, succeeded, value, run, progress);
     }
 
     JobRecord withProgress(PSortedMap<Integer, Double> value) {
-        return new JobRecord(
-                id,
-                team,
-                queue,
-                kind,
-                name,
-                tasks,
-                size,
-                payload,
-                submittedAtEpochMillis,
-                state,
-                reason,
-                parts,
-                succeeded,
-                attempts,
-                run,
-                value);
+        return new JobRecord(definition, state, reason, parts, succeeded, attempts, run, value);
     }
 
     JobRecord inRun(int value) {
         return new JobRecord(
-                id,
-                team,
-                queue,
-                kind,
-                name,
-                tasks,
-                size,
-                payload,
-                submittedAtEpochMillis,
-                state,
-                reason,
-                parts,
-                succeeded,
-                attempts,
-                value,
-                progress);
+                definition, state, reason, parts, succeeded, attempts, value, progress);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/jobs/JobTable.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobTable.java
@@ -12,60 +12,56 @@
 /**
  * The jobs of the cell, as read from the store, and what this entry has to do about them.
  *
- * @param records records by job
- * @param active jobs that have not ended, by shard
- * @param ended ended jobs by the time at which this entry learned of the end
+ * @param stored the jobs of the cell
  * @param shards the jobs of owned shards
- * @param work what is to be added to records
- * @param due jobs by the time at which their next write is due
+ * @param writes what is to be added to records
  * @param submissions jobs of which the first record is being written
- * @param callers callers that wait for a write, by deadline
- * @param callersOf the same by job
- * @param windowMillis start of the current second of writes
- * @param windowWrites writes in that second
+ * @param waiting callers that wait for a write
  */
 public record JobTable(
-        PSortedMap<JobId, StoredJob> records,
-        PSortedMap<ShardId, PSortedSet<JobId>> active,
-        PSortedSet<DueJob> ended,
+        StoredJobs stored,
         PSortedMap<ShardId, ShardJobs> shards,
-        PSortedMap<JobId, JobWork> work,
-        PSortedSet<DueJob> due,
+        DueWrites writes,
         PSortedMap<JobId, Submission> submissions,
-        PSortedSet<JobCaller> callers,
-        PSortedMap<JobId, PSortedSet<JobCaller>> callersOf,
-        long windowMillis,
-        int windowWrites) {
+        WaitingCallers waiting) {
     /** No jobs. */
     public static final JobTable EMPTY =
             new JobTable(
+                    StoredJobs.EMPTY,
                     TreePMap.empty(),
+                    DueWrites.NONE,
                     TreePMap.empty(),
-                    TreePSet.empty(),
-                    TreePMap.empty(),
-                    TreePMap.empty(),
-                    TreePSet.empty(),
-                    TreePMap.empty(),
-                    TreePSet.empty(),
-                    TreePMap.empty(),
-                    0,
-                    0);
+                    WaitingCallers.NONE);
+
+    /** Returns the records by job. */
+    public PSortedMap<JobId, StoredJob> records() {
+        return stored.records();
+    }
+
+    /** Returns ended jobs by the time at which this entry learned of the end. */
+    public PSortedSet<DueJob> ended() {
+        return stored.ended();
+    }
+
+    /** Returns what is to be added to records, by job. */
+    public PSortedMap<JobId, JobWork> work() {
+        return writes.work();
+    }
 
     /** Returns the newest record of {@code job} that is known to be in the store. */
     public Optional<JobRecord> record(JobId job) {
-        return Optional.ofNullable(records.get(job)).map(StoredJob::record);
+        return Optional.ofNullable(records().get(job)).map(StoredJob::record);
     }
 
     /** Returns the record of {@code job} with what this entry has to add to it. */
     public Optional<JobRecord> view(JobId job) {
-        JobWork added = work.get(job);
+        JobWork added = work().get(job);
         return added != null && added.view().isPresent() ? added.view() : record(job);
     }
 
     /** Returns the active jobs of {@code shard}. */
     public PSortedSet<JobId> activeIn(ShardId shard) {
-        PSortedSet<JobId> jobs = active.get(shard);
-        return jobs == null ? TreePSet.empty() : jobs;
+        return stored.activeIn(shard);
     }
 
     /** Returns the jobs of an owned shard under {@code epoch}. */
@@ -89,72 +85,22 @@
         return new DueJob(record(job).map(JobRecord::submittedAtEpochMillis).orElse(0L), job);
     }
 
-    /** Returns this table with {@code stored}, unless it knows a newer record. */
-    JobTable withRecord(StoredJob stored, long nowMillis) {
-        JobRecord record = stored.record();
-        StoredJob known = records.get(record.id());
-        if (known != null && known.revision() >= stored.revision()) {
-            return this;
-        }
-        JobTable base = known == null ? this : unindexed(known.record());
-        PSortedSet<DueJob> endings = base.ended;
-        boolean wasFinal = known != null && known.record().state().isFinal();
-        if (record.state().isFinal() && !wasFinal) {
-            endings = endings.plus(new DueJob(nowMillis, record.id()));
-        }
-        PSortedMap<ShardId, PSortedSet<JobId>> index = base.active;
-        if (!record.state().isFinal()) {
-            for (JobPart part : record.parts()) {
-                PSortedSet<JobId> jobs = index.get(part.shard());
-                PSortedSet<JobId> others = jobs == null ? TreePSet.empty() : jobs;
-                index = index.plus(part.shard(), others.plus(record.id()));
-            }
-        }
-        return base.with(records.plus(record.id(), stored), index, endings);
+    /** Returns this table with {@code record}, unless it knows a newer one. */
+    JobTable withRecord(StoredJob record, long nowMillis) {
+        return withStored(stored.plus(record, nowMillis));
     }
 
     /** Returns this table without the record of {@code job}. */
     JobTable withoutRecord(JobId job) {
-        StoredJob known = records.get(job);
-        if (known == null) {
-            return this;
-        }
-        JobTable base = unindexed(known.record());
-        return base.with(records.minus(job), base.active, base.ended);
+        return withStored(stored.minus(job));
     }
 
-    private JobTable unindexed(JobRecord record) {
-        PSortedMap<ShardId, PSortedSet<JobId>> index = active;
-        for (JobPart part : record.parts()) {
-            PSortedSet<JobId> jobs = index.get(part.shard());
-            if (jobs != null) {
-                PSortedSet<JobId> rest = jobs.minus(record.id());
-                index = rest.isEmpty() ? index.minus(part.shard()) : index.plus(part.shard(), rest);
-            }
-        }
-        return with(records, index, ended);
-    }
-
-    private JobTable with(
-            PSortedMap<JobId, StoredJob> stored,
-            PSortedMap<ShardId, PSortedSet<JobId>> index,
-            PSortedSet<DueJob> endings) {
-        return new JobTable(
-                stored,
-                index,
-                endings,
-                shards,
-                work,
-                due,
-                submissions,
-                callers,
-                callersOf,
-                windowMillis,
-                windowWrites);
+    JobTable withEnded(PSortedSet<DueJob> value) {
+        return withStored(stored.withEnded(value));
     }
 
-    JobTable withEnded(PSortedSet<DueJob> value) {
-        return with(records, active, value);
+    private JobTable withStored(StoredJobs value) {
+        return new JobTable(value, shards, writes, submissions, waiting);
     }
 
     JobTable withShard(ShardId shard, ShardJobs value) {
@@ -162,111 +108,36 @@
     }
 
     JobTable withShards(PSortedMap<ShardId, ShardJobs> value) {
-        return new JobTable(
-                records,
-                active,
-                ended,
-                value,
-                work,
-                due,
-                submissions,
-                callers,
-                callersOf,
-                windowMillis,
-                windowWrites);
+        return new JobTable(stored, value, writes, submissions, waiting);
     }
 
-    /** Returns this table with other work for {@code job}; the index by due time follows. */
+    /** Returns this table with other work for {@code job}. */
     JobTable withWork(JobId job, Optional<JobWork> value) {
-        JobWork before = work.get(job);
-        PSortedSet<DueJob> times = due;
-        if (before != null) {
-            times = times.minus(new DueJob(before.dueMillis(), job));
-        }
-        if (value.isPresent()) {
-            times = times.plus(new DueJob(value.get().dueMillis(), job));
-        }
-        PSortedMap<JobId, JobWork> works =
-                value.map(w -> work.plus(job, w)).orElseGet(() -> work.minus(job));
-        return new JobTable(
-                records,
-                active,
-                ended,
-                shards,
-                works,
-                times,
-                submissions,
-                callers,
-                callersOf,
-                windowMillis,
-                windowWrites);
+        return withWrites(writes.with(job, value));
+    }
+
+    JobTable withWrites(DueWrites value) {
+        return new JobTable(stored, shards, value, submissions, waiting);
     }
 
     JobTable withSubmissions(PSortedMap<JobId, Submission> value) {
-        return new JobTable(
-                records,
-                active,
-                ended,
-                shards,
-                work,
-                due,
-                value,
-                callers,
-                callersOf,
-                windowMillis,
-                windowWrites);
+        return new JobTable(stored, shards, writes, value, waiting);
     }
 
     JobTable withCaller(JobCaller caller) {
-        PSortedSet<JobCaller> others = callersOf.get(caller.job());
-        PSortedSet<JobCaller> all = others == null ? TreePSet.empty() : others;
-        return withCallers(callers.plus(caller), callersOf.plus(caller.job(), all.plus(caller)));
+        return withWaiting(waiting.plus(caller));
     }
 
     JobTable withoutCaller(JobCaller caller) {
-        PSortedSet<JobCaller> others = callersOf.get(caller.job());
-        PSortedSet<JobCaller> rest = others == null ? TreePSet.empty() : others.minus(caller);
-        return withCallers(
-                callers.minus(caller),
-                rest.isEmpty()
-                        ? callersOf.minus(caller.job())
-                        : callersOf.plus(caller.job(), rest));
+        return withWaiting(waiting.minus(caller));
     }
 
-    /** Returns the callers that wait for {@code job}. */
-    PSortedSet<JobCaller> callersOf(JobId job) {
-        PSortedSet<JobCaller> waiting = callersOf.get(job);
-        return waiting == null ? TreePSet.empty() : waiting;
+    private JobTable withWaiting(WaitingCallers value) {
+        return new JobTable(stored, shards, writes, submissions, value);
     }
 
-    private JobTable withCallers(
-            PSortedSet<JobCaller> byDeadline, PSortedMap<JobId, PSortedSet<JobCaller>> byJob) {
-        return new JobTable(
-                records,
-                active,
-                ended,
-                shards,
-                work,
-                due,
-                submissions,
-                byDeadline,
-                byJob,
-                windowMillis,
-                windowWrites);
-    }
-
-    JobTable withWindow(long startMillis, int writes) {
-        return new JobTable(
-                records,
-                active,
-                ended,
-                shards,
-                work,
-                due,
-                submissions,
-                callers,
-                callersOf,
-                startMillis,
-                writes);
+    /** Returns the callers that wait for {@code job}. */
+    PSortedSet<JobCaller> callersOf(JobId job) {
+        return waiting.of(job);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/jobs/JobWrites.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/JobWrites.java
@@ -177,11 +177,11 @@
     static Transition tick(State state) {
         Transition result = Transition.of(freshWindow(state));
         while (true) {
-            JobTable table = result.state().jobs();
-            DueJob next = table.due().isEmpty() ? null : table.due().first();
+            DueWrites writes = result.state().jobs().writes();
+            DueJob next = writes.due().isEmpty() ? null : writes.due().first();
             if (next == null
                     || next.atMillis() > state.nowMillis()
-                    || table.windowWrites() >= MAX_WRITES_PER_SECOND) {
+                    || writes.windowWrites() >= MAX_WRITES_PER_SECOND) {
                 return result;
             }
             result = result.then(s -> due(s, next.job()));
@@ -190,8 +190,10 @@
 
     private static State freshWindow(State state) {
         JobTable table = state.jobs();
-        boolean over = state.nowMillis() - table.windowMillis() >= BATCH_MILLIS;
-        return over ? state.withJobs(table.withWindow(state.nowMillis(), 0)) : state;
+        boolean over = state.nowMillis() - table.writes().windowMillis() >= BATCH_MILLIS;
+        return over
+                ? state.withJobs(table.withWrites(table.writes().inWindow(state.nowMillis())))
+                : state;
     }
 
     private static Transition due(State state, JobId job) {
@@ -205,10 +207,8 @@
             return Transition.of(waitForRecord(state, job, work));
         }
         JobWork sent = work.sent(state.nowMillis() + GIVE_UP_MILLIS);
-        JobTable counted =
-                table.withWork(job, Optional.of(sent))
-                        .withWindow(table.windowMillis(), table.windowWrites() + 1);
-        return Transition.of(state.withJobs(counted))
+        DueWrites counted = table.writes().with(job, Optional.of(sent)).counted();
+        return Transition.of(state.withJobs(table.withWrites(counted)))
                 .with(new StoreEffect.WriteJob(stored.revision(), work.view().orElseThrow()));
     }
 
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/jobs/StoredJobs.java
@@ -0,0 +1,75 @@
+package org.jujubefork.core.jobs;
+
+import org.jujubefork.core.model.JobId;
+import org.jujubefork.core.model.ShardId;
+import org.pcollections.PSortedMap;
+import org.pcollections.PSortedSet;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePSet;
+
+/**
+ * The jobs of the cell, as read from the store.
+ *
+ * @param records records by job
+ * @param active jobs that have not ended, by shard
+ * @param ended ended jobs by the time at which this entry learned of the end
+ */
+public record StoredJobs(
+        PSortedMap<JobId, StoredJob> records,
+        PSortedMap<ShardId, PSortedSet<JobId>> active,
+        PSortedSet<DueJob> ended) {
+    static final StoredJobs EMPTY =
+            new StoredJobs(TreePMap.empty(), TreePMap.empty(), TreePSet.empty());
+
+    /** Returns the active jobs of {@code shard}. */
+    PSortedSet<JobId> activeIn(ShardId shard) {
+        return active.getOrDefault(shard, TreePSet.empty());
+    }
+
+    /** Returns these jobs with {@code stored}, unless a newer record is known. */
+    StoredJobs plus(StoredJob stored, long nowMillis) {
+        JobRecord record = stored.record();
+        StoredJob known = records.get(record.id());
+        if (known != null && known.revision() >= stored.revision()) {
+            return this;
+        }
+        PSortedSet<DueJob> endings = ended;
+        boolean wasFinal = known != null && known.record().state().isFinal();
+        if (record.state().isFinal() && !wasFinal) {
+            endings = endings.plus(new DueJob(nowMillis, record.id()));
+        }
+        PSortedMap<ShardId, PSortedSet<JobId>> index =
+                known == null ? active : activeWithout(known.record());
+        if (!record.state().isFinal()) {
+            for (JobPart part : record.parts()) {
+                PSortedSet<JobId> others = index.getOrDefault(part.shard(), TreePSet.empty());
+                index = index.plus(part.shard(), others.plus(record.id()));
+            }
+        }
+        return new StoredJobs(records.plus(record.id(), stored), index, endings);
+    }
+
+    /** Returns these jobs without {@code job}. */
+    StoredJobs minus(JobId job) {
+        StoredJob known = records.get(job);
+        return known == null
+                ? this
+                : new StoredJobs(records.minus(job), activeWithout(known.record()), ended);
+    }
+
+    StoredJobs withEnded(PSortedSet<DueJob> value) {
+        return new StoredJobs(records, active, value);
+    }
+
+    private PSortedMap<ShardId, PSortedSet<JobId>> activeWithout(JobRecord record) {
+        PSortedMap<ShardId, PSortedSet<JobId>> index = active;
+        for (JobPart part : record.parts()) {
+            PSortedSet<JobId> jobs = index.get(part.shard());
+            if (jobs != null) {
+                PSortedSet<JobId> rest = jobs.minus(record.id());
+                index = rest.isEmpty() ? index.minus(part.shard()) : index.plus(part.shard(), rest);
+            }
+        }
+        return index;
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/jobs/Submissions.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Submissions.java
@@ -22,8 +22,6 @@
 import org.jujubefork.core.model.WorkKind;
 import org.jujubefork.core.requests.Requests;
 import org.pcollections.PVector;
-import org.pcollections.TreePMap;
-import org.pcollections.TreePSet;
 import org.pcollections.TreePVector;
 
 /** Takes jobs and cancellations from callers. */
@@ -85,23 +83,18 @@
     private static JobRecord firstRecord(
             JobEvent.JobSubmitted event, Queue queue, Resources size, PVector<JobPart> parts) {
         JobSpec spec = event.spec();
-        return new JobRecord(
-                event.job(),
-                queue.team(),
-                queue.id(),
-                queue.kind(),
-                spec.name(),
-                spec.tasks(),
-                size,
-                spec.payload(),
-                event.epochMillis(),
-                JobState.ACTIVE,
-                "",
-                parts,
-                TreePSet.empty(),
-                TreePMap.empty(),
-                1,
-                TreePMap.empty());
+        return JobRecord.submitted(
+                new JobDefinition(
+                        event.job(),
+                        queue.team(),
+                        queue.id(),
+                        queue.kind(),
+                        spec.name(),
+                        spec.tasks(),
+                        size,
+                        spec.payload(),
+                        event.epochMillis()),
+                parts);
     }
 
     private static Transition create(State state, JobRecord record, boolean uncertain) {
@@ -313,11 +306,11 @@
         }
         while (true) {
             JobTable table = result.state().jobs();
-            if (table.callers().isEmpty()
-                    || table.callers().first().deadlineMillis() > state.nowMillis()) {
+            if (table.waiting().byDeadline().isEmpty()
+                    || table.waiting().byDeadline().first().deadlineMillis() > state.nowMillis()) {
                 return result;
             }
-            JobCaller late = table.callers().first();
+            JobCaller late = table.waiting().byDeadline().first();
             result = result.then(s -> expired(s, late));
         }
     }
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/jobs/WaitingCallers.java
@@ -0,0 +1,35 @@
+package org.jujubefork.core.jobs;
+
+import org.jujubefork.core.model.JobId;
+import org.pcollections.PSortedMap;
+import org.pcollections.PSortedSet;
+import org.pcollections.TreePMap;
+import org.pcollections.TreePSet;
+
+/**
+ * Callers that wait for a write.
+ *
+ * @param byDeadline all of them, by deadline
+ * @param byJob the same by job
+ */
+public record WaitingCallers(
+        PSortedSet<JobCaller> byDeadline, PSortedMap<JobId, PSortedSet<JobCaller>> byJob) {
+    static final WaitingCallers NONE = new WaitingCallers(TreePSet.empty(), TreePMap.empty());
+
+    /** Returns those that wait for {@code job}. */
+    PSortedSet<JobCaller> of(JobId job) {
+        return byJob.getOrDefault(job, TreePSet.empty());
+    }
+
+    WaitingCallers plus(JobCaller caller) {
+        return new WaitingCallers(
+                byDeadline.plus(caller), byJob.plus(caller.job(), of(caller.job()).plus(caller)));
+    }
+
+    WaitingCallers minus(JobCaller caller) {
+        PSortedSet<JobCaller> rest = of(caller.job()).minus(caller);
+        return new WaitingCallers(
+                byDeadline.minus(caller),
+                rest.isEmpty() ? byJob.minus(caller.job()) : byJob.plus(caller.job(), rest));
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/membership/ConfigurationSync.java
+++ b/core/src/main/java/org/jujubefork/core/membership/ConfigurationSync.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.membership;
 
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
@@ -30,12 +31,10 @@
             return Transition.of(state);
         }
         State replaced =
-                state.configuration().isEmpty()
-                        ? state
-                        : state.withMembership(
-                                state.membership()
-                                        .replacedConfiguration(
-                                                state.configuration().get().expectedEntries()));
+                state.configuration()
+                        .map(Configuration::expectedEntries)
+                        .map(n -> state.withMembership(checked(state, c -> c.replacing(n))))
+                        .orElse(state);
         String source = event.peer().map(p -> "from " + p).orElse("from the store");
         return Transition.of(replaced.withConfiguration(loaded))
                 .with(
@@ -67,7 +66,8 @@
      */
     static Transition recordProbe(State state, MembershipEvent.ProbeReplied reply) {
         Optional<Member> member = state.membership().member(reply.from());
-        if (member.isEmpty() || !state.membership().probeRounds().contains(reply.probeId())) {
+        if (member.isEmpty()
+                || !state.membership().checks().probeRounds().contains(reply.probeId())) {
             return Transition.of(state);
         }
         Member probed = member.get().probed(reply.probeId(), reply.configurationVersion());
@@ -81,7 +81,8 @@
         if (version <= versionOf(state) || sinceFetch < FETCH_INTERVAL_MILLIS) {
             return Transition.of(state);
         }
-        return Transition.of(state.withMembership(state.membership().fetched(state.nowMillis())))
+        return Transition.of(
+                        state.withMembership(checked(state, c -> c.fetched(state.nowMillis()))))
                 .with(new GossipEffect.FetchConfiguration(row.id(), row.peerAddress()));
     }
 
@@ -96,6 +97,11 @@
         return Transition.of(state);
     }
 
+    private static MembershipState checked(State state, UnaryOperator<ConfigurationChecks> change) {
+        MembershipState membership = state.membership();
+        return membership.withChecks(change.apply(membership.checks()));
+    }
+
     /** Sends a round of probes if the store cannot be reached. */
     static Transition probeIfDue(State state) {
         MembershipState membership = state.membership();
@@ -104,7 +110,7 @@
         if (!storeSilent || now - membership.probedAtMillis() < PROBE_INTERVAL_MILLIS) {
             return Transition.of(state);
         }
-        Transition result = Transition.of(state.withMembership(membership.probed(now)));
+        Transition result = Transition.of(state.withMembership(checked(state, c -> c.probed(now))));
         for (Member member : membership.members().values()) {
             if (Membership.isAlive(state, member)) {
                 result = result.with(new GossipEffect.SendProbe(member.row().peerAddress(), now));
--- a/core/src/main/java/org/jujubefork/core/placement/Reports.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Reports.java
@@ -69,8 +69,8 @@
         }
         Resources learned = owned.scheduling().learnedSize(task.spec().queue(), task.spec().size());
         RunningTask adopted =
-                RunningTask.starting(task.spec(), worker, state.nowMillis(), Optional.empty())
-                        .charged(learned)
+                RunningTask.starting(
+                                task.spec(), worker, state.nowMillis(), Optional.empty(), learned)
                         .reported(task.usage(), task.progress(), state.nowMillis());
         return Jobs.taskPlaced(state.withShard(owned.place(adopted)), shard, adopted);
     }
--- a/core/src/main/java/org/jujubefork/core/placement/Starts.java
+++ b/core/src/main/java/org/jujubefork/core/placement/Starts.java
@@ -99,10 +99,8 @@
         WorkerState chosen = owned.workers().get(worker);
         Optional<QueuedWork.Request> request =
                 work instanceof QueuedWork.Request r ? Optional.of(r) : Optional.empty();
-        Optional<RequestOrigin> origin = request.map(QueuedWork.Request::origin);
         Resources learned = owned.scheduling().learnedSize(work.queue(), work.size());
-        RunningTask bare = RunningTask.starting(spec, worker, nowMillis, origin).charged(learned);
-        RunningTask task = request.map(bare::startedFor).orElse(bare);
+        RunningTask task = RunningTask.starting(spec, worker, nowMillis, request, learned);
         effects.add(
                 new WorkerEffect.StartTask(
                         worker,
@@ -110,7 +108,7 @@
                         owned.epoch(),
                         chosen.incarnation(),
                         spec,
-                        origin.map(RequestOrigin::request)));
+                        task.origin().map(RequestOrigin::request)));
         effects.add(
                 new LogDecision(
                         DecisionKind.PLACED,
--- a/core/src/main/java/org/jujubefork/core/placement/WorkerState.java
+++ b/core/src/main/java/org/jujubefork/core/placement/WorkerState.java
@@ -15,45 +15,84 @@
  *
  * @param listing the worker on the VM list
  * @param phase whether it takes work
- * @param incarnation its run, 0 until the lease is granted
- * @param leaving whether it takes no new work
+ * @param reported what it said of itself
  * @param health whether it runs what it starts
- * @param capacity what it holds in all
- * @param slots how many requests it serves at a time
  * @param load what is placed on it
  * @param reserved what is kept for a gang
- * @param acknowledgements ended tasks that the next renewal acknowledges
- * @param askedAtMillis when the lease was last asked for or renewed
- * @param leaseSentMillis send time of the newest request that the worker granted
+ * @param lease the requests for its lease
  */
 public record WorkerState(
         WorkerListing listing,
         WorkerPhase phase,
-        long incarnation,
-        boolean leaving,
+        Reported reported,
         WorkerHealth health,
-        Resources capacity,
-        int slots,
         Load load,
         Resources reserved,
-        PVector<TaskId> acknowledgements,
-        long askedAtMillis,
-        long leaseSentMillis) {
+        Lease lease) {
+    /**
+     * What a worker said of itself, or what the VM list says until the lease is granted.
+     *
+     * @param incarnation its run, 0 until the lease is granted
+     * @param leaving whether it takes no new work
+     * @param capacity what it holds in all
+     * @param slots how many requests it serves at a time
+     */
+    public record Reported(long incarnation, boolean leaving, Resources capacity, int slots) {}
+
+    /**
+     * The requests for the lease of a worker.
+     *
+     * @param acknowledgements ended tasks that the next renewal acknowledges
+     * @param askedAtMillis when the lease was last asked for or renewed
+     * @param sentMillis send time of the newest request that the worker granted
+     */
+    public record Lease(PVector<TaskId> acknowledgements, long askedAtMillis, long sentMillis) {}
+
     /** Returns a worker whose lease is being asked for. */
     public static WorkerState acquiring(WorkerListing listing, long nowMillis) {
         return new WorkerState(
                 listing,
                 WorkerPhase.ACQUIRING,
-                0,
-                listing.leaving(),
+                new Reported(0, listing.leaving(), listing.capacity(), listing.slots()),
                 WorkerHealth.GOOD,
-                listing.capacity(),
-                listing.slots(),
                 Load.NONE,
                 Resources.ZERO,
-                TreePVector.empty(),
-                nowMillis,
-                nowMillis);
+                new Lease(TreePVector.empty(), nowMillis, nowMillis));
+    }
+
+    /** Returns its run, 0 until the lease is granted. */
+    public long incarnation() {
+        return reported.incarnation();
+    }
+
+    /** Returns whether it takes no new work. */
+    public boolean leaving() {
+        return reported.leaving();
+    }
+
+    /** Returns what it holds in all. */
+    public Resources capacity() {
+        return reported.capacity();
+    }
+
+    /** Returns how many requests it serves at a time. */
+    public int slots() {
+        return reported.slots();
+    }
+
+    /** Returns ended tasks that the next renewal acknowledges. */
+    public PVector<TaskId> acknowledgements() {
+        return lease.acknowledgements();
+    }
+
+    /** Returns when the lease was last asked for or renewed. */
+    public long askedAtMillis() {
+        return lease.askedAtMillis();
+    }
+
+    /** Returns the send time of the newest request that the worker granted. */
+    public long leaseSentMillis() {
+        return lease.sentMillis();
     }
 
     /** Returns the worker's id. */
@@ -83,22 +122,22 @@
 
     /** Returns what is free by declared and by observed sizes, without regard to reservations. */
     public Resources free() {
-        return capacity.minus(load.taken()).max(Resources.ZERO);
+        return capacity().minus(load.taken()).max(Resources.ZERO);
     }
 
     /** Returns what is free for work other than the gang that reserved a part. */
     public Resources available() {
-        return capacity.minus(load.taken()).minus(reserved).max(Resources.ZERO);
+        return capacity().minus(load.taken()).minus(reserved).max(Resources.ZERO);
     }
 
     /** Returns how many request slots are free. */
     public int freeSlots() {
-        return Math.max(0, slots - load.usedSlots());
+        return Math.max(0, slots() - load.usedSlots());
     }
 
     /** Returns whether work may be placed here. */
     public boolean isEligible() {
-        return phase == WorkerPhase.ACTIVE && !leaving && health.takesWork();
+        return phase == WorkerPhase.ACTIVE && !leaving() && health.takesWork();
     }
 
     /** Returns whether more work may fit here than on {@code before}. */
@@ -130,120 +169,52 @@
     }
 
     private WorkerState with(Load sums, WorkerHealth condition) {
-        return new WorkerState(
-                listing,
-                phase,
-                incarnation,
-                leaving,
-                condition,
-                capacity,
-                slots,
-                sums,
-                reserved,
-                acknowledgements,
-                askedAtMillis,
-                leaseSentMillis);
+        return new WorkerState(listing, phase, reported, condition, sums, reserved, lease);
+    }
+
+    private WorkerState with(Lease requests) {
+        return new WorkerState(listing, phase, reported, health, load, reserved, requests);
     }
 
     /** Returns this worker with {@code amount} kept for a gang. */
     WorkerState reserving(Resources amount) {
-        return new WorkerState(
-                listing,
-                phase,
-                incarnation,
-                leaving,
-                health,
-                capacity,
-                slots,
-                load,
-                amount,
-                acknowledgements,
-                askedAtMillis,
-                leaseSentMillis);
+        return new WorkerState(listing, phase, reported, health, load, amount, lease);
     }
 
     /** Returns this worker after it granted a request that was sent at {@code sentAtMillis}. */
     WorkerState granted(WorkerReport report, long sentAtMillis) {
+        boolean goes = report.leaving() || listing.leaving();
+        long newest = Math.max(lease.sentMillis(), sentAtMillis);
         return new WorkerState(
                 listing,
                 WorkerPhase.ACTIVE,
-                report.incarnation(),
-                report.leaving() || listing.leaving(),
+                new Reported(report.incarnation(), goes, report.capacity(), report.slots()),
                 health,
-                report.capacity(),
-                report.slots(),
                 load,
                 reserved,
-                acknowledgements,
-                askedAtMillis,
-                Math.max(leaseSentMillis, sentAtMillis));
+                new Lease(lease.acknowledgements(), lease.askedAtMillis(), newest));
     }
 
     /** Returns this worker in another phase. */
     WorkerState in(WorkerPhase other) {
-        return new WorkerState(
-                listing,
-                other,
-                incarnation,
-                leaving,
-                health,
-                capacity,
-                slots,
-                load,
-                reserved,
-                acknowledgements,
-                askedAtMillis,
-                leaseSentMillis);
+        return new WorkerState(listing, other, reported, health, load, reserved, lease);
     }
 
     /** Returns this worker after a lease request was sent. */
     WorkerState asked(long nowMillis) {
-        return new WorkerState(
-                listing,
-                phase,
-                incarnation,
-                leaving,
-                health,
-                capacity,
-                slots,
-                load,
-                reserved,
-                TreePVector.empty(),
-                nowMillis,
-                leaseSentMillis);
+        return with(new Lease(TreePVector.empty(), nowMillis, lease.sentMillis()));
     }
 
     /** Returns this worker as the VM list shows it now; empty if it is no longer listed. */
     WorkerState listed(Optional<WorkerListing> now) {
-        return new WorkerState(
-                now.orElse(listing),
-                phase,
-                incarnation,
-                now.map(WorkerListing::leaving).orElse(true),
-                health,
-                capacity,
-                slots,
-                load,
-                reserved,
-                acknowledgements,
-                askedAtMillis,
-                leaseSentMillis);
+        boolean goes = now.map(WorkerListing::leaving).orElse(true);
+        Reported known = new Reported(incarnation(), goes, capacity(), slots());
+        return new WorkerState(now.orElse(listing), phase, known, health, load, reserved, lease);
     }
 
     /** Returns this worker with {@code task} to be acknowledged by the next renewal. */
     WorkerState acknowledging(TaskId task) {
-        return new WorkerState(
-                listing,
-                phase,
-                incarnation,
-                leaving,
-                health,
-                capacity,
-                slots,
-                load,
-                reserved,
-                acknowledgements.plus(task),
-                askedAtMillis,
-                leaseSentMillis);
+        PVector<TaskId> ended = lease.acknowledgements().plus(task);
+        return with(new Lease(ended, lease.askedAtMillis(), lease.sentMillis()));
     }
 }
--- a/core/src/main/java/org/jujubefork/core/requests/FrontRequest.java
+++ b/core/src/main/java/org/jujubefork/core/requests/FrontRequest.java
@@ -7,176 +7,117 @@
 import org.jujubefork.core.model.RequestId;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.WorkKind;
-import org.pcollections.PSortedSet;
-import org.pcollections.TreePSet;
 
 /**
  * A request at the entry that received it from the caller.
  *
- * @param id the request
- * @param queue the queue as configured when the request arrived
+ * @param call what the caller sent
  * @param phase how far it has come
- * @param arrivedAtMillis when it arrived
- * @param deadlineMillis when its answer is due
- * @param claimKey the key of its claim; empty for idempotent requests
  * @param claimWritten whether the claim may be in the store
- * @param tried shards that were tried without success
+ * @param past attempts that have ended
  * @param shard the shard that is being tried
  * @param owner the entry to which it was forwarded
- * @param random for choices between equal shards
- * @param maybeRan whether an earlier attempt may have run
- * @param declined shards whose owner reported it back because the team's budget was used up
- * @param returnable whether the owner of the shard may report it back for this reason; a retry is
- *     then paid for already
+ * @param returnable whether the owner of the shard may report it back because the team's budget is
+ *     used up; a retry is then paid for already
  */
 public record FrontRequest(
-        RequestId id,
-        Queue queue,
+        Call call,
         RequestPhase phase,
-        long arrivedAtMillis,
-        long deadlineMillis,
-        Optional<String> claimKey,
         boolean claimWritten,
-        PSortedSet<ShardId> tried,
+        PastAttempts past,
         Optional<ShardId> shard,
         Optional<EntryId> owner,
-        long random,
-        boolean maybeRan,
-        PSortedSet<ShardId> declined,
         boolean returnable) {
+    /**
+     * A request as it arrived.
+     *
+     * @param id the request
+     * @param queue the queue as configured when the request arrived
+     * @param arrivedAtMillis when it arrived
+     * @param deadlineMillis when its answer is due
+     * @param claimKey the key of its claim; empty for idempotent requests
+     * @param random for choices between equal shards
+     */
+    public record Call(
+            RequestId id,
+            Queue queue,
+            long arrivedAtMillis,
+            long deadlineMillis,
+            Optional<String> claimKey,
+            long random) {}
+
     /** Returns a request that has just arrived. */
     static FrontRequest arrived(
             RequestId id, Queue queue, long nowMillis, Optional<String> claimKey, long random) {
+        long deadline = nowMillis + queue.timeoutMillis();
         return new FrontRequest(
-                id,
-                queue,
+                new Call(id, queue, nowMillis, deadline, claimKey, random),
                 claimKey.isPresent() ? RequestPhase.CLAIMING : RequestPhase.LOCAL,
-                nowMillis,
-                nowMillis + queue.timeoutMillis(),
-                claimKey,
                 false,
-                TreePSet.empty(),
+                PastAttempts.NONE,
                 Optional.empty(),
                 Optional.empty(),
-                random,
-                false,
-                TreePSet.empty(),
                 false);
     }
 
+    /** Returns the request. */
+    public RequestId id() {
+        return call.id();
+    }
+
+    /** Returns the queue as configured when the request arrived. */
+    public Queue queue() {
+        return call.queue();
+    }
+
+    /** Returns when it arrived. */
+    public long arrivedAtMillis() {
+        return call.arrivedAtMillis();
+    }
+
+    /** Returns when its answer is due. */
+    public long deadlineMillis() {
+        return call.deadlineMillis();
+    }
+
+    /** Returns the key of its claim; empty for idempotent requests. */
+    public Optional<String> claimKey() {
+        return call.claimKey();
+    }
+
     /** Returns whether it may be executed more than once. */
     boolean isIdempotent() {
-        return queue.kind() == WorkKind.LOOKUP;
+        return queue().kind() == WorkKind.LOOKUP;
     }
 
     FrontRequest in(RequestPhase other) {
-        return new FrontRequest(
-                id,
-                queue,
-                other,
-                arrivedAtMillis,
-                deadlineMillis,
-                claimKey,
-                claimWritten,
-                tried,
-                shard,
-                owner,
-                random,
-                maybeRan,
-                declined,
-                returnable);
+        return new FrontRequest(call, other, claimWritten, past, shard, owner, returnable);
     }
 
     FrontRequest withClaim() {
-        return new FrontRequest(
-                id,
-                queue,
-                phase,
-                arrivedAtMillis,
-                deadlineMillis,
-                claimKey,
-                true,
-                tried,
-                shard,
-                owner,
-                random,
-                maybeRan,
-                declined,
-                returnable);
+        return new FrontRequest(call, phase, true, past, shard, owner, returnable);
     }
 
     FrontRequest routedTo(ShardId target, Optional<EntryId> entry, boolean mayReturn) {
         RequestPhase next = entry.isPresent() ? RequestPhase.FORWARDED : RequestPhase.LOCAL;
         return new FrontRequest(
-                id,
-                queue,
-                next,
-                arrivedAtMillis,
-                deadlineMillis,
-                claimKey,
-                claimWritten,
-                tried,
-                Optional.of(target),
-                entry,
-                random,
-                maybeRan,
-                declined,
-                mayReturn);
+                call, next, claimWritten, past, Optional.of(target), entry, mayReturn);
     }
 
     FrontRequest afterAttempt(Outcome outcome) {
-        PSortedSet<ShardId> all = shard.map(tried::plus).orElse(tried);
+        PastAttempts ended = past.plus(shard, outcome);
         return new FrontRequest(
-                id,
-                queue,
-                phase,
-                arrivedAtMillis,
-                deadlineMillis,
-                claimKey,
-                claimWritten,
-                all,
-                Optional.empty(),
-                Optional.empty(),
-                random,
-                maybeRan || outcome == Outcome.UNKNOWN,
-                declined,
-                returnable);
+                call, phase, claimWritten, ended, Optional.empty(), Optional.empty(), returnable);
     }
 
     FrontRequest withoutTried() {
-        return new FrontRequest(
-                id,
-                queue,
-                phase,
-                arrivedAtMillis,
-                deadlineMillis,
-                claimKey,
-                claimWritten,
-                TreePSet.empty(),
-                shard,
-                owner,
-                random,
-                maybeRan,
-                declined,
-                returnable);
+        PastAttempts forgotten = past.withoutTried();
+        return new FrontRequest(call, phase, claimWritten, forgotten, shard, owner, returnable);
     }
 
     /** Returns this request after an attempt that was returnable, or was returned. */
     FrontRequest notReturnable(boolean wasDeclined) {
-        return new FrontRequest(
-                id,
-                queue,
-                phase,
-                arrivedAtMillis,
-                deadlineMillis,
-                claimKey,
-                claimWritten,
-                tried,
-                shard,
-                owner,
-                random,
-                maybeRan,
-                wasDeclined ? shard.map(declined::plus).orElse(declined) : declined,
-                false);
+        PastAttempts noted = wasDeclined ? past.declinedBy(shard) : past;
+        return new FrontRequest(call, phase, claimWritten, noted, shard, owner, false);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -191,7 +191,7 @@
      */
     private static boolean isReturnable(State state, FrontRequest request, Routing.Route route) {
         return route.budgetElsewhere()
-                && !request.declined().contains(route.shard())
+                && !request.past().declined().contains(route.shard())
                 && state.requests().retries().allows()
                 && Limits.isBinding(state, request.queue().team());
     }
@@ -294,7 +294,8 @@
         State noted = avoidFailed(refunded, ended, result);
         boolean safe = result.outcome() == Outcome.NOT_RUN || request.isIdempotent();
         // One more try tells a bad worker from a request that fails wherever it runs.
-        boolean failedAgain = result.reason() == RefusalReason.TASK_FAILED && request.maybeRan();
+        boolean failedAgain =
+                result.reason() == RefusalReason.TASK_FAILED && request.past().maybeRan();
         boolean wanted =
                 result.outcome() != Outcome.DONE && result.retryElsewhere() && safe && !failedAgain;
         boolean inTime = state.nowMillis() < request.deadlineMillis();
@@ -362,7 +363,7 @@
 
     /** Returns what is known of all attempts if {@code last} is the result of the last one. */
     private static AttemptResult overall(FrontRequest request, AttemptResult last) {
-        return request.maybeRan() && last.outcome() == Outcome.NOT_RUN
+        return request.past().maybeRan() && last.outcome() == Outcome.NOT_RUN
                 ? new AttemptResult(Outcome.UNKNOWN, last.reason(), last.retryAfterMillis(), false)
                 : last;
     }
--- a/core/src/main/java/org/jujubefork/core/requests/Routing.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Routing.java
@@ -136,13 +136,13 @@
                 cheapest.costMillis()
                         + Math.max(NEAR_MILLIS, NEAR_PART_OF_WAIT * cheapest.waitMillis());
         List<Route> near = routes.stream().filter(r -> r.costMillis() <= bound).toList();
-        int index = (int) Long.remainderUnsigned(request.random(), near.size());
+        int index = (int) Long.remainderUnsigned(request.call().random(), near.size());
         return Optional.of(near.get(index).among(routes));
     }
 
     private static void addOwned(State state, FrontRequest request, List<Route> routes) {
         for (ShardState shard : state.shards().values()) {
-            if (!request.tried().contains(shard.id()) && shard.index().size() > 0) {
+            if (!request.past().tried().contains(shard.id()) && shard.index().size() > 0) {
                 double wait =
                         waitCost(
                                 shard.index().byFree().freeSlots(),
@@ -178,7 +178,7 @@
             for (var entry : member.row().shards().entrySet()) {
                 ShardId shard = entry.getKey();
                 ShardSummary summary = entry.getValue();
-                if (request.tried().contains(shard)
+                if (request.past().tried().contains(shard)
                         || state.shards().containsKey(shard)
                         || summary.workers() == 0) {
                     continue;
@@ -207,7 +207,7 @@
 
     private static Budget budget(
             State state, FrontRequest request, ShardId shard, boolean room, boolean fits) {
-        if (!fits || request.declined().contains(shard)) {
+        if (!fits || request.past().declined().contains(shard)) {
             return Budget.NONE;
         }
         boolean reported =
--- a/core/src/test/java/org/jujubefork/core/explain/ExplainTest.java
+++ b/core/src/test/java/org/jujubefork/core/explain/ExplainTest.java
@@ -20,9 +20,9 @@
 import org.jujubefork.core.event.LimitEvent;
 import org.jujubefork.core.event.StoreEvent;
 import org.jujubefork.core.event.Tick;
+import org.jujubefork.core.jobs.JobDefinition;
 import org.jujubefork.core.jobs.JobPart;
 import org.jujubefork.core.jobs.JobRecord;
-import org.jujubefork.core.jobs.JobState;
 import org.jujubefork.core.jobs.StoredJob;
 import org.jujubefork.core.limits.BudgetRow;
 import org.jujubefork.core.limits.Ledger;
@@ -39,8 +39,6 @@
 import org.jujubefork.core.model.WorkerListing;
 import org.jujubefork.core.model.WorkerReport;
 import org.pcollections.HashTreePMap;
-import org.pcollections.TreePMap;
-import org.pcollections.TreePSet;
 import org.pcollections.TreePVector;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -118,23 +116,10 @@
     private PartExplanation explain(WorkKind kind, int tasks, Resources size, ShardId shard) {
         JobId job = JobId.of("job-" + kind + "-" + tasks);
         JobRecord record =
-                new JobRecord(
-                        job,
-                        TEAM,
-                        QueueId.of("batch"),
-                        kind,
-                        "name",
-                        tasks,
-                        size,
-                        "",
-                        0,
-                        JobState.ACTIVE,
-                        "",
-                        TreePVector.singleton(JobPart.of(shard, 0, tasks)),
-                        TreePSet.empty(),
-                        TreePMap.empty(),
-                        1,
-                        TreePMap.empty());
+                JobRecord.submitted(
+                        new JobDefinition(
+                                job, TEAM, QueueId.of("batch"), kind, "name", tasks, size, "", 0),
+                        TreePVector.singleton(JobPart.of(shard, 0, tasks)));
         apply(
                 new JobEvent.JobRecordsChanged(
                         now,
--- a/core/src/test/java/org/jujubefork/core/jobs/ProgressTest.java
+++ b/core/src/test/java/org/jujubefork/core/jobs/ProgressTest.java
@@ -14,8 +14,6 @@
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.WorkKind;
-import org.pcollections.TreePMap;
-import org.pcollections.TreePSet;
 import org.pcollections.TreePVector;
 import org.testng.Reporter;
 import org.testng.annotations.Test;
@@ -23,23 +21,18 @@
 /** Guards against ends that are counted twice, or that depend on the order of their arrival. */
 public final class ProgressTest {
     private static JobRecord record(WorkKind kind, int tasks) {
-        return new JobRecord(
-                JobId.of("job"),
-                JobsFixtures.TEAM,
-                JobsFixtures.queue(kind),
-                kind,
-                "name",
-                tasks,
-                JobsFixtures.CORE,
-                "",
-                0,
-                JobState.ACTIVE,
-                "",
-                TreePVector.singleton(JobPart.of(ShardId.of("zone-0"), 0, tasks)),
-                TreePSet.empty(),
-                TreePMap.empty(),
-                1,
-                TreePMap.empty());
+        return JobRecord.submitted(
+                new JobDefinition(
+                        JobId.of("job"),
+                        JobsFixtures.TEAM,
+                        JobsFixtures.queue(kind),
+                        kind,
+                        "name",
+                        tasks,
+                        JobsFixtures.CORE,
+                        "",
+                        0),
+                TreePVector.singleton(JobPart.of(ShardId.of("zone-0"), 0, tasks)));
     }
 
     private static PendingEnd end(int index, int attempt, EndReason reason) {
--- a/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/JobCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
+import org.jujubefork.core.jobs.JobDefinition;
 import org.jujubefork.core.jobs.JobPart;
 import org.jujubefork.core.jobs.JobRecord;
 import org.jujubefork.core.jobs.JobState;
@@ -85,15 +86,16 @@
             progress = progress.plus(Integer.parseInt(entry.getKey()), entry.getValue().asDouble());
         }
         return new JobRecord(
-                JobId.of(RecordJson.text(node, "id")),
-                TeamId.of(RecordJson.text(node, "team")),
-                QueueId.of(RecordJson.text(node, "queue")),
-                WorkKind.valueOf(RecordJson.text(node, "kind")),
-                RecordJson.text(node, "name"),
-                RecordJson.integer(node, "tasks"),
-                RecordJson.resources(node.required("size")),
-                RecordJson.text(node, "payload"),
-                RecordJson.number(node, "submittedAt"),
+                new JobDefinition(
+                        JobId.of(RecordJson.text(node, "id")),
+                        TeamId.of(RecordJson.text(node, "team")),
+                        QueueId.of(RecordJson.text(node, "queue")),
+                        WorkKind.valueOf(RecordJson.text(node, "kind")),
+                        RecordJson.text(node, "name"),
+                        RecordJson.integer(node, "tasks"),
+                        RecordJson.resources(node.required("size")),
+                        RecordJson.text(node, "payload"),
+                        RecordJson.number(node, "submittedAt")),
                 JobState.valueOf(RecordJson.text(node, "state")),
                 RecordJson.text(node, "reason"),
                 parts,
--- a/entry/src/test/java/org/jujubefork/entry/http/StatusViewsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/http/StatusViewsTest.java
@@ -28,8 +28,7 @@
         return new WorkerState(
                 listing,
                 phase,
-                1,
-                false,
+                new WorkerState.Reported(1, false, capacity, 1),
                 new WorkerHealth(
                         health,
                         TreePVector.singleton(new WorkerHealth.Failure(1_000, "job-7")),
@@ -37,13 +36,9 @@
                         11_000,
                         10_000,
                         Optional.empty()),
-                capacity,
-                1,
                 WorkerState.acquiring(listing, 0).load(),
                 Resources.ZERO,
-                TreePVector.empty(),
-                0,
-                0);
+                new WorkerState.Lease(TreePVector.empty(), 0, 0));
     }
 
     @Test
--- a/entry/src/test/java/org/jujubefork/entry/platform/RecordCodecsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/platform/RecordCodecsTest.java
@@ -6,6 +6,7 @@
 
 import java.util.Optional;
 import java.util.Random;
+import org.jujubefork.core.jobs.JobDefinition;
 import org.jujubefork.core.jobs.JobPart;
 import org.jujubefork.core.jobs.JobRecord;
 import org.jujubefork.core.jobs.JobState;
@@ -45,15 +46,16 @@
         int tasks = 2 + random.nextInt(50);
         int middle = 1 + random.nextInt(tasks - 1);
         return new JobRecord(
-                JobId.of("job-" + random.nextInt(99)),
-                TeamId.of("team"),
-                QueueId.of("queue"),
-                WorkKind.BATCH,
-                "näme \"quoted\"",
-                tasks,
-                resources(random),
-                "{\"a\":1}",
-                random.nextInt(1_000_000),
+                new JobDefinition(
+                        JobId.of("job-" + random.nextInt(99)),
+                        TeamId.of("team"),
+                        QueueId.of("queue"),
+                        WorkKind.BATCH,
+                        "näme \"quoted\"",
+                        tasks,
+                        resources(random),
+                        "{\"a\":1}",
+                        random.nextInt(1_000_000)),
                 JobState.ACTIVE,
                 "",
                 TreePVector.singleton(JobPart.of(ShardId.of("zone-0"), 0, middle))
