Read answers of workers in one way, with one result for lease and renewal

Change: LeaseResult serves both calls, with NoLease for renewals; one method in WorkerAnswers maps a call's outcome, one reads a granted lease, one in WorkerExecutor makes the event. The worker's identifier is optional, because a renewal does not give it; the test compares it as such.

--- a/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerAnswers.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.function.Function;
 import org.jujubefork.client.http.CallResult;
 import org.jujubefork.client.http.JsonFields;
 import org.jujubefork.client.http.MalformedAnswerException;
@@ -20,85 +21,89 @@
 
     private WorkerAnswers() {}
 
-    static LeaseResult lease(CallResult result) {
+    /** Reads a reply. */
+    @FunctionalInterface
+    private interface Reading<T> {
+        T read(CallResult.Reply reply) throws MalformedAnswerException;
+    }
+
+    private static <T> T result(
+            CallResult result,
+            Function<String, T> notConnected,
+            Function<String, T> unknown,
+            Reading<T> reading) {
         return switch (result) {
-            case CallResult.NotConnected n -> new LeaseResult.NotConnected(n.reason());
-            case CallResult.Unknown u -> new LeaseResult.Unknown(u.reason());
+            case CallResult.NotConnected n -> notConnected.apply(n.reason());
+            case CallResult.Unknown u -> unknown.apply(u.reason());
             case CallResult.Reply reply -> {
                 try {
-                    yield leaseReply(reply);
+                    yield reading.read(reply);
                 } catch (MalformedAnswerException e) {
-                    yield new LeaseResult.Unknown(malformed(reply, e));
+                    yield unknown.apply(malformed(reply, e));
                 }
             }
         };
     }
 
+    static LeaseResult lease(CallResult result) {
+        return result(
+                result,
+                LeaseResult.NotConnected::new,
+                LeaseResult.Unknown::new,
+                WorkerAnswers::leaseReply);
+    }
+
     private static LeaseResult leaseReply(CallResult.Reply reply) throws MalformedAnswerException {
         if (reply.status() == 200) {
             return fields(reply)
-                    .model(
-                            "lease",
-                            f ->
-                                    new LeaseResult.Granted(
-                                            WorkerId.of(f.text("workerId")),
-                                            f.number("incarnation"),
-                                            revision(f),
-                                            f.resources("capacity"),
-                                            f.smallNumber("slots"),
-                                            f.flag("leaving"),
-                                            f.list("running", TaskJson::running),
-                                            f.list("ended", TaskJson::ended)));
+                    .model("lease", f -> granted(f, Optional.of(WorkerId.of(f.text("workerId")))));
         }
         return isError(reply, 409, STALE_EPOCH)
                 ? new LeaseResult.Refused(fields(reply).epoch())
                 : new LeaseResult.Unknown(unexpected(reply));
     }
 
+    private static LeaseResult granted(JsonFields fields, Optional<WorkerId> worker)
+            throws MalformedAnswerException {
+        return new LeaseResult.Granted(
+                worker,
+                fields.number("incarnation"),
+                revision(fields),
+                fields.resources("capacity"),
+                fields.smallNumber("slots"),
+                fields.flag("leaving"),
+                fields.list("running", TaskJson::running),
+                fields.list("ended", TaskJson::ended));
+    }
+
     private static long revision(JsonFields fields) throws MalformedAnswerException {
         return fields.has("revision") ? fields.number("revision") : 0;
     }
 
     /** Returns the result of a renewal that named the revision of {@code base}, if there is one. */
-    static RenewResult renew(CallResult result, Optional<WorkerView> base) {
-        return switch (result) {
-            case CallResult.NotConnected n -> new RenewResult.NotConnected(n.reason());
-            case CallResult.Unknown u -> new RenewResult.Unknown(u.reason());
-            case CallResult.Reply reply -> {
-                try {
-                    yield renewReply(reply, base);
-                } catch (MalformedAnswerException e) {
-                    yield new RenewResult.Unknown(malformed(reply, e));
-                }
-            }
-        };
+    static LeaseResult renew(CallResult result, Optional<WorkerView> base) {
+        return result(
+                result,
+                LeaseResult.NotConnected::new,
+                LeaseResult.Unknown::new,
+                reply -> renewReply(reply, base));
     }
 
-    private static RenewResult renewReply(CallResult.Reply reply, Optional<WorkerView> base)
+    private static LeaseResult renewReply(CallResult.Reply reply, Optional<WorkerView> base)
             throws MalformedAnswerException {
         if (reply.status() == 200) {
             JsonFields f = fields(reply);
-            if (f.has("since")) {
-                return partial(f, base);
-            }
-            return new RenewResult.Renewed(
-                    f.number("incarnation"),
-                    revision(f),
-                    f.resources("capacity"),
-                    f.smallNumber("slots"),
-                    f.flag("leaving"),
-                    f.list("running", TaskJson::running),
-                    f.list("ended", TaskJson::ended));
+            return f.has("since") ? partial(f, base) : granted(f, Optional.empty());
         }
         if (isError(reply, 409, "NO_LEASE")) {
-            return new RenewResult.NoLease(fields(reply).number("incarnation"));
+            return new LeaseResult.NoLease(fields(reply).number("incarnation"));
         }
         return isError(reply, 409, STALE_EPOCH)
-                ? new RenewResult.Refused(fields(reply).epoch())
-                : new RenewResult.Unknown(unexpected(reply));
+                ? new LeaseResult.Refused(fields(reply).epoch())
+                : new LeaseResult.Unknown(unexpected(reply));
     }
 
-    private static RenewResult partial(JsonFields fields, Optional<WorkerView> base)
+    private static LeaseResult partial(JsonFields fields, Optional<WorkerView> base)
             throws MalformedAnswerException {
         if (base.isEmpty()) {
             throw new MalformedAnswerException("partial answer to a request for a full one");
@@ -114,7 +119,8 @@
                                         f.listIfPresent("usage", TaskJson::usage),
                                         f.textsIfPresent("gone").stream().map(TaskId::of).toList(),
                                         f.smallNumber("total")));
-        return new RenewResult.Renewed(
+        return new LeaseResult.Granted(
+                Optional.empty(),
                 changes.incarnation(),
                 fields.number("revision"),
                 base.get().capacity(),
@@ -125,17 +131,11 @@
     }
 
     static StartResult start(CallResult result, boolean request) {
-        return switch (result) {
-            case CallResult.NotConnected n -> new StartResult.NotConnected(n.reason());
-            case CallResult.Unknown u -> new StartResult.Unknown(u.reason());
-            case CallResult.Reply reply -> {
-                try {
-                    yield startReply(reply, request);
-                } catch (MalformedAnswerException e) {
-                    yield new StartResult.Unknown(malformed(reply, e));
-                }
-            }
-        };
+        return result(
+                result,
+                StartResult.NotConnected::new,
+                StartResult.Unknown::new,
+                reply -> startReply(reply, request));
     }
 
     private static StartResult startReply(CallResult.Reply reply, boolean request)
@@ -172,17 +172,11 @@
     }
 
     static CommandResult command(CallResult result) {
-        return switch (result) {
-            case CallResult.NotConnected n -> new CommandResult.NotConnected(n.reason());
-            case CallResult.Unknown u -> new CommandResult.Unknown(u.reason());
-            case CallResult.Reply reply -> {
-                try {
-                    yield commandReply(reply);
-                } catch (MalformedAnswerException e) {
-                    yield new CommandResult.Unknown(malformed(reply, e));
-                }
-            }
-        };
+        return result(
+                result,
+                CommandResult.NotConnected::new,
+                CommandResult.Unknown::new,
+                WorkerAnswers::commandReply);
     }
 
     private static CommandResult commandReply(CallResult.Reply reply)
--- a/client/src/main/java/org/jujubefork/client/worker/WorkerClient.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerClient.java
@@ -46,16 +46,7 @@
         ObjectNode body = authority(epoch).put("ttlMillis", ttl.toMillis());
         LeaseResult result = WorkerAnswers.lease(post(worker, "/v1/lease", body, timeout));
         if (result instanceof LeaseResult.Granted g && g.revision() > 0) {
-            views.keep(
-                    worker,
-                    new WorkerView(
-                            epoch,
-                            g.incarnation(),
-                            g.revision(),
-                            g.capacity(),
-                            g.slots(),
-                            g.running()),
-                    ttl);
+            views.keep(worker, WorkerView.of(epoch, g), ttl);
         }
         return result;
     }
@@ -65,7 +56,7 @@
      *
      * @param acknowledged ended tasks that the worker may forget
      */
-    public RenewResult renew(
+    public LeaseResult renew(
             Address worker,
             Epoch epoch,
             Duration ttl,
@@ -78,21 +69,12 @@
         }
         Optional<WorkerView> base = views.of(worker, epoch);
         base.ifPresent(view -> body.put("seen", view.revision()));
-        RenewResult result = WorkerAnswers.renew(post(worker, "/v1/renew", body, timeout), base);
+        LeaseResult result = WorkerAnswers.renew(post(worker, "/v1/renew", body, timeout), base);
         switch (result) {
-            case RenewResult.Renewed r when r.revision() > 0 ->
-                    views.keep(
-                            worker,
-                            new WorkerView(
-                                    epoch,
-                                    r.incarnation(),
-                                    r.revision(),
-                                    r.capacity(),
-                                    r.slots(),
-                                    r.running()),
-                            ttl);
+            case LeaseResult.Granted r when r.revision() > 0 ->
+                    views.keep(worker, WorkerView.of(epoch, r), ttl);
             // Nothing was sent, so the worker's last answer is still the one that is kept.
-            case RenewResult.NotConnected n -> {}
+            case LeaseResult.NotConnected n -> {}
             default -> views.drop(worker);
         }
         return result;
--- a/client/src/main/java/org/jujubefork/client/worker/WorkerView.java
+++ b/client/src/main/java/org/jujubefork/client/worker/WorkerView.java
@@ -43,6 +43,17 @@
     /** A task's usage where it differs from the last one listed. */
     record Usage(TaskId task, Resources usage) {}
 
+    /** Returns the view that an answer under {@code epoch} gives. */
+    static WorkerView of(Epoch epoch, LeaseResult.Granted answer) {
+        return new WorkerView(
+                epoch,
+                answer.incarnation(),
+                answer.revision(),
+                answer.capacity(),
+                answer.slots(),
+                answer.running());
+    }
+
     /** Returns whether {@code other} shows an older state than this view. */
     boolean isNewerThan(WorkerView other) {
         if (!epoch.equals(other.epoch)) {
--- a/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerExecutor.java
@@ -7,7 +7,6 @@
 import org.jujubefork.client.http.Address;
 import org.jujubefork.client.worker.CommandResult;
 import org.jujubefork.client.worker.LeaseResult;
-import org.jujubefork.client.worker.RenewResult;
 import org.jujubefork.client.worker.StartResult;
 import org.jujubefork.client.worker.WorkerClient;
 import org.jujubefork.core.effect.StopMode;
@@ -89,40 +88,33 @@
                         effect.epoch(),
                         Duration.ofMillis(effect.ttlMillis()),
                         CONTROL_TIMEOUT);
-        WorkerId worker = effect.worker();
-        Epoch epoch = effect.epoch();
-        long now = clock.millis();
-        return switch (result) {
-            case LeaseResult.Granted g ->
-                    new FleetEvent.LeaseGranted(now, worker, epoch, sent, WorkerReports.of(g));
-            case LeaseResult.Refused r ->
-                    new FleetEvent.LeaseRefused(now, worker, epoch, Optional.of(r.current()));
-            case LeaseResult.NotConnected n -> new FleetEvent.LeaseFailed(now, worker, epoch);
-            case LeaseResult.Unknown u -> new FleetEvent.LeaseFailed(now, worker, epoch);
-        };
+        return leaseEvent(effect.worker(), effect.epoch(), sent, result);
     }
 
     private Event renew(WorkerEffect.RenewLease effect) {
         long sent = clock.millis();
-        RenewResult result =
+        LeaseResult result =
                 workers.renew(
                         Address.parse(effect.address()),
                         effect.epoch(),
                         Duration.ofMillis(effect.ttlMillis()),
                         effect.acknowledged(),
                         CONTROL_TIMEOUT);
-        WorkerId worker = effect.worker();
-        Epoch epoch = effect.epoch();
+        return leaseEvent(effect.worker(), effect.epoch(), sent, result);
+    }
+
+    private Event leaseEvent(WorkerId worker, Epoch epoch, long sentMillis, LeaseResult result) {
         long now = clock.millis();
         return switch (result) {
-            case RenewResult.Renewed r ->
-                    new FleetEvent.LeaseGranted(now, worker, epoch, sent, WorkerReports.of(r));
-            case RenewResult.Refused r ->
+            case LeaseResult.Granted g ->
+                    new FleetEvent.LeaseGranted(
+                            now, worker, epoch, sentMillis, WorkerReports.of(g));
+            case LeaseResult.Refused r ->
                     new FleetEvent.LeaseRefused(now, worker, epoch, Optional.of(r.current()));
-            case RenewResult.NoLease n ->
+            case LeaseResult.NoLease n ->
                     new FleetEvent.LeaseRefused(now, worker, epoch, Optional.empty());
-            case RenewResult.NotConnected n -> new FleetEvent.LeaseFailed(now, worker, epoch);
-            case RenewResult.Unknown u -> new FleetEvent.LeaseFailed(now, worker, epoch);
+            case LeaseResult.NotConnected n -> new FleetEvent.LeaseFailed(now, worker, epoch);
+            case LeaseResult.Unknown u -> new FleetEvent.LeaseFailed(now, worker, epoch);
         };
     }
 
--- a/entry/src/main/java/org/jujubefork/entry/platform/WorkerReports.java
+++ b/entry/src/main/java/org/jujubefork/entry/platform/WorkerReports.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import org.jujubefork.client.worker.EndedTask;
 import org.jujubefork.client.worker.LeaseResult;
-import org.jujubefork.client.worker.RenewResult;
 import org.jujubefork.client.worker.RunningTask;
 import org.jujubefork.core.model.ReportedTask;
 import org.jujubefork.core.model.WorkerReport;
@@ -24,16 +23,6 @@
                 ended(granted.ended()));
     }
 
-    static WorkerReport of(RenewResult.Renewed renewed) {
-        return new WorkerReport(
-                renewed.incarnation(),
-                renewed.leaving(),
-                renewed.capacity(),
-                renewed.slots(),
-                running(renewed.running()),
-                ended(renewed.ended()));
-    }
-
     private static PVector<ReportedTask> running(List<RunningTask> tasks) {
         return TreePVector.from(
                 tasks.stream().map(t -> new ReportedTask(t.spec(), t.usage(), 0)).toList());
--- a/standins/src/test/java/org/jujubefork/standins/client/PartialRenewalTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/client/PartialRenewalTest.java
@@ -13,7 +13,6 @@
 import org.jujubefork.client.http.Address;
 import org.jujubefork.client.http.Transport;
 import org.jujubefork.client.worker.LeaseResult;
-import org.jujubefork.client.worker.RenewResult;
 import org.jujubefork.client.worker.TaskJson;
 import org.jujubefork.client.worker.WorkerClient;
 import org.jujubefork.core.model.Epoch;
@@ -82,20 +81,20 @@
                 .put("total", total);
     }
 
-    private RenewResult renew(ObjectNode answer) {
+    private LeaseResult renew(ObjectNode answer) {
         next = answer;
         return client.renew(worker, EPOCH, TTL, List.of(), LONG);
     }
 
-    private static List<String> ids(RenewResult result) {
+    private static List<String> ids(LeaseResult result) {
         List<String> ids = new ArrayList<>();
-        ((RenewResult.Renewed) result).running().forEach(t -> ids.add(t.spec().id().value()));
+        ((LeaseResult.Granted) result).running().forEach(t -> ids.add(t.spec().id().value()));
         return ids;
     }
 
     @Test
     public void answerWithoutChangesKeepsAllTasks() {
-        RenewResult.Renewed renewed = (RenewResult.Renewed) renew(changes(7, 5, 2));
+        LeaseResult.Granted renewed = (LeaseResult.Granted) renew(changes(7, 5, 2));
         assertEquals(ids(renewed), List.of("a", "b"));
         assertEquals(renewed.capacity(), Fleets.CAPACITY);
         assertEquals(requests.getLast().path("seen").asLong(), 5);
@@ -118,8 +117,8 @@
                         changes(7, 5, 3),
                         foreignUsage);
         for (ObjectNode answer : wrong) {
-            RenewResult result = renew(answer);
-            assertTrue(result instanceof RenewResult.Unknown, answer + ": " + result);
+            LeaseResult result = renew(answer);
+            assertTrue(result instanceof LeaseResult.Unknown, answer + ": " + result);
             assertEquals(ids(renew(full(5, "a", "b"))), List.of("a", "b"));
             assertFalse(requests.getLast().has("seen"), "full answer asked for");
         }
@@ -129,10 +128,10 @@
     public void changesWithoutARequestForThemAreUnknown() {
         assertTrue(
                 new WorkerClient(transport).renew(worker, EPOCH, TTL, List.of(), LONG)
-                        instanceof RenewResult.Renewed);
+                        instanceof LeaseResult.Granted);
         next = changes(7, 5, 2);
-        RenewResult result = new WorkerClient(transport).renew(worker, EPOCH, TTL, List.of(), LONG);
-        assertTrue(result instanceof RenewResult.Unknown, result.toString());
+        LeaseResult result = new WorkerClient(transport).renew(worker, EPOCH, TTL, List.of(), LONG);
+        assertTrue(result instanceof LeaseResult.Unknown, result.toString());
     }
 
     /** The view of another epoch may lack what the owner in between started. */
--- a/standins/src/test/java/org/jujubefork/standins/client/WorkerClientTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/client/WorkerClientTest.java
@@ -23,7 +23,6 @@
 import org.jujubefork.client.worker.CommandResult;
 import org.jujubefork.client.worker.EndedTask;
 import org.jujubefork.client.worker.LeaseResult;
-import org.jujubefork.client.worker.RenewResult;
 import org.jujubefork.client.worker.RunningTask;
 import org.jujubefork.client.worker.StartResult;
 import org.jujubefork.client.worker.WorkerClient;
@@ -34,6 +33,7 @@
 import org.jujubefork.core.model.TaskId;
 import org.jujubefork.core.model.TaskSpec;
 import org.jujubefork.core.model.WorkKind;
+import org.jujubefork.core.model.WorkerId;
 import org.jujubefork.standins.Await;
 import org.jujubefork.standins.fleet.Filler;
 import org.jujubefork.standins.fleet.FleetOptions;
@@ -73,7 +73,7 @@
     @Test
     public void leaseTellsWhatTheWorkerIs() {
         LeaseResult.Granted granted = lease(FIRST);
-        assertEquals(granted.worker().value(), "w1");
+        assertEquals(granted.worker(), Optional.of(WorkerId.of("w1")));
         assertEquals(granted.capacity(), Fleets.CAPACITY);
         assertEquals(granted.slots(), 8);
         assertEquals(granted.running(), List.of());
@@ -95,7 +95,7 @@
                         StartRefusal.STALE_EPOCH, Optional.of(second), "start refused"));
         assertEquals(client.lease(worker, FIRST, TTL, LONG), new LeaseResult.Refused(second));
         assertEquals(
-                client.renew(worker, FIRST, TTL, List.of(), LONG), new RenewResult.Refused(second));
+                client.renew(worker, FIRST, TTL, List.of(), LONG), new LeaseResult.Refused(second));
         assertEquals(
                 client.stop(worker, FIRST, service.id(), LONG), new CommandResult.Refused(second));
     }
@@ -272,8 +272,8 @@
         return (LeaseResult.Granted) client.lease(worker, epoch, TTL, LONG);
     }
 
-    private RenewResult.Renewed renew(TaskId... acknowledged) {
-        return (RenewResult.Renewed) client.renew(worker, FIRST, TTL, List.of(acknowledged), LONG);
+    private LeaseResult.Granted renew(TaskId... acknowledged) {
+        return (LeaseResult.Granted) client.renew(worker, FIRST, TTL, List.of(acknowledged), LONG);
     }
 
     private StartResult start(Epoch epoch, long incarnation, TaskSpec task) {
--- a/standins/src/test/java/org/jujubefork/standins/client/WorkerFaultsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/client/WorkerFaultsTest.java
@@ -21,7 +21,6 @@
 import org.jujubefork.client.http.CallResult;
 import org.jujubefork.client.http.Transport;
 import org.jujubefork.client.worker.LeaseResult;
-import org.jujubefork.client.worker.RenewResult;
 import org.jujubefork.client.worker.StartResult;
 import org.jujubefork.client.worker.WorkerClient;
 import org.jujubefork.core.model.EndReason;
@@ -96,7 +95,7 @@
         assertTrue(result instanceof StartResult.NotConnected, result.toString());
         assertTrue(
                 client.renew(worker, FIRST, TTL, List.of(), LONG)
-                        instanceof RenewResult.NotConnected);
+                        instanceof LeaseResult.NotConnected);
         assertTrue(
                 client.lease(fleet.address("w2"), FIRST, TTL, LONG) instanceof LeaseResult.Granted,
                 "another worker was cut too");
@@ -144,8 +143,8 @@
         client.start(worker, FIRST, incarnation, task("s", WorkKind.SERVICE, ""), LONG);
         fleet.restart("w1");
         dropKeptConnections();
-        RenewResult renewed = client.renew(worker, FIRST, TTL, List.of(), LONG);
-        long now = ((RenewResult.NoLease) renewed).incarnation();
+        LeaseResult renewed = client.renew(worker, FIRST, TTL, List.of(), LONG);
+        long now = ((LeaseResult.NoLease) renewed).incarnation();
         assertNotEquals(now, incarnation);
         assertRefused(StartRefusal.WRONG_INCARNATION, start("t1"));
         LeaseResult.Granted granted = (LeaseResult.Granted) client.lease(worker, FIRST, TTL, LONG);
@@ -179,7 +178,7 @@
         assertEquals(((StartResult.Refused) refused).current().orElseThrow(), FIRST);
         assertEquals(
                 client.renew(worker, FIRST, TTL, List.of(), LONG),
-                new RenewResult.NoLease(incarnation));
+                new LeaseResult.NoLease(incarnation));
         LeaseResult.Granted again = (LeaseResult.Granted) client.lease(worker, FIRST, TTL, LONG);
         assertEquals(again.ended().get(0).reason(), EndReason.LEASE_EXPIRED);
         assertEquals(start("t1"), new StartResult.Started());
--- a/standins/src/test/java/org/jujubefork/standins/fleet/RenewalChangesTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/fleet/RenewalChangesTest.java
@@ -17,7 +17,6 @@
 import org.jujubefork.client.http.Address;
 import org.jujubefork.client.http.Transport;
 import org.jujubefork.client.worker.LeaseResult;
-import org.jujubefork.client.worker.RenewResult;
 import org.jujubefork.client.worker.RunningTask;
 import org.jujubefork.client.worker.WorkerClient;
 import org.jujubefork.core.model.Epoch;
@@ -257,8 +256,8 @@
 
         private void loseRenewal() {
             lossy.lose.set(true);
-            RenewResult lost = owner.renew(address, epoch, TTL, List.of(), LONG);
-            assertTrue(lost instanceof RenewResult.Unknown, what + ": " + lost);
+            LeaseResult lost = owner.renew(address, epoch, TTL, List.of(), LONG);
+            assertTrue(lost instanceof LeaseResult.Unknown, what + ": " + lost);
         }
 
         private void lease() {
@@ -267,22 +266,22 @@
         }
 
         private void renew() {
-            RenewResult seen = owner.renew(address, epoch, TTL, List.of(), LONG);
-            if (seen instanceof RenewResult.NoLease) {
+            LeaseResult seen = owner.renew(address, epoch, TTL, List.of(), LONG);
+            if (seen instanceof LeaseResult.NoLease) {
                 lease();
                 return;
             }
             // A client without a view always gets a full answer.
-            RenewResult full =
+            LeaseResult full =
                     new WorkerClient(transport).renew(address, epoch, TTL, List.of(), LONG);
             assertEquals(view(seen), view(full), what);
             compared++;
         }
 
-        private Map<TaskId, List<Object>> view(RenewResult result) {
-            assertTrue(result instanceof RenewResult.Renewed, what + ": " + result);
+        private Map<TaskId, List<Object>> view(LeaseResult result) {
+            assertTrue(result instanceof LeaseResult.Granted, what + ": " + result);
             Map<TaskId, List<Object>> tasks = new HashMap<>();
-            for (RunningTask task : ((RenewResult.Renewed) result).running()) {
+            for (RunningTask task : ((LeaseResult.Granted) result).running()) {
                 tasks.put(task.spec().id(), List.of(task.spec(), task.usage()));
             }
             return tasks;
