--- a/ctl/src/main/java/org/jujubefork/ctl/caller/RunCommands.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/caller/RunCommands.java
@@ -72,14 +72,25 @@
                                 KEY,
                                 "KEY",
                                 "a second submission with this key returns the first" + " job")),
-                CommandSpec.of("query", List.of("JOB"), "Shows a job.", RunCommands::query),
+                CommandSpec.of(
+                        "query",
+                        List.of("JOB"),
+                        "Shows a job.",
+                        i -> i.show(c -> c.job(i.arguments().getFirst()), RunCommands::printJob)),
                 CommandSpec.of(
                         "wait",
                         List.of("JOB"),
                         "Waits for the end of a job. Exits with 0 only if it succeeded.",
                         RunCommands::await,
                         OptionSpecs.value(WAIT, "N", "longest waiting time (default: 60)")),
-                CommandSpec.of("cancel", List.of("JOB"), "Cancels a job.", RunCommands::cancel));
+                CommandSpec.of(
+                        "cancel",
+                        List.of("JOB"),
+                        "Cancels a job.",
+                        i ->
+                                i.show(
+                                        c -> c.cancel(i.arguments().getFirst()),
+                                        RunCommands::printJob)));
     }
 
     private static ExitCode request(Invocation invocation)
@@ -132,12 +143,8 @@
                         size(invocation),
                         invocation.option(PAYLOAD).orElse("{}"),
                         invocation.option(KEY));
-        try (ApiClient client = invocation.connect()) {
-            JobView view = client.submit(job);
-            Console console = invocation.console();
-            console.print(view, () -> console.line(view.id()));
-        }
-        return ExitCode.OK;
+        return invocation.show(
+                client -> client.submit(job), (console, view) -> console.line(view.id()));
     }
 
     private static Optional<ResourcesView> size(Invocation invocation) throws CommandException {
@@ -153,18 +160,6 @@
         return Optional.of(new ResourcesView(cpu.get(), memory.get(), accelerators.orElse(0L)));
     }
 
-    private static ExitCode query(Invocation invocation)
-            throws CommandException,
-                    ApiException,
-                    NotReachableException,
-                    InvalidMessageException,
-                    InterruptedException {
-        try (ApiClient client = invocation.connect()) {
-            print(invocation.console(), client.job(invocation.arguments().getFirst()));
-        }
-        return ExitCode.OK;
-    }
-
     private static ExitCode await(Invocation invocation)
             throws CommandException,
                     ApiException,
@@ -187,44 +182,26 @@
                 left = Duration.ofNanos(deadline - System.nanoTime());
             }
         }
-        print(invocation.console(), job);
+        JobView end = job;
+        Console console = invocation.console();
+        console.print(end, () -> printJob(console, end));
         return job.state() == JobView.State.SUCCEEDED ? ExitCode.OK : ExitCode.FAILED;
     }
 
-    private static ExitCode cancel(Invocation invocation)
-            throws CommandException,
-                    ApiException,
-                    NotReachableException,
-                    InvalidMessageException,
-                    InterruptedException {
-        try (ApiClient client = invocation.connect()) {
-            print(invocation.console(), client.cancel(invocation.arguments().getFirst()));
+    private static void printJob(Console console, JobView job) {
+        console.line(
+                String.format(
+                        "job %s of team %s on queue %s (%s) is %s",
+                        job.id(), job.team(), job.queue(), job.kind(), job.state().label()));
+        console.line(
+                String.format(
+                        "tasks %d, started %d, succeeded %d, failed %d",
+                        job.tasks().total(),
+                        job.tasks().started(),
+                        job.tasks().succeeded(),
+                        job.tasks().failed()));
+        if (!job.reason().isEmpty()) {
+            console.line("reason: " + job.reason());
         }
-        return ExitCode.OK;
-    }
-
-    private static void print(Console console, JobView job) {
-        console.print(
-                job,
-                () -> {
-                    console.line(
-                            String.format(
-                                    "job %s of team %s on queue %s (%s) is %s",
-                                    job.id(),
-                                    job.team(),
-                                    job.queue(),
-                                    job.kind(),
-                                    job.state().label()));
-                    console.line(
-                            String.format(
-                                    "tasks %d, started %d, succeeded %d, failed %d",
-                                    job.tasks().total(),
-                                    job.tasks().started(),
-                                    job.tasks().succeeded(),
-                                    job.tasks().failed()));
-                    if (!job.reason().isEmpty()) {
-                        console.line("reason: " + job.reason());
-                    }
-                });
     }
 }
--- a/ctl/src/main/java/org/jujubefork/ctl/command/Invocation.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/command/Invocation.java
@@ -7,10 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.random.RandomGenerator;
 import org.apache.commons.cli.CommandLine;
 import org.jujubefork.client.api.ApiClient;
 import org.jujubefork.client.api.ApiClientSettings;
+import org.jujubefork.client.api.ApiException;
+import org.jujubefork.client.api.InvalidMessageException;
+import org.jujubefork.client.api.NotReachableException;
 
 /**
  * One run of a command.
@@ -117,6 +121,35 @@
                 ApiClientSettings.of(entries, key()).withTimeout(Duration.ofSeconds(seconds)));
     }
 
+    /** Fetches a view from the cell. */
+    @FunctionalInterface
+    public interface Fetch<T> {
+        /** Returns the view that {@code client} gets. */
+        T from(ApiClient client)
+                throws ApiException,
+                        NotReachableException,
+                        InvalidMessageException,
+                        InterruptedException;
+    }
+
+    /**
+     * Fetches a view through {@link #connect()} and prints it, as JSON or by {@code text}.
+     *
+     * @throws CommandException as {@link #connect()}
+     */
+    public <T> ExitCode show(Fetch<T> fetch, BiConsumer<Console, T> text)
+            throws CommandException,
+                    ApiException,
+                    NotReachableException,
+                    InvalidMessageException,
+                    InterruptedException {
+        try (ApiClient client = connect()) {
+            T view = fetch.from(client);
+            console.print(view, () -> text.accept(console, view));
+        }
+        return ExitCode.OK;
+    }
+
     private Optional<String> key() throws CommandException {
         Optional<String> file = option(OptionSpecs.KEY_FILE);
         if (file.isPresent()) {
--- a/ctl/src/main/java/org/jujubefork/ctl/command/Program.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/command/Program.java
@@ -1,5 +1,10 @@
 package org.jujubefork.ctl.command;
 
+import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -64,6 +69,17 @@
         }
     }
 
+    /** Runs the command line of this process and ends it with the code of its command. */
+    @SuppressWarnings("SystemOut") // the output of a command line
+    public void runAndExit(String[] args) {
+        Console console = Console.of(writer(System.out), writer(System.err), Console.Format.TEXT);
+        System.exit(run(args, console, System.getenv(), new SecureRandom()).code());
+    }
+
+    private static PrintWriter writer(OutputStream output) {
+        return new PrintWriter(new OutputStreamWriter(output, StandardCharsets.UTF_8));
+    }
+
     private static ExitCode runCommand(
             CommandSpec spec,
             CommandLine line,
--- a/ctl/src/main/java/org/jujubefork/ctl/operator/Jujubectl.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/Jujubectl.java
@@ -1,13 +1,8 @@
 package org.jujubefork.ctl.operator;
 
-import java.io.OutputStreamWriter;
-import java.io.PrintWriter;
-import java.nio.charset.StandardCharsets;
-import java.security.SecureRandom;
 import java.util.List;
 import java.util.stream.Stream;
 import org.jujubefork.ctl.command.CommandSpec;
-import org.jujubefork.ctl.command.Console;
 import org.jujubefork.ctl.command.Program;
 
 /** The command line of operators. */
@@ -29,11 +24,6 @@
 
     /** Runs the command line and exits with the code of its command. */
     public static void main(String[] args) {
-        PrintWriter out =
-                new PrintWriter(new OutputStreamWriter(System.out, StandardCharsets.UTF_8));
-        PrintWriter err =
-                new PrintWriter(new OutputStreamWriter(System.err, StandardCharsets.UTF_8));
-        Console console = Console.of(out, err, Console.Format.TEXT);
-        System.exit(program().run(args, console, System.getenv(), new SecureRandom()).code());
+        program().runAndExit(args);
     }
 }
--- a/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/ViewCommands.java
@@ -37,17 +37,17 @@
                         "status",
                         List.of(),
                         "Shows entries, shards, queues and teams as one entry sees them.",
-                        ViewCommands::status),
+                        i -> i.show(ApiClient::status, ViewCommands::printStatus)),
                 CommandSpec.of(
                         "workers",
                         List.of(),
                         "Lists the workers of all shards.",
-                        ViewCommands::workers),
+                        i -> i.show(ApiClient::workers, ViewCommands::printWorkers)),
                 CommandSpec.of(
                         "tasks",
                         List.of(),
                         "Lists the requests and tasks of all shards.",
-                        ViewCommands::tasks,
+                        i -> i.show(c -> c.tasks(filters(i)), ViewCommands::printTasks),
                         OptionSpecs.value("team", "TEAM", "only of this team"),
                         OptionSpecs.value("job", "ID", "only of this job"),
                         OptionSpecs.value("worker", "ID", "only on this worker"),
@@ -65,21 +65,7 @@
                         OptionSpecs.value(ENTRY, "HOST:PORT", "the entry to stop")));
     }
 
-    private static ExitCode status(Invocation invocation)
-            throws CommandException,
-                    ApiException,
-                    NotReachableException,
-                    InvalidMessageException,
-                    InterruptedException {
-        try (ApiClient client = invocation.connect()) {
-            StatusView status = client.status();
-            Console console = invocation.console();
-            console.print(status, () -> print(console, status));
-        }
-        return ExitCode.OK;
-    }
-
-    private static void print(Console console, StatusView status) {
+    private static void printStatus(Console console, StatusView status) {
         console.line(
                 "entry "
                         + status.entry()
@@ -157,21 +143,7 @@
                         .toList());
     }
 
-    private static ExitCode workers(Invocation invocation)
-            throws CommandException,
-                    ApiException,
-                    NotReachableException,
-                    InvalidMessageException,
-                    InterruptedException {
-        try (ApiClient client = invocation.connect()) {
-            WorkersView view = client.workers();
-            Console console = invocation.console();
-            console.print(view, () -> print(console, view));
-        }
-        return ExitCode.OK;
-    }
-
-    private static void print(Console console, WorkersView view) {
+    private static void printWorkers(Console console, WorkersView view) {
         console.table(
                 List.of(
                         "worker",
@@ -202,25 +174,15 @@
         printMissing(console, view.missing());
     }
 
-    private static ExitCode tasks(Invocation invocation)
-            throws CommandException,
-                    ApiException,
-                    NotReachableException,
-                    InvalidMessageException,
-                    InterruptedException {
+    private static Map<String, String> filters(Invocation invocation) {
         Map<String, String> filters = new TreeMap<>();
         for (String filter : FILTERS) {
             invocation.option(filter).ifPresent(value -> filters.put(filter, value));
         }
-        try (ApiClient client = invocation.connect()) {
-            TasksView view = client.tasks(filters);
-            Console console = invocation.console();
-            console.print(view, () -> print(console, view));
-        }
-        return ExitCode.OK;
+        return filters;
     }
 
-    private static void print(Console console, TasksView view) {
+    private static void printTasks(Console console, TasksView view) {
         console.table(
                 List.of("task", "job", "team", "queue", "kind", "state", "worker", "size", "age"),
                 view.tasks().stream()
@@ -263,15 +225,11 @@
         if (!SUBJECTS.contains(subject)) {
             throw CommandException.usage("explain knows " + SUBJECTS + ", not " + subject);
         }
-        try (ApiClient client = invocation.connect()) {
-            ExplainView view = client.explain(subject, invocation.arguments().getLast());
-            Console console = invocation.console();
-            console.print(view, () -> print(console, view));
-        }
-        return ExitCode.OK;
+        String id = invocation.arguments().getLast();
+        return invocation.show(c -> c.explain(subject, id), ViewCommands::printExplanation);
     }
 
-    private static void print(Console console, ExplainView view) {
+    private static void printExplanation(Console console, ExplainView view) {
         String since =
                 view.sinceMillis() > 0 ? " since " + Instant.ofEpochMilli(view.sinceMillis()) : "";
         console.line(view.subject() + " is " + view.state() + since);
