Use one retry budget, and separate the checks of access from Requests

Cause: the API client had a retry budget of its own with a lock, beside the immutable one of core with the same rule (a tenth of the calls, burst of 10). Change: RetryBudget moved to core's model; the client updates it atomically. The client's tokens were a double, whose ten tenths stay just below one; ten calls now earn the retry, as the rule says. Access holds the checks.

--- a/client/src/main/java/org/jujubefork/client/api/ApiTransport.java
+++ b/client/src/main/java/org/jujubefork/client/api/ApiTransport.java
@@ -10,7 +10,9 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.jujubefork.core.model.Outcome;
+import org.jujubefork.core.model.RetryBudget;
 
 /** Sends calls to one entry after the other until one answers. */
 final class ApiTransport implements AutoCloseable {
@@ -19,15 +21,13 @@
 
     private static final long FIRST_PAUSE_MILLIS = 50;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
-    private static final double RETRIES_PER_CALL = 0.1;
-    private static final double RETRY_BURST = 10;
     private static final int STATUS_ERROR = 400;
     private static final int STATUS_TOO_MANY = 429;
     private static final int STATUS_UNAVAILABLE = 503;
 
     private final ApiClientSettings settings;
     private final HttpClient http;
-    private final RetryBudget budget = RetryBudget.of(RETRIES_PER_CALL, RETRY_BURST);
+    private final AtomicReference<RetryBudget> budget = new AtomicReference<>(RetryBudget.FULL);
 
     ApiTransport(ApiClientSettings settings) {
         this.settings = settings;
@@ -53,7 +53,7 @@
      */
     HttpResponse<byte[]> send(ApiCall call)
             throws ApiException, NotReachableException, InterruptedException {
-        budget.recordCall();
+        budget.updateAndGet(RetryBudget::earned);
         long deadline = System.nanoTime() + settings.timeout().toNanos();
         boolean sent = false;
         for (int attempt = 0; ; attempt++) {
@@ -66,7 +66,7 @@
                     return response;
                 }
                 ApiException refused = new ApiException(response.statusCode(), error(response));
-                if (!mayRetry(call, refused) || !budget.tryRetry()) {
+                if (!mayRetry(call, refused) || !takeRetry()) {
                     throw afterAttempts(sent, refused);
                 }
                 pauseMillis = Math.max(pauseMillis, refused.error().retryAfterMillis().orElse(0L));
@@ -80,7 +80,7 @@
             } catch (IOException e) {
                 sent = true;
                 failure = e;
-                if (!call.repeatable() || !budget.tryRetry()) {
+                if (!call.repeatable() || !takeRetry()) {
                     throw notReachable(call, entry, true, e);
                 }
             }
@@ -91,6 +91,10 @@
         }
     }
 
+    private boolean takeRetry() {
+        return budget.getAndUpdate(b -> b.allows() ? b.spent() : b).allows();
+    }
+
     private HttpResponse<byte[]> sendOnce(ApiCall call, String entry, Duration remaining)
             throws IOException, InterruptedException {
         HttpRequest.Builder request =
--- a/core/src/main/java/org/jujubefork/core/jobs/Submissions.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Submissions.java
@@ -20,7 +20,7 @@
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.model.WorkKind;
-import org.jujubefork.core.requests.Requests;
+import org.jujubefork.core.requests.Access;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
@@ -114,7 +114,7 @@
         if (state.configuration().isEmpty()) {
             return RefusalReason.NO_CONFIGURATION;
         }
-        return queue.map(q -> Requests.checkKey(state, q, keyHash))
+        return queue.map(q -> Access.checkKey(state, q, keyHash))
                 .orElse(RefusalReason.QUEUE_UNKNOWN);
     }
 
--- a/core/src/main/java/org/jujubefork/core/requests/RequestTable.java
+++ b/core/src/main/java/org/jujubefork/core/requests/RequestTable.java
@@ -2,6 +2,7 @@
 
 import org.jujubefork.core.model.QueueId;
 import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.RetryBudget;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.placement.WorkQueue;
--- a/core/src/main/java/org/jujubefork/core/requests/Requests.java
+++ b/core/src/main/java/org/jujubefork/core/requests/Requests.java
@@ -3,8 +3,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.jujubefork.core.configuration.Configuration;
-import org.jujubefork.core.configuration.KeyGrant;
 import org.jujubefork.core.configuration.Queue;
 import org.jujubefork.core.control.State;
 import org.jujubefork.core.control.Transition;
@@ -13,7 +11,6 @@
 import org.jujubefork.core.effect.RequestEffect;
 import org.jujubefork.core.event.RequestEvent;
 import org.jujubefork.core.limits.Limits;
-import org.jujubefork.core.membership.Freshness;
 import org.jujubefork.core.membership.Member;
 import org.jujubefork.core.membership.Membership;
 import org.jujubefork.core.model.AttemptResult;
@@ -96,9 +93,9 @@
     }
 
     private static Transition arrived(State state, RequestEvent.RequestArrived event) {
-        RefusalReason reason = check(state, event);
+        RefusalReason reason = Access.check(state, event);
         if (reason != RefusalReason.NONE) {
-            return refuse(state, event.request(), event.queue().value(), retryable(reason));
+            return refuse(state, event.request(), event.queue().value(), Access.refusal(reason));
         }
         Queue queue = state.configuration().orElseThrow().queue(event.queue()).orElseThrow();
         Optional<String> claimKey =
@@ -114,63 +111,11 @@
                 : dispatch(accepted, request);
     }
 
-    private static RefusalReason check(State state, RequestEvent.RequestArrived event) {
-        if (state.draining()) {
-            return RefusalReason.DRAINING;
-        }
-        Optional<Configuration> configuration = state.configuration();
-        if (configuration.isEmpty()) {
-            return RefusalReason.NO_CONFIGURATION;
-        }
-        Optional<Queue> queue = configuration.get().queue(event.queue());
-        if (queue.isEmpty()) {
-            return RefusalReason.QUEUE_UNKNOWN;
-        }
-        RefusalReason key = checkKey(state, queue.get(), event.keyHash());
-        if (key != RefusalReason.NONE) {
-            return key;
-        }
-        if (!queue.get().kind().isRequest()) {
-            return RefusalReason.WRONG_KIND;
-        }
-        return queue.get().kind() == WorkKind.COMMAND && event.idempotencyKey().isEmpty()
-                ? RefusalReason.IDEMPOTENCY_KEY_MISSING
-                : RefusalReason.NONE;
-    }
-
-    /** Returns why the key does not open {@code queue}, or {@link RefusalReason#NONE}. */
-    public static RefusalReason checkKey(State state, Queue queue, Optional<String> keyHash) {
-        if (queue.open()) {
-            return RefusalReason.NONE;
-        }
-        if (!Freshness.isFresh(state)) {
-            return RefusalReason.CONFIGURATION_NOT_FRESH;
-        }
-        if (keyHash.isEmpty()) {
-            return RefusalReason.KEY_MISSING;
-        }
-        Optional<KeyGrant> grant = state.configuration().orElseThrow().key(keyHash.get());
-        if (grant.isEmpty()) {
-            return RefusalReason.KEY_UNKNOWN;
-        }
-        return grant.get().team().equals(Optional.of(queue.team()))
-                ? RefusalReason.NONE
-                : RefusalReason.WRONG_TEAM;
-    }
-
-    private static AttemptResult retryable(RefusalReason reason) {
-        return switch (reason) {
-            case DRAINING, NO_CONFIGURATION, CONFIGURATION_NOT_FRESH, NO_SHARD ->
-                    AttemptResult.notRun(reason, RETRY_AFTER_MILLIS);
-            default -> AttemptResult.notRun(reason);
-        };
-    }
-
     /** Sends {@code request} to the best shard that has not been tried. */
     static Transition dispatch(State state, FrontRequest request) {
         Optional<Routing.Route> route = Routing.choose(state, request);
         if (route.isEmpty()) {
-            return finish(state, request, retryable(RefusalReason.NO_SHARD));
+            return finish(state, request, Access.refusal(RefusalReason.NO_SHARD));
         }
         boolean returnable = isReturnable(state, request, route.get());
         FrontRequest routed =
--- a/core/src/test/java/org/jujubefork/core/requests/BudgetRoutingTest.java
+++ b/core/src/test/java/org/jujubefork/core/requests/BudgetRoutingTest.java
@@ -19,6 +19,7 @@
 import org.jujubefork.core.model.QueueId;
 import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.RequestId;
+import org.jujubefork.core.model.RetryBudget;
 import org.jujubefork.core.model.ShardId;
 import org.jujubefork.core.testing.Cluster;
 import org.jujubefork.core.testing.Fixtures;
