Separate the exchange of configurations from PeerExecutor; share load patience

Cause: PeerExecutor (428 lines) also cut configuration documents into parts and put them together. Closing passed a parameter that nothing read. Change: ConfigurationExchange beside PeerViews; Load.start with a default patience; the parameter is gone. Conclusion: behaviour is the same; PeerExecutor has 397 lines.

--- a/core/src/main/java/org/jujubefork/core/jobs/Closing.java
+++ b/core/src/main/java/org/jujubefork/core/jobs/Closing.java
@@ -83,11 +83,10 @@
                 result = result.then(s -> stop(s, shard, task, "job " + job + " ended"));
             }
         }
-        return closed(result, shard, job, ended, left < 0);
+        return closed(result, shard, job, left < 0);
     }
 
-    private static Transition closed(
-            Transition result, ShardId shard, JobId job, boolean ended, boolean more) {
+    private static Transition closed(Transition result, ShardId shard, JobId job, boolean more) {
         long now = result.state().nowMillis();
         if (more) {
             return result.then(s -> add(s, shard, job, now + 1));
--- a/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/peer/PeerExecutor.java
@@ -5,19 +5,16 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.jujubefork.config.cell.ConfigurationDocument;
-import org.jujubefork.config.cell.ConfigurationDocumentCodec;
 import org.jujubefork.core.effect.GossipEffect;
 import org.jujubefork.core.effect.RequestEffect;
 import org.jujubefork.core.event.Event;
 import org.jujubefork.core.event.MembershipEvent;
 import org.jujubefork.core.event.RequestEvent;
 import org.jujubefork.core.model.AttemptResult;
-import org.jujubefork.core.model.EntryId;
 import org.jujubefork.core.model.Outcome;
 import org.jujubefork.core.model.RefusalReason;
 import org.jujubefork.core.model.RequestId;
@@ -31,18 +28,14 @@
 public final class PeerExecutor implements PeerTransport.Receiver {
     private static final Logger log = Logger.getLogger(PeerExecutor.class);
     private static final PeerLink.Failure IGNORED = sent -> {};
-    private static final int CONFIGURATION_PART_CHARS = 32 * 1024;
 
     private final Clock clock;
     private final EventSink events;
     private final RequestRegistry registry;
-    private final ConfigurationSource configuration;
-    private final Supplier<Optional<ConfigurationDocument>> document;
+    private final ConfigurationExchange configurations;
     private final int maxBodyBytes;
     private final OutgoingForwards outgoing = new OutgoingForwards();
     private final IncomingForwards incoming = new IncomingForwards();
-    private final ConcurrentHashMap<EntryId, StringBuilder> configurationTexts =
-            new ConcurrentHashMap<>();
     private PeerTransport transport;
     private volatile Optional<PeerViews> views = Optional.empty();
 
@@ -63,8 +56,7 @@
         this.clock = clock;
         this.events = events;
         this.registry = registry;
-        this.configuration = configuration;
-        this.document = document;
+        this.configurations = new ConfigurationExchange(configuration, document);
         this.maxBodyBytes = maxBodyBytes;
     }
 
@@ -237,7 +229,7 @@
             case PeerMessage.Cancel m ->
                     incoming.of(sender.from(), frame.correlation()).ifPresent(this::giveUp);
             case PeerMessage.ConfigurationFetch m -> sendConfiguration(sender.peerAddress());
-            case PeerMessage.ConfigurationPart m -> receiveConfiguration(sender, m);
+            case PeerMessage.ConfigurationPart m -> configurations.receive(sender.from(), m);
             case PeerMessage.ViewFetch m ->
                     views.ifPresent(v -> v.serve(sender, frame.correlation(), m.view()));
             case PeerMessage.ViewPart m ->
@@ -397,32 +389,9 @@
     }
 
     private void sendConfiguration(String peerAddress) {
-        Optional<ConfigurationDocument> newest = document.get();
-        if (newest.isEmpty()) {
-            return;
-        }
-        String text = ConfigurationDocumentCodec.encode(newest.get());
-        List<Frame> frames = new ArrayList<>();
-        for (int from = 0; from < text.length(); from += CONFIGURATION_PART_CHARS) {
-            int to = Math.min(text.length(), from + CONFIGURATION_PART_CHARS);
-            frames.add(
-                    Frame.of(
-                            new PeerMessage.ConfigurationPart(
-                                    text.substring(from, to), to == text.length())));
-        }
-        transport.offer(peerAddress, new PeerLink.Parcel(frames, IGNORED));
-    }
-
-    private void receiveConfiguration(
-            PeerMessage.Hello sender, PeerMessage.ConfigurationPart message) {
-        // Parts of one sender arrive in order on its connection; parts of several senders may mix.
-        StringBuilder text =
-                configurationTexts.computeIfAbsent(sender.from(), from -> new StringBuilder());
-        text.append(message.text());
-        if (message.last()) {
-            configurationTexts.remove(sender.from());
-            Thread.startVirtualThread(
-                    () -> configuration.offer(text.toString(), Optional.of(sender.from())));
+        List<Frame> parts = configurations.parts();
+        if (!parts.isEmpty()) {
+            transport.offer(peerAddress, new PeerLink.Parcel(parts, IGNORED));
         }
     }
 }
--- a/standins/src/test/java/org/jujubefork/standins/cell/Load.java
+++ b/standins/src/test/java/org/jujubefork/standins/cell/Load.java
@@ -16,6 +16,9 @@
         Caller.Request request(int number, SplittableRandom random);
     }
 
+    /** How long a caller repeats a request that has no final answer. */
+    public static final Duration PATIENCE = Duration.ofSeconds(15);
+
     private static final Duration LAST_ANSWER = Duration.ofSeconds(60);
 
     private final TestCell cell;
@@ -31,6 +34,11 @@
         this.pace = Thread.ofVirtual().unstarted(() -> run(perSecond, seed, source));
     }
 
+    /** Starts requests of callers that repeat them for {@link #PATIENCE}. */
+    public static Load start(TestCell cell, int perSecond, long seed, Source source) {
+        return start(cell, Caller.of(PATIENCE), perSecond, seed, source);
+    }
+
     public static Load start(
             TestCell cell, Caller caller, int perSecond, long seed, Source source) {
         Load load = new Load(cell, caller, perSecond, seed, source);
--- a/standins/src/test/java/org/jujubefork/standins/proof/AnswersTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/AnswersTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -42,13 +41,7 @@
         long seed = Judgement.seed("AnswersTest", 401);
         CellPlan plan = SmallCell.of(3).workers(2, 2, 32).withWorkerRelays().plan();
         try (TestCell cell = TestCell.start(plan);
-                Load load =
-                        Load.start(
-                                cell,
-                                Caller.of(Duration.ofSeconds(15)),
-                                PER_SECOND,
-                                seed,
-                                AnswersTest::request)) {
+                Load load = Load.start(cell, PER_SECOND, seed, AnswersTest::request)) {
             SplittableRandom random = new SplittableRandom(seed);
             cell.worker("z1-w2", "delay", "?millis=300");
             List<String> workers = plan.workers().stream().map(CellPlan.Worker::id).toList();
--- a/standins/src/test/java/org/jujubefork/standins/proof/FaultPairsTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/FaultPairsTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertEquals;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,7 +27,6 @@
  */
 public final class FaultPairsTest {
     private static final int PER_SECOND = 50;
-    private static final Duration PATIENCE = Duration.ofSeconds(15);
 
     /** Longer than a takeover, so that the second fault meets the successor too. */
     private static final long FAULT_MILLIS = 7_500;
@@ -148,13 +146,7 @@
         String test = "FaultPairsTest." + one + "+" + other;
         long seed = Judgement.seed(test, pairSeed);
         try (TestCell cell = TestCell.start(SmallCell.of(3).withWorkerRelays().plan());
-                Load load =
-                        Load.start(
-                                cell,
-                                Caller.of(PATIENCE),
-                                PER_SECOND,
-                                seed,
-                                FaultPairsTest::request)) {
+                Load load = Load.start(cell, PER_SECOND, seed, FaultPairsTest::request)) {
             EntryVm owner = cell.ownerOf("z1-w1");
             Thread.sleep(1_500);
             one.begin().on(cell, owner);
@@ -179,7 +171,6 @@
         try (Load load =
                 Load.start(
                         cell,
-                        Caller.of(PATIENCE),
                         PER_SECOND,
                         seed,
                         (number, random) -> request(100_000 + number, random))) {
--- a/standins/src/test/java/org/jujubefork/standins/proof/LeavingTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/LeavingTest.java
@@ -2,11 +2,9 @@
 
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.jujubefork.standins.cell.CallRecord;
-import org.jujubefork.standins.cell.Caller;
 import org.jujubefork.standins.cell.Load;
 import org.jujubefork.standins.cell.SmallCell;
 import org.jujubefork.standins.cell.TestCell;
@@ -22,13 +20,7 @@
     /** Returns how many starts the worker had after the bound. */
     private static long lateStarts(boolean listed, long seed) throws Exception {
         try (TestCell cell = TestCell.start(SmallCell.of(3).plan());
-                Load load =
-                        Load.start(
-                                cell,
-                                Caller.of(Duration.ofSeconds(15)),
-                                PER_SECOND,
-                                seed,
-                                TakeoverTest::mixed)) {
+                Load load = Load.start(cell, PER_SECOND, seed, TakeoverTest::mixed)) {
             Thread.sleep(2_000);
             long marked = System.nanoTime();
             if (listed) {
--- a/standins/src/test/java/org/jujubefork/standins/proof/PlannedStopTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/PlannedStopTest.java
@@ -48,12 +48,7 @@
     }
 
     private static Load load(TestCell cell, long seed) {
-        return Load.start(
-                cell,
-                Caller.of(Duration.ofSeconds(15)),
-                PER_SECOND,
-                seed,
-                PlannedStopTest::request);
+        return Load.start(cell, PER_SECOND, seed, PlannedStopTest::request);
     }
 
     /** Runs long enough that an entry has requests in flight at all times. */
--- a/standins/src/test/java/org/jujubefork/standins/proof/RecoverySample.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/RecoverySample.java
@@ -87,13 +87,7 @@
     }
 
     private static double takeover(TestCell cell, long seed) throws Exception {
-        try (Load load =
-                Load.start(
-                        cell,
-                        Caller.of(Duration.ofSeconds(15)),
-                        PER_SECOND,
-                        seed,
-                        TakeoverTest::mixed)) {
+        try (Load load = Load.start(cell, PER_SECOND, seed, TakeoverTest::mixed)) {
             Thread.sleep(1_000);
             EntryVm owner = cell.ownerOf("z1-w1");
             long killed = System.nanoTime();
--- a/standins/src/test/java/org/jujubefork/standins/proof/SaturationTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/SaturationTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.jujubefork.client.api.ApiClient;
@@ -60,13 +59,7 @@
      */
     private static List<HistoryEvent> saturate(CellPlan plan, long seed) throws Exception {
         try (TestCell cell = TestCell.start(plan);
-                Load load =
-                        Load.start(
-                                cell,
-                                Caller.of(Duration.ofSeconds(15)),
-                                PER_SECOND,
-                                seed,
-                                SaturationTest::request)) {
+                Load load = Load.start(cell, PER_SECOND, seed, SaturationTest::request)) {
             submit(cell, "red-batch", 40, 700);
             Thread.sleep(3_000);
             var owner = cell.ownerOf(WORKER).process();
--- a/standins/src/test/java/org/jujubefork/standins/proof/TakeoverTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/TakeoverTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -42,8 +41,7 @@
     }
 
     private static Load load(TestCell cell, long seed) {
-        return Load.start(
-                cell, Caller.of(Duration.ofSeconds(15)), PER_SECOND, seed, TakeoverTest::mixed);
+        return Load.start(cell, PER_SECOND, seed, TakeoverTest::mixed);
     }
 
     private static Optional<HistoryEvent> firstStart(
--- a/standins/src/test/java/org/jujubefork/standins/proof/UrgentStartTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/UrgentStartTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertTrue;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,12 +43,7 @@
             Thread.sleep(3_000);
             List<CallRecord> calls;
             try (Load load =
-                    Load.start(
-                            cell,
-                            Caller.of(Duration.ofSeconds(15)),
-                            PER_SECOND,
-                            seed,
-                            (n, random) -> request(queue, n, random))) {
+                    Load.start(cell, PER_SECOND, seed, (n, random) -> request(queue, n, random))) {
                 Thread.sleep(4_000);
                 calls = load.stop();
             }
--- a/standins/src/test/java/org/jujubefork/standins/proof/WorkerFailureTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/proof/WorkerFailureTest.java
@@ -9,7 +9,6 @@
 import org.jujubefork.core.model.Outcome;
 import org.jujubefork.standins.Await;
 import org.jujubefork.standins.cell.CallRecord;
-import org.jujubefork.standins.cell.Caller;
 import org.jujubefork.standins.cell.CellPlan;
 import org.jujubefork.standins.cell.Load;
 import org.jujubefork.standins.cell.SmallCell;
@@ -41,13 +40,7 @@
     /** Returns how many starts a worker was sent while it worked or failed all of them. */
     private static long starts(boolean failing, long seed) throws Exception {
         try (TestCell cell = TestCell.start(SmallCell.of(3).plan());
-                Load load =
-                        Load.start(
-                                cell,
-                                Caller.of(Duration.ofSeconds(15)),
-                                PER_SECOND,
-                                seed,
-                                TakeoverTest::mixed)) {
+                Load load = Load.start(cell, PER_SECOND, seed, TakeoverTest::mixed)) {
             long since = System.nanoTime();
             if (failing) {
                 cell.worker(WORKER, "fail-starts", "?on=true");
