--- a/core/src/main/java/org/jujubefork/core/workflow/Admission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Admission.java
@@ -1,8 +1,13 @@
 package org.jujubefork.core.workflow;
 
+import java.util.Optional;
+import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
 
-/** Decides whether a job is accepted. */
+/**
+ * Decides whether a job is accepted. What cannot be served in time is refused at once, so that its
+ * caller can come back when there is room; what a team sends beyond its share is refused first.
+ */
 final class Admission {
     /** The most jobs that are accepted and not ended; a bound for memory. */
     static final int MOST_JOBS = 20_000;
@@ -10,6 +15,17 @@
     /** When a caller comes back that met the bound. */
     private static final long FULL_RETRY_MILLIS = 2_000;
 
+    /** When a caller comes back that met an unreachable store. */
+    private static final long STORE_RETRY_MILLIS = 1_000;
+
+    /** Bounds of the time until there may be room. */
+    private static final long LEAST_RETRY_MILLIS = 1_000;
+
+    private static final long MOST_RETRY_MILLIS = 10_000;
+
+    /** A job that ends after this many times its objective counts for nothing. */
+    private static final double LATEST = 3;
+
     /** What becomes of a job. */
     sealed interface Verdict {
         /** It is accepted. */
@@ -20,16 +36,43 @@
          *
          * @param reason why
          * @param retryAfterMillis when it may fit
+         * @param overloaded whether too much waits; otherwise the entry cannot accept anything
          */
-        record Refuse(String reason, long retryAfterMillis) implements Verdict {}
+        record Refuse(String reason, long retryAfterMillis, boolean overloaded)
+                implements Verdict {}
     }
 
     private Admission() {}
 
-    static Verdict judge(WorkflowState state, Call.Submit submit) {
+    static Verdict judge(WorkflowState state, Call.Submit submit, boolean withinShare) {
+        if (state.commits().isStalled(state.now())) {
+            return storeSilent();
+        }
         if (state.jobs().size() >= MOST_JOBS) {
-            return new Verdict.Refuse("too-many-jobs", FULL_RETRY_MILLIS);
+            return new Verdict.Refuse("too-many-jobs", FULL_RETRY_MILLIS, true);
+        }
+        Optional<Queue> queue = state.configuration().flatMap(c -> c.queue(submit.queue()));
+        if (queue.isEmpty()) {
+            return new Verdict.Accept();
+        }
+        long wait = state.pressure().waitMillis(queue.get().service(), queue.get().priority());
+        if (!withinShare && state.pressure().isFull(queue.get().service())) {
+            return new Verdict.Refuse("beyond-share", retry(wait), true);
+        }
+        double objective = Urgency.objectiveMillis(submit.definition(), queue.get());
+        boolean timed = submit.definition().times() > 0 || objective <= 0;
+        if (!timed && wait > LATEST * objective) {
+            return new Verdict.Refuse("too-late", retry(wait), true);
         }
         return new Verdict.Accept();
     }
+
+    /** Refuses a job because the store does not answer. */
+    static Verdict.Refuse storeSilent() {
+        return new Verdict.Refuse("store-silent", STORE_RETRY_MILLIS, false);
+    }
+
+    private static long retry(long wait) {
+        return Math.clamp(wait, LEAST_RETRY_MILLIS, MOST_RETRY_MILLIS);
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDesk.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDesk.java
@@ -19,7 +19,7 @@
 public record AdviceDesk(
         PSet<String> advisors, PVector<Question> queue, PMap<StepKey, OpenCall> open) {
     /** A call that takes longer keeps its entry busy so long that urgent calls go elsewhere. */
-    static final long LONG_CALL_MILLIS = 150;
+    static final long LONG_CALL_MILLIS = 60;
 
     /** The most short calls of one entry at the same time; the second covers the way there. */
     static final int SHORT_CALLS_AT_ONCE = 2;
@@ -29,12 +29,18 @@
      *
      * @param step the step
      * @param workers the candidates
+     * @param rank the rank of the step when the call was queued
      * @param priority the priority of its queue, 0 is the most urgent
      * @param renewal whether room is reserved until the answer
      * @param costMillis the time that the service takes
      */
     public record Question(
-            StepKey step, List<String> workers, int priority, boolean renewal, long costMillis) {
+            StepKey step,
+            List<String> workers,
+            Urgency.Rank rank,
+            int priority,
+            boolean renewal,
+            long costMillis) {
         /** Copies the candidates. */
         public Question {
             workers = List.copyOf(workers);
--- a/core/src/main/java/org/jujubefork/core/workflow/Advising.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Advising.java
@@ -16,13 +16,29 @@
 
     /** Calls that reserve room go first, then urgent queues. */
     private static final Comparator<Question> ORDER =
-            Comparator.comparing((Question q) -> !q.renewal()).thenComparing(Question::priority);
+            Comparator.comparing((Question q) -> !q.renewal())
+                    .thenComparing(Question::rank)
+                    .thenComparing(Question::priority);
 
     private Advising() {}
 
-    /** Queues a call about {@code key}. */
+    /** Queues a call about the workers that could run a step. */
     static WorkflowState ask(
-            WorkflowState state, StepKey key, List<String> workers, boolean renewal) {
+            WorkflowState state, Placement.Candidate candidate, List<String> workers) {
+        return queue(state, candidate.key(), workers, candidate.rank(), false);
+    }
+
+    /** Queues a call for new tickets of {@code workers}, whose room is reserved meanwhile. */
+    static WorkflowState renew(WorkflowState state, StepKey key, List<String> workers) {
+        return queue(state, key, workers, Urgency.Rank.IN_TIME, true);
+    }
+
+    private static WorkflowState queue(
+            WorkflowState state,
+            StepKey key,
+            List<String> workers,
+            Urgency.Rank rank,
+            boolean renewal) {
         Job job = state.jobs().get(key.job());
         Optional<CellConfiguration.Queue> queue = state.queueOf(job);
         if (queue.isEmpty() || queue.get().advice().isEmpty() || workers.isEmpty()) {
@@ -35,6 +51,7 @@
                 new Question(
                         key,
                         named,
+                        rank,
                         queue.get().priority(),
                         renewal,
                         Math.round(queue.get().advice().get().costMillis(named.size())));
--- a/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
@@ -13,9 +13,9 @@
  */
 final class AdvisorLoads {
     /** Part of the entries that long calls may use, as a fraction of two numbers. */
-    private static final int LONG_NUMERATOR = 2;
+    private static final int LONG_NUMERATOR = 1;
 
-    private static final int LONG_DENOMINATOR = 3;
+    private static final int LONG_DENOMINATOR = 2;
 
     /** The calls of one entry. */
     private record Load(int calls, boolean hasLong, long millis) {
--- a/core/src/main/java/org/jujubefork/core/workflow/Bounds.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Bounds.java
@@ -26,6 +26,12 @@
     /** How long a leader gives orders after the store last confirmed that it leads. */
     public static final long AUTHORITY_MILLIS = 5_000;
 
+    /**
+     * Latest end of a lease after the store last confirmed the leader that gives it. A new leader
+     * waits this long for workers that it cannot reach; a store that is away for less ends no task.
+     */
+    public static final long CONFIRMED_LEASE_MILLIS = 8_000;
+
     /** How long a worker may wait with its answer to a lease call when nothing ends. */
     public static final long HOLD_WAIT_MILLIS = 1_500;
 
@@ -41,6 +47,13 @@
     /** Time between two stops of the same run. */
     public static final long STOP_RETRY_MILLIS = 600;
 
+    /**
+     * A write that the store has not answered for this time shows that it is away: what is handed
+     * in is then refused rather than held. Longer than the time limit of one call, so that a single
+     * lost answer refuses nothing.
+     */
+    public static final long STORE_PATIENCE_MILLIS = 1_300;
+
     /** Least time between two writes to the store; what changes meanwhile is written together. */
     public static final long COMMIT_SPACING_MILLIS = 15;
 
@@ -70,8 +83,18 @@
 
     private Bounds() {}
 
-    /** Returns when a lease that is given at {@code now} has ended on any worker. */
-    public static long leaseEnd(long now) {
-        return now + WORKER_LEASE_MILLIS + LEASE_MARGIN_MILLIS;
+    /**
+     * Returns the end of a lease that a leader gives.
+     *
+     * @param now when it is given
+     * @param confirmedAt when the store last confirmed the leader
+     */
+    public static long leaseUntil(long now, long confirmedAt) {
+        return Math.min(now + WORKER_LEASE_MILLIS, confirmedAt + CONFIRMED_LEASE_MILLIS);
+    }
+
+    /** Returns when everything under leases that end at {@code until} has ended on any worker. */
+    public static long afterLease(long until) {
+        return until + LEASE_MARGIN_MILLIS;
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Calls.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Calls.java
@@ -6,6 +6,8 @@
 import org.jujubefork.core.workflow.WorkflowEffect.Answer;
 import org.jujubefork.core.workflow.WorkflowEffect.Reply;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
 
 /** Answers the calls of callers. What an answer says of a job is in the store before it is sent. */
 final class Calls {
@@ -52,30 +54,54 @@
         if (state.leadership().resigned()) {
             return reply(state, request, new Reply.NotLeading());
         }
-        Admission.Verdict verdict = Admission.judge(state, submit);
+        Shares.Taken taken = state.shares().take(submit.team(), weight(state, submit), state.now());
+        Admission.Verdict verdict = Admission.judge(state, submit, taken.within());
         if (verdict instanceof Admission.Verdict.Refuse refuse) {
-            return reply(state, request, new Reply.Refused(refuse.retryAfterMillis(), true))
-                    .with(
-                            WorkflowEffect.Note.of(
-                                    "job-refused",
-                                    submit.job(),
-                                    "queue",
-                                    submit.queue(),
-                                    "team",
-                                    submit.team(),
-                                    "reason",
-                                    refuse.reason(),
-                                    "retry_after_ms",
-                                    refuse.retryAfterMillis()));
+            return refused(state, request, submit, refuse);
         }
+        return accepted(state.with(taken.shares()), request, submit, taken.within());
+    }
+
+    private static double weight(WorkflowState state, Call.Submit submit) {
+        return state.configuration()
+                .flatMap(c -> c.team(submit.team()))
+                .map(CellConfiguration.Team::weight)
+                .orElse(0.0);
+    }
+
+    private static WorkflowTransition refused(
+            WorkflowState state,
+            long request,
+            Call.Submit submit,
+            Admission.Verdict.Refuse refuse) {
+        return reply(
+                        state,
+                        request,
+                        new Reply.Refused(refuse.retryAfterMillis(), refuse.overloaded()))
+                .with(
+                        WorkflowEffect.Note.of(
+                                "job-refused",
+                                submit.job(),
+                                "queue",
+                                submit.queue(),
+                                "team",
+                                submit.team(),
+                                "reason",
+                                refuse.reason(),
+                                "retry_after_ms",
+                                refuse.retryAfterMillis()));
+    }
+
+    private static WorkflowTransition accepted(
+            WorkflowState state, long request, Call.Submit submit, boolean withinShare) {
         Job job =
                 Job.submitted(
                         submit.job(),
                         submit.queue(),
                         submit.team(),
                         submit.definition(),
-                        state.term(),
-                        state.now());
+                        new Job.Acceptance(
+                                state.term(), state.now(), state.wallMillis(), withinShare));
         Commits commits = state.commits().dirty(job.id()).answering(request, job.id());
         return WorkflowTransition.of(
                 state.with(Schedules.withDue(job, state.wallMillis()))
@@ -83,6 +109,37 @@
                         .withPlacementDue(true));
     }
 
+    /** Refuses what no write has been sent for while the store is away, rather than hold it. */
+    static WorkflowTransition refuseUnsent(WorkflowState state) {
+        Commits commits = state.commits();
+        if (!commits.isStalled(state.now()) || commits.answers().isEmpty()) {
+            return WorkflowTransition.of(state);
+        }
+        PSet<String> unsent = HashTreePSet.empty();
+        for (Commits.PendingAnswer answer : commits.answers()) {
+            Job job = state.jobs().get(answer.job());
+            boolean sent = commits.inFlight().orElseThrow().jobs().contains(answer.job());
+            if (job != null && job.isActive() && !job.stored() && !sent) {
+                unsent = unsent.plus(answer.job());
+            }
+        }
+        WorkflowTransition result =
+                WorkflowTransition.of(
+                        state.withJobs(state.jobs().minusAll(unsent))
+                                .with(commits.without(unsent)));
+        for (Commits.PendingAnswer answer : commits.answers()) {
+            if (unsent.contains(answer.job())) {
+                Job job = state.jobs().get(answer.job());
+                Call.Submit submit =
+                        new Call.Submit(job.queue(), job.team(), job.id(), job.definition());
+                result =
+                        result.then(
+                                s -> refused(s, answer.request(), submit, Admission.storeSilent()));
+            }
+        }
+        return result;
+    }
+
     private static Reply stateOf(WorkflowState state, String queue, String id) {
         Job job = state.jobs().get(id);
         if (job != null && job.queue().equals(queue) && job.stored()) {
--- a/core/src/main/java/org/jujubefork/core/workflow/Commits.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Commits.java
@@ -200,6 +200,32 @@
                 other);
     }
 
+    /** Returns whether the store lists {@code worker} as used, and goes on to do so. */
+    public boolean listsWorker(String worker) {
+        return fleetStored.contains(worker)
+                && inFlight.flatMap(InFlight::fleet).map(f -> f.contains(worker)).orElse(true);
+    }
+
+    /** Returns whether the store has not answered the write under way for too long. */
+    public boolean isStalled(long now) {
+        return inFlight.isPresent() && now - sentAt > Bounds.STORE_PATIENCE_MILLIS;
+    }
+
+    /** Returns this without what is still to be written of {@code jobs} and their calls. */
+    public Commits without(PSet<String> jobs) {
+        return new Commits(
+                dirty.minusAll(jobs),
+                dirtySet.minusAll(jobs),
+                TreePVector.from(answers.stream().filter(a -> !jobs.contains(a.job())).toList()),
+                inFlight,
+                nextBatch,
+                previousRevision,
+                sentAt,
+                fleetDirty,
+                fleetStored,
+                buckets);
+    }
+
     /** Returns whether nothing is to be written or under way. */
     public boolean isIdle() {
         return dirty.isEmpty() && inFlight.isEmpty() && !fleetDirty;
--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -79,7 +79,7 @@
                                 "replaces",
                                 revision,
                                 "leader_silent_ms",
-                                state.now() - now.aliveAt(),
+                                now.aliveAt() < 0 ? -1 : state.now() - now.aliveAt(),
                                 "store_age_ms",
                                 state.now() - now.confirmedAt()));
     }
@@ -159,11 +159,13 @@
         if (known > won.leader().revision()) {
             return WorkflowTransition.of(state.with(state.leadership().claiming(false, 0)));
         }
-        long runsUntil = Bounds.leaseEnd(state.now()) + Bounds.AUTHORITY_MILLIS;
+        // The store has confirmed no earlier leader since the claim.
+        long runsUntil = Bounds.afterLease(state.now() + Bounds.CONFIRMED_LEASE_MILLIS);
         PMap<String, Job> jobs = HashTreePMap.empty();
         for (Job job : won.snapshot().jobs()) {
+            Job aged = job.with(job.acceptance().onClock(state.now(), state.wallMillis()));
             // Runs that workers report belong to occurrences that were due before the takeover.
-            jobs = jobs.plus(job.id(), Schedules.withDue(job, state.wallMillis()));
+            jobs = jobs.plus(job.id(), Schedules.withDue(aged, state.wallMillis()));
         }
         PMap<String, Finished> finished = HashTreePMap.empty();
         for (Finished ended : won.snapshot().finished()) {
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -15,13 +15,11 @@
             return WorkflowTransition.of(state);
         }
         PMap<String, WorkerNode> workers = state.workers();
-        boolean added = false;
         for (WorkerNode.Listing listing : event.workers().values()) {
             WorkerNode known = workers.get(listing.id());
             // A worker that no leader has used runs nothing of ours.
             WorkerNode node =
                     known == null ? WorkerNode.of(listing, 0) : known.withListing(listing, true);
-            added |= known == null;
             workers = workers.plus(listing.id(), node);
         }
         for (WorkerNode known : state.workers().values()) {
@@ -29,8 +27,7 @@
                 workers = workers.plus(known.id(), known.withListing(known.listing(), false));
             }
         }
-        WorkflowState next = state.withWorkers(workers).withPlacementDue(true);
-        return WorkflowTransition.of(added ? next.with(next.commits().withFleetDirty()) : next);
+        return WorkflowTransition.of(state.withWorkers(workers).withPlacementDue(true));
     }
 
     /** Returns whether all that earlier leaders may have started is known. */
@@ -61,25 +58,40 @@
                                         "charges",
                                         node.charges().size()));
         return event.failure() == OrderOutcome.OTHER_WORKER
-                ? result.then(s -> lost(s, event.worker(), "replaced"))
+                ? result.then(s -> replaced(s, event.worker()))
                 : result;
     }
 
+    /** Another worker has the address, so that nothing runs under the identifier any more. */
+    private static WorkflowTransition replaced(WorkflowState state, String worker) {
+        WorkerNode node = state.workers().get(worker);
+        WorkflowState next = state.with(node.with(node.contact().ended())).withPlacementDue(true);
+        WorkflowTransition result =
+                node.charges().isEmpty()
+                        ? WorkflowTransition.of(next)
+                        : lost(next, worker, "replaced");
+        return node.listed() ? result : result.withState(forgotten(result.state(), worker));
+    }
+
+    private static WorkflowState forgotten(WorkflowState state, String worker) {
+        return state.withWorkers(state.workers().minus(worker))
+                .with(state.commits().withFleetDirty());
+    }
+
     static WorkflowTransition tick(WorkflowState state) {
         WorkflowTransition result = WorkflowTransition.of(state);
         for (WorkerNode node : state.workers().values()) {
-            boolean ended =
-                    node.contact().runsUntil() < state.now()
-                            && state.now() - node.contact().answeredAt()
-                                    > Bounds.WORKER_SILENCE_MILLIS;
-            if (ended && !node.charges().isEmpty()) {
+            if (!node.isAbandoned(state.now())) {
+                continue;
+            }
+            if (!node.charges().isEmpty()) {
                 result = result.then(s -> lost(s, node.id(), "lease-ended"));
-            } else if (ended && !node.listed()) {
+            } else if (!node.listed()) {
+                result = result.withState(forgotten(result.state(), node.id()));
+            } else if (result.state().commits().listsWorker(node.id())) {
+                // The next leader does not wait for a worker that runs nothing.
                 WorkflowState current = result.state();
-                result =
-                        result.withState(
-                                current.withWorkers(current.workers().minus(node.id()))
-                                        .with(current.commits().withFleetDirty()));
+                result = result.withState(current.with(current.commits().withFleetDirty()));
             }
         }
         return result;
@@ -163,7 +175,7 @@
         // earlier life could acknowledge ends that nobody has seen.
         long acknowledged = contact.answeredLast() ? contact.noted() : 0;
         boolean wait = fresh && contact.noted() >= contact.seen();
-        long runsUntil = fresh ? Bounds.leaseEnd(state.now()) : contact.runsUntil();
+        long runsUntil = fresh ? Bounds.afterLease(leaseUntil(state)) : contact.runsUntil();
         return WorkflowTransition.of(state.with(node.with(contact.holding(state.now(), runsUntil))))
                 .with(
                         new WorkflowEffect.Hold(
@@ -174,8 +186,13 @@
                                 wait ? Bounds.HOLD_WAIT_MILLIS : 0));
     }
 
+    /** Returns the end of a lease that is given now. */
+    static long leaseUntil(WorkflowState state) {
+        return Bounds.leaseUntil(state.now(), state.leadership().confirmedAt());
+    }
+
     /** Returns the end of a lease that is given now, on the worker's clock. */
     static long leaseOnClock(WorkflowState state, WorkerNode node) {
-        return state.now() + node.contact().clockOffset() + Bounds.WORKER_LEASE_MILLIS;
+        return leaseUntil(state) + node.contact().clockOffset();
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Job.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Job.java
@@ -14,8 +14,7 @@
  * @param definition what was asked for
  * @param status what a caller is told
  * @param stored whether its acceptance is durable
- * @param term the term in which it was accepted
- * @param acceptedAt when it arrived, in milliseconds of the monotonic clock of this entry
+ * @param acceptance when and how it was accepted
  * @param runs the occurrences that have become due, by number
  */
 public record Job(
@@ -25,9 +24,24 @@
         JobDefinition definition,
         Status status,
         boolean stored,
-        long term,
-        long acceptedAt,
+        Acceptance acceptance,
         PMap<Integer, PVector<StepRun>> runs) {
+    /**
+     * When and how a job was accepted.
+     *
+     * @param term the term in which it was accepted
+     * @param at when it arrived, in milliseconds of the monotonic clock of this entry
+     * @param wallMillis when it arrived, in Unix milliseconds
+     * @param withinShare whether its team had not used up its share
+     */
+    public record Acceptance(long term, long at, long wallMillis, boolean withinShare) {
+        /** Returns this on the monotonic clock of an entry where it is {@code now}. */
+        Acceptance onClock(long now, long nowWallMillis) {
+            long age = Math.max(0, nowWallMillis - wallMillis);
+            return new Acceptance(term, now - age, wallMillis, withinShare);
+        }
+    }
+
     /** What a caller is told of a job. */
     public enum Status {
         /** Has work left. */
@@ -42,9 +56,26 @@
 
     /** Returns a new job. */
     public static Job submitted(
-            String id, String queue, String team, JobDefinition definition, long term, long at) {
+            String id, String queue, String team, JobDefinition definition, Acceptance acceptance) {
         return new Job(
-                id, queue, team, definition, Status.ACTIVE, false, term, at, HashTreePMap.empty());
+                id,
+                queue,
+                team,
+                definition,
+                Status.ACTIVE,
+                false,
+                acceptance,
+                HashTreePMap.empty());
+    }
+
+    /** Returns the term in which it was accepted. */
+    public long term() {
+        return acceptance.term();
+    }
+
+    /** Returns when it arrived, in milliseconds of the monotonic clock of this entry. */
+    public long acceptedAt() {
+        return acceptance.at();
     }
 
     /** Returns whether the job has work left. */
@@ -54,16 +85,21 @@
 
     /** Returns this job with its acceptance stored. */
     public Job asStored() {
-        return new Job(id, queue, team, definition, status, true, term, acceptedAt, runs);
+        return new Job(id, queue, team, definition, status, true, acceptance, runs);
     }
 
     /** Returns this job with another status. */
     public Job withStatus(Status other) {
-        return new Job(id, queue, team, definition, other, stored, term, acceptedAt, runs);
+        return new Job(id, queue, team, definition, other, stored, acceptance, runs);
+    }
+
+    /** Returns this job with its acceptance told in other terms. */
+    public Job with(Acceptance other) {
+        return new Job(id, queue, team, definition, status, stored, other, runs);
     }
 
     private Job withRuns(PMap<Integer, PVector<StepRun>> other) {
-        return new Job(id, queue, team, definition, status, stored, term, acceptedAt, other);
+        return new Job(id, queue, team, definition, status, stored, acceptance, other);
     }
 
     /** Returns this job with {@code occurrence} due. */
--- a/core/src/main/java/org/jujubefork/core/workflow/Orders.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Orders.java
@@ -23,7 +23,8 @@
         WorkerNode node = state.workers().get(task.worker());
         WorkerNode.Charge charge = node.charges().get(key).startedAt(state.now());
         WorkerNode charged =
-                node.charge(key, charge).with(node.contact().ordered(Bounds.leaseEnd(state.now())));
+                node.charge(key, charge)
+                        .with(node.contact().ordered(Bounds.afterLease(Fleet.leaseUntil(state))));
         Order order = new Order(OrderKind.START, node.id(), key, task.run());
         return WorkflowTransition.of(
                         state.with(charged).with(job.with(key, task.in(Task.Phase.STARTING))))
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -11,8 +11,20 @@
 
 /** Decides which tasks run where, and starts them. */
 public final class Placement {
-    /** A step that waits for workers, with its queue. */
-    record Candidate(StepKey key, Job job, StepDefinition definition, StepRun run, Queue queue) {}
+    /** A step that waits for workers, with its queue and rank. */
+    record Candidate(
+            StepKey key,
+            Job job,
+            StepDefinition definition,
+            StepRun run,
+            Queue queue,
+            Urgency.Rank rank) {
+        /** Returns the processor time that its waiting tasks need, in millicores times ms. */
+        long work() {
+            long tasks = run.tasks().stream().filter(t -> t.phase() == Task.Phase.WAITING).count();
+            return tasks * definition.size().cpuMillis() * definition.estimateMillis();
+        }
+    }
 
     private Placement() {}
 
@@ -24,24 +36,25 @@
             boolean certain = job.term() == state.term() || recovered;
             Optional<Queue> queue = state.queueOf(job);
             if (job.isActive() && queue.isPresent() && certain) {
-                collect(job, queue.get(), waiting);
+                collect(job, queue.get(), state.now(), waiting);
             }
         }
-        waiting.sort(Urgency.order(state.now()));
+        waiting.sort(Urgency.order());
         Rooms rooms = Rooms.of(state);
         for (Candidate candidate : waiting) {
             result = result.then(s -> place(s, candidate, rooms));
         }
-        return result;
+        return result.withState(result.state().with(rooms.pressure()));
     }
 
-    private static void collect(Job job, Queue queue, List<Candidate> waiting) {
+    private static void collect(Job job, Queue queue, long now, List<Candidate> waiting) {
         for (int occurrence : job.runs().keySet()) {
             List<StepRun> steps = job.runs().get(occurrence);
+            Urgency.Rank rank = Urgency.rank(job, steps, queue, now);
             for (int i = 0; i < steps.size(); i++) {
                 StepKey key = new StepKey(job.id(), occurrence, i);
                 if (steps.get(i).hasWaiting() && job.dependenciesDone(key)) {
-                    waiting.add(new Candidate(key, job, job.step(key), steps.get(i), queue));
+                    waiting.add(new Candidate(key, job, job.step(key), steps.get(i), queue, rank));
                 }
             }
         }
@@ -57,13 +70,14 @@
             StepRun.Advised advice = candidate.run().advice();
             List<String> unasked = rooms.unasked(candidate, advice);
             if (!advice.asked() && !unasked.isEmpty()) {
-                ready = Advising.ask(ready, candidate.key(), unasked, false);
+                ready = Advising.ask(ready, candidate, unasked);
             }
             if (!advice.known()) {
                 return WorkflowTransition.of(ready);
             }
         }
-        if (!candidate.job().stored()) {
+        if (!candidate.job().stored()
+                || !rooms.hasSpare(candidate.queue().service(), candidate.rank())) {
             return WorkflowTransition.of(ready);
         }
         return candidate.definition().gang()
@@ -82,6 +96,7 @@
             }
             Optional<String> worker = rooms.take(candidate, Set.of());
             if (worker.isEmpty()) {
+                rooms.left(candidate);
                 break;
             }
             next = assign(next, candidate, i, worker.get(), nextRun(next, candidate, task.run()));
@@ -99,6 +114,8 @@
         }
         Optional<List<String>> workers = rooms.takeAll(candidate, tasks.size());
         if (workers.isEmpty()) {
+            rooms.left(candidate);
+            rooms.keep(candidate);
             return WorkflowTransition.of(state);
         }
         long last = tasks.stream().mapToLong(Task::run).max().orElse(0);
@@ -208,7 +225,7 @@
         List<String> refused =
                 named.stream().filter(w -> !run.advice().tickets().containsKey(w)).toList();
         if (refused.isEmpty()) {
-            return WorkflowTransition.of(Advising.ask(state, key, List.copyOf(named), true));
+            return WorkflowTransition.of(Advising.renew(state, key, List.copyOf(named)));
         }
         // The service has withdrawn a worker: its tasks are placed anew.
         WorkflowTransition result = WorkflowTransition.of(state.withPlacementDue(true));
--- a/core/src/main/java/org/jujubefork/core/workflow/Rooms.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Rooms.java
@@ -1,7 +1,9 @@
 package org.jujubefork.core.workflow;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -18,11 +20,18 @@
     /** Weight of a worker away from the data of a step, above any weight by free capacity. */
     private static final double FAR_PENALTY = 10;
 
+    /** The largest part of the workers that is kept for work that does not fit yet. */
+    private static final double MOST_KEPT = 0.5;
+
     private final WorkflowState state;
     private final Map<String, Resources> free = new HashMap<>();
     private final Map<String, Resources> usage = new HashMap<>();
     private final Map<StepKey, Map<String, Integer>> placed = new HashMap<>();
     private final List<WorkerNode> usable = new ArrayList<>();
+    private final Set<String> kept = new HashSet<>();
+    private final List<Candidate> left = new ArrayList<>();
+    private final Map<String, Resources> capacity = new HashMap<>();
+    private final Map<String, Resources> taken = new HashMap<>();
     private Resources most = Resources.ZERO;
 
     private Rooms(WorkflowState state) {
@@ -41,11 +50,14 @@
                         .computeIfAbsent(entry.getKey().stepKey(), k -> new HashMap<>())
                         .merge(node.id(), 1, Integer::sum);
             }
-            boolean stored = state.commits().fleetStored().contains(node.id());
+            boolean stored = state.commits().listsWorker(node.id());
             if (stored && node.isUsable(state.now())) {
                 rooms.usable.add(node);
                 rooms.free.put(node.id(), left);
                 rooms.most = rooms.most.max(left);
+                String service = node.listing().service();
+                rooms.capacity.merge(service, node.listing().room(), Resources::plus);
+                rooms.taken.merge(service, node.listing().room().minus(left), Resources::plus);
             }
         }
         return rooms;
@@ -58,6 +70,65 @@
                 && candidate.definition().size().fitsIn(node.listing().room());
     }
 
+    /** Returns whether so much is free that work of {@code rank} may start on {@code service}. */
+    boolean hasSpare(String service, Urgency.Rank rank) {
+        Resources all = capacity.getOrDefault(service, Resources.ZERO);
+        Resources used = taken.getOrDefault(service, Resources.ZERO);
+        return rank.spare() == 0 || used.dominantShareOf(all) <= 1 - rank.spare();
+    }
+
+    /** Notes that tasks of {@code candidate} found no room. */
+    void left(Candidate candidate) {
+        if (teamHasRoom(candidate)) {
+            left.add(candidate);
+        }
+    }
+
+    /** Returns what has found no room in this pass. */
+    Pressure pressure() {
+        Map<String, Long> cpu = new HashMap<>();
+        capacity.forEach((s, r) -> cpu.put(s, r.cpuMillis()));
+        return Pressure.of(left, cpu);
+    }
+
+    /**
+     * Keeps workers free of what comes later in the pass, until all tasks of {@code candidate} fit.
+     * Small tasks would otherwise take each room that becomes free before it is large enough. The
+     * emptiest workers are kept; they stay the emptiest, so that the next pass keeps the same ones.
+     */
+    void keep(Candidate candidate) {
+        if (!candidate.rank().holdsRoom() || !teamHasRoom(candidate)) {
+            return;
+        }
+        long most = Math.round(usable.size() * MOST_KEPT) - kept.size();
+        long missing = candidate.run().tasks().size();
+        List<WorkerNode> emptiest =
+                usable.stream()
+                        .filter(n -> !kept.contains(n.id()) && mayRun(candidate, n))
+                        .sorted(Comparator.comparingLong(n -> -free.get(n.id()).cpuMillis()))
+                        .limit(Math.max(0, most))
+                        .toList();
+        for (WorkerNode node : emptiest) {
+            if (missing <= 0) {
+                return;
+            }
+            kept.add(node.id());
+            missing -= Math.max(1, fitting(candidate, node));
+        }
+    }
+
+    private long fitting(Candidate candidate, WorkerNode node) {
+        int most = candidate.definition().maxPerWorker();
+        Resources size = candidate.definition().charged();
+        long count = 0;
+        while ((most == 0 || count < most)
+                && count < candidate.run().tasks().size()
+                && size.times(count + 1).fitsIn(free.get(node.id()))) {
+            count++;
+        }
+        return count;
+    }
+
     /** Returns the workers that could run the step and that no call has named. */
     List<String> unasked(Candidate candidate, StepRun.Advised advice) {
         return usable.stream()
@@ -151,13 +222,17 @@
     private boolean fits(Candidate candidate, WorkerNode node) {
         int most = candidate.definition().maxPerWorker();
         boolean spread = most == 0 || placedOn(candidate, node) < most;
+        return spread
+                && !kept.contains(node.id())
+                && candidate.definition().charged().fitsIn(free.get(node.id()))
+                && mayRun(candidate, node);
+    }
+
+    private static boolean mayRun(Candidate candidate, WorkerNode node) {
         boolean advised =
                 candidate.queue().advice().isEmpty()
                         || candidate.run().advice().tickets().containsKey(node.id());
-        return spread
-                && advised
-                && candidate.definition().charged().fitsIn(free.get(node.id()))
-                && isEligible(candidate, node);
+        return advised && isEligible(candidate, node);
     }
 
     private int placedOn(Candidate candidate, WorkerNode node) {
@@ -176,6 +251,7 @@
         Resources size = candidate.definition().charged().times(sign);
         free.merge(worker, size, Resources::minus);
         usage.merge(candidate.job().team(), size, Resources::plus);
+        taken.merge(candidate.queue().service(), size, Resources::plus);
         placed.computeIfAbsent(candidate.key(), k -> new HashMap<>())
                 .merge(worker, sign, Integer::sum);
     }
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/workflow/Shares.java
@@ -0,0 +1,54 @@
+package org.jujubefork.core.workflow;
+
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * How much of its share each team has used lately: a token bucket for each team, filled with as
+ * many jobs a second as the team's weight.
+ *
+ * @param buckets the buckets by team; a team without one has used nothing
+ */
+public record Shares(PMap<String, Bucket> buckets) {
+    /** No team has used anything. */
+    public static final Shares NONE = new Shares(HashTreePMap.empty());
+
+    /** Time for which a team can hand in nothing and then the same at once. */
+    private static final double BURST_SECONDS = 2;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /**
+     * What is left for a team.
+     *
+     * @param jobs the jobs that it can hand in within its share
+     * @param at when that was true, in milliseconds of the monotonic clock
+     */
+    public record Bucket(double jobs, long at) {}
+
+    /**
+     * The outcome of a job that is handed in.
+     *
+     * @param shares the shares afterwards
+     * @param within whether the job is within the share of its team
+     */
+    public record Taken(Shares shares, boolean within) {}
+
+    /**
+     * Counts a job of {@code team}. A weight of 0 is no share to be measured against.
+     *
+     * @param now the time in milliseconds of the monotonic clock
+     */
+    public Taken take(String team, double weight, long now) {
+        if (weight <= 0) {
+            return new Taken(this, true);
+        }
+        double most = Math.max(1, weight * BURST_SECONDS);
+        Bucket known = buckets.getOrDefault(team, new Bucket(most, now));
+        double filled = (now - known.at()) * weight / MILLIS_PER_SECOND;
+        double left = Math.min(most, known.jobs() + filled);
+        boolean within = left >= 1;
+        Bucket next = new Bucket(within ? left - 1 : left, now);
+        return new Taken(new Shares(buckets.plus(team, next)), within);
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -128,6 +128,21 @@
                     newBorn, true, offset, at, runsUntil, true, false, heldAt, newSeen, noted);
         }
 
+        /** Returns this with nothing running there any more. */
+        public Contact ended() {
+            return new Contact(
+                    born,
+                    reached,
+                    clockOffset,
+                    answeredAt,
+                    0,
+                    answeredLast,
+                    holding,
+                    heldAt,
+                    seen,
+                    noted);
+        }
+
         /** Returns this for a new incarnation, which has listed no end. */
         public Contact reborn() {
             return new Contact(
@@ -232,6 +247,12 @@
                 && health.avoidUntil() <= now;
     }
 
+    /** Returns whether it is silent and everything there has ended. */
+    public boolean isAbandoned(long now) {
+        return contact.runsUntil() < now
+                && now - contact.answeredAt() > Bounds.WORKER_SILENCE_MILLIS;
+    }
+
     /** Returns this with another listing. */
     public WorkerNode withListing(Listing other, boolean stillListed) {
         return new WorkerNode(other, stillListed, contact, charges, health);
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
@@ -23,6 +23,10 @@
         WorkflowTransition result =
                 reborn ? Fleet.restarted(state, event.worker()) : WorkflowTransition.of(state);
         boolean first = !node.contact().reached();
+        if (!state.commits().listsWorker(event.worker())) {
+            WorkflowState noted = result.state();
+            result = result.withState(noted.with(noted.commits().withFleetDirty()));
+        }
         result = result.then(s -> takeEnds(s, event));
         result = result.then(s -> reconcile(s, event));
         return first
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -66,6 +66,7 @@
         return result.then(Schedules::tick)
                 .then(Fleet::tick)
                 .then(Orders::tick)
+                .then(Calls::refuseUnsent)
                 .then(Writing::tick)
                 .then(WorkflowReducer::place);
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -18,6 +18,8 @@
  * @param workers the workers, by identifier
  * @param commits writes to the store
  * @param desk calls to the advice service
+ * @param shares what the teams have used of their shares
+ * @param pressure how much work waits for room
  * @param placementDue whether something changed that placement depends on
  * @param placedAt when placement last ran
  */
@@ -33,6 +35,8 @@
         PMap<String, WorkerNode> workers,
         Commits commits,
         AdviceDesk desk,
+        Shares shares,
+        Pressure pressure,
         boolean placementDue,
         long placedAt) {
     /** Returns the state of an entry that has just started. */
@@ -49,6 +53,8 @@
                 HashTreePMap.empty(),
                 Commits.NONE,
                 AdviceDesk.of(entry),
+                Shares.NONE,
+                Pressure.NONE,
                 false,
                 0);
     }
@@ -120,6 +126,8 @@
                 workers,
                 commits,
                 desk,
+                shares,
+                pressure,
                 true,
                 placedAt);
     }
@@ -173,6 +181,48 @@
                 workers,
                 commits,
                 other,
+                shares,
+                pressure,
+                placementDue,
+                placedAt);
+    }
+
+    /** Returns this state with other shares. */
+    public WorkflowState with(Shares other) {
+        return new WorkflowState(
+                now,
+                wallMillis,
+                entry,
+                configuration,
+                configurationAt,
+                leadership,
+                jobs,
+                finished,
+                workers,
+                commits,
+                desk,
+                other,
+                pressure,
+                placementDue,
+                placedAt);
+    }
+
+    /** Returns this state with another pressure. */
+    public WorkflowState with(Pressure other) {
+        return new WorkflowState(
+                now,
+                wallMillis,
+                entry,
+                configuration,
+                configurationAt,
+                leadership,
+                jobs,
+                finished,
+                workers,
+                commits,
+                desk,
+                shares,
+                other,
                 placementDue,
                 placedAt);
     }
@@ -191,6 +241,8 @@
                 workers,
                 commits,
                 desk,
+                shares,
+                pressure,
                 due,
                 placedAt);
     }
@@ -209,6 +261,8 @@
                 workers,
                 commits,
                 desk,
+                shares,
+                pressure,
                 false,
                 now);
     }
@@ -238,6 +292,8 @@
                 newWorkers,
                 newCommits,
                 desk,
+                shares,
+                pressure,
                 placementDue,
                 placedAt);
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/Writing.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Writing.java
@@ -75,10 +75,13 @@
         if (!state.commits().fleetDirty()) {
             return Optional.empty();
         }
-        entries.add(
-                new Entry.PutFleet(
-                        state.workers().values().stream().map(WorkerNode::listing).toList()));
-        return Optional.of(HashTreePSet.from(state.workers().keySet()));
+        List<WorkerNode.Listing> used =
+                state.workers().values().stream()
+                        .filter(w -> !w.isAbandoned(state.now()))
+                        .map(WorkerNode::listing)
+                        .toList();
+        entries.add(new Entry.PutFleet(used));
+        return Optional.of(HashTreePSet.from(used.stream().map(WorkerNode.Listing::id).toList()));
     }
 
     private static WorkflowTransition send(
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdmissionTest.java
@@ -0,0 +1,95 @@
+package org.jujubefork.core.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.jujubefork.core.workflow.WorkflowEffect.Reply;
+import org.testng.annotations.Test;
+
+/** Guards against jobs that are held or accepted though they cannot be served in time. */
+public final class AdmissionTest {
+    private static final WorkflowEvent.Snapshot NOTHING =
+            new WorkflowEvent.Snapshot(List.of(), List.of(), List.of());
+
+    private static LeaderFixture withWorker(double weight) {
+        LeaderFixture leader = LeaderFixture.leading(LeaderFixture.configuration(weight), NOTHING);
+        leader.list("a");
+        leader.advance(40);
+        leader.answerHold("a");
+        leader.advance(40);
+        leader.store();
+        return leader;
+    }
+
+    private static boolean isRefused(LeaderFixture leader, long request) {
+        return leader.answer(request).filter(Reply.Refused.class::isInstance).isPresent();
+    }
+
+    /** The load: jobs keep coming while the store does not answer for seconds. */
+    @Test
+    public void nothingIsHeldWhileTheStoreIsAway() {
+        LeaderFixture leader = withWorker(50);
+        long sent = leader.submit("sent", LeaderFixture.job(1));
+        leader.advance(100);
+        long unsent = leader.submit("unsent", LeaderFixture.job(1));
+        leader.advance(Bounds.STORE_PATIENCE_MILLIS + 100);
+        assertTrue(isRefused(leader, unsent), "a job that no write was sent for is held");
+        assertEquals(leader.answer(sent), Optional.empty(), "the outcome of a write is not known");
+        long later = leader.submit("later", LeaderFixture.job(1));
+        assertTrue(isRefused(leader, later), "a job that comes later is held");
+        leader.store();
+        assertEquals(leader.answer(sent), Optional.of(new Reply.Done()));
+        leader.advance(100);
+        leader.store();
+        assertEquals(leader.state().jobs().keySet(), java.util.Set.of("sent"));
+        long again = leader.submit("unsent", LeaderFixture.job(1));
+        leader.advance(100);
+        leader.store();
+        assertEquals(leader.answer(again), Optional.of(new Reply.Done()));
+    }
+
+    /** The load: one team sends far more than its weight while the fleet is full. */
+    @Test
+    public void teamBeyondItsShareIsRefusedWhenTheFleetIsFull() {
+        LeaderFixture leader = withWorker(2);
+        for (int i = 0; i < 4; i++) {
+            leader.submit("full" + i, LeaderFixture.job(16));
+        }
+        leader.advance(60);
+        leader.store();
+        leader.advance(60);
+        long beyond = leader.submit("beyond", LeaderFixture.job(1));
+        assertTrue(isRefused(leader, beyond), "accepted beyond the share of the team");
+        leader.advance(1_100);
+        leader.store();
+        long within = leader.submit("within", LeaderFixture.job(1));
+        assertTrue(!isRefused(leader, within), "refused within the share of the team");
+    }
+
+    @Test
+    public void teamBeyondItsShareMayUseWhatIsFree() {
+        LeaderFixture leader = withWorker(2);
+        for (int i = 0; i < 12; i++) {
+            long request = leader.submit("j" + i, LeaderFixture.job(1));
+            assertTrue(!isRefused(leader, request), "refused with workers free: " + i);
+        }
+    }
+
+    /** The load: so much waits that a job would wait for three times its objective. */
+    @Test
+    public void jobThatCannotBeServedInTimeIsRefused() {
+        LeaderFixture leader = withWorker(1_000);
+        // The objective is 2 x 1 s + 0.4 s; each of these jobs takes the worker for 1 s.
+        long last = 0;
+        for (int i = 0; i < 12; i++) {
+            last = leader.submit("j" + i, LeaderFixture.job(16));
+            leader.advance(60);
+            leader.store();
+        }
+        assertTrue(isRefused(leader, last), "accepted though it waits too long");
+        Reply.Refused refused = (Reply.Refused) leader.answer(last).orElseThrow();
+        assertTrue(refused.retryAfterMillis() >= 1_000, "retry at once: " + refused);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -0,0 +1,215 @@
+package org.jujubefork.core.workflow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.WorkflowEvent.OrderOutcome;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.TreePVector;
+
+/** A leader under the control of a test, which answers its effects as it likes. */
+final class LeaderFixture {
+    static final String SERVICE = "s";
+    static final String QUEUE = "q";
+    static final String TEAM = "t";
+    private static final long TICK_MILLIS = 20;
+    private static final long WALL_OFFSET = 1_700_000_000_000L;
+
+    final List<WorkflowEffect> effects = new ArrayList<>();
+    private final Map<String, WorkflowEffect.Hold> holds = new HashMap<>();
+    private final List<WorkflowEffect.Commit> commits = new ArrayList<>();
+    private WorkflowState state = WorkflowState.initial("e0");
+    private long now = 100_000;
+    private long revision = 10;
+    private long nextRequest = 1;
+
+    private LeaderFixture(CellConfiguration configuration) {
+        post(new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
+    }
+
+    /** Returns an entry that leads with what the store holds. */
+    static LeaderFixture leading(CellConfiguration configuration, WorkflowEvent.Snapshot stored) {
+        LeaderFixture fixture = new LeaderFixture(configuration);
+        fixture.tick();
+        LeaderRecord record = new LeaderRecord("e0", "e0", 2, fixture.revision, true);
+        fixture.post(
+                new WorkflowEvent.ClaimEnded(
+                        fixture.now, new WorkflowEvent.ClaimResult.Won(record, stored)));
+        return fixture;
+    }
+
+    static CellConfiguration configuration(double weight) {
+        CellConfiguration.Queue queue =
+                new CellConfiguration.Queue(
+                        QUEUE, "h", "/q/", SERVICE, 0, 3, 3_000, 2, 400, true, Optional.empty());
+        return new CellConfiguration(
+                1,
+                List.of(queue),
+                List.of(new CellConfiguration.Service(SERVICE, false)),
+                List.of(new CellConfiguration.Team(TEAM, List.of(), weight, Resources.ZERO)),
+                100_000);
+    }
+
+    static WorkerNode.Listing worker(String id) {
+        return new WorkerNode.Listing(
+                id, SERVICE, id + ":1", "z", false, Resources.of(16_000, 64_000, 0), List.of(), "");
+    }
+
+    /** Returns a job of one task of {@code cores} cores that takes a second. */
+    static JobDefinition job(int cores) {
+        return new JobDefinition(
+                "p",
+                List.of(
+                        new StepDefinition(
+                                1,
+                                Resources.of(cores * 1_000L, 1_000, 0),
+                                1_000,
+                                List.of(),
+                                false,
+                                false,
+                                "",
+                                "",
+                                0,
+                                false,
+                                false,
+                                false,
+                                false)),
+                0,
+                0,
+                0);
+    }
+
+    /** Returns a job that an earlier leader has accepted just now. */
+    Job accepted(String id, JobDefinition definition) {
+        return accepted(id, definition, now);
+    }
+
+    static Job accepted(String id, JobDefinition definition, long at) {
+        return Job.submitted(
+                        id,
+                        QUEUE,
+                        TEAM,
+                        definition,
+                        new Job.Acceptance(1, 0, WALL_OFFSET + at, true))
+                .asStored();
+    }
+
+    WorkflowState state() {
+        return state;
+    }
+
+    long now() {
+        return now;
+    }
+
+    void post(WorkflowEvent event) {
+        WorkflowTransition next = WorkflowReducer.reduce(state, event);
+        state = next.state();
+        for (WorkflowEffect effect : next.effects()) {
+            effects.add(effect);
+            if (effect instanceof WorkflowEffect.Hold hold) {
+                holds.put(hold.worker().id(), hold);
+            } else if (effect instanceof WorkflowEffect.Commit commit) {
+                commits.add(commit);
+            }
+        }
+    }
+
+    void tick() {
+        post(new WorkflowEvent.Tick(now, WALL_OFFSET + now));
+    }
+
+    /** Lets time pass; the store confirms the leader all the while. */
+    void advance(long millis) {
+        for (long end = now + millis; now < end; ) {
+            now += TICK_MILLIS;
+            confirm();
+            tick();
+        }
+    }
+
+    private void confirm() {
+        if (state.leadership().leads()) {
+            post(new WorkflowEvent.LeaderRead(now, now, state.leadership().known()));
+        }
+    }
+
+    /** Shows the list of workers. */
+    void list(String... ids) {
+        PMap<String, WorkerNode.Listing> all = HashTreePMap.empty();
+        for (String id : ids) {
+            all = all.plus(id, worker(id));
+        }
+        post(new WorkflowEvent.WorkersListed(now, all));
+    }
+
+    /** Answers the lease call to {@code worker}, if one is under way: nothing runs there. */
+    void answerHold(String worker) {
+        WorkflowEffect.Hold hold = holds.remove(worker);
+        if (hold != null) {
+            post(
+                    new WorkflowEvent.HoldAnswered(
+                            now,
+                            hold.fence(),
+                            now,
+                            worker,
+                            new WorkflowEvent.WorkerReport(
+                                    7, now, TreePVector.empty(), TreePVector.empty())));
+        }
+    }
+
+    /** Has the lease call to {@code worker} fail, if one is under way. */
+    void failHold(String worker, OrderOutcome outcome) {
+        WorkflowEffect.Hold hold = holds.remove(worker);
+        if (hold != null) {
+            post(new WorkflowEvent.HoldFailed(now, hold.fence(), worker, outcome));
+        }
+    }
+
+    /** Has the store answer all writes; returns their entries. */
+    List<WorkflowEffect.Entry> store() {
+        List<WorkflowEffect.Entry> entries = new ArrayList<>();
+        while (!commits.isEmpty()) {
+            WorkflowEffect.Commit commit = commits.remove(0);
+            entries.addAll(commit.entries());
+            post(
+                    new WorkflowEvent.CommitEnded(
+                            now,
+                            commit.leaderRevision(),
+                            commit.batch(),
+                            new WorkflowEvent.CommitResult.Stored(++revision)));
+        }
+        return entries;
+    }
+
+    /** Hands in a job and returns the number of the call. */
+    long submit(String id, JobDefinition definition) {
+        long request = nextRequest++;
+        post(
+                new WorkflowEvent.CallArrived(
+                        now, request, new WorkflowEvent.Call.Submit(QUEUE, TEAM, id, definition)));
+        return request;
+    }
+
+    /** Returns the answer to a call, if there is one. */
+    Optional<WorkflowEffect.Reply> answer(long request) {
+        return effects.stream()
+                .filter(WorkflowEffect.Answer.class::isInstance)
+                .map(WorkflowEffect.Answer.class::cast)
+                .filter(a -> a.request() == request)
+                .map(WorkflowEffect.Answer::reply)
+                .findFirst();
+    }
+
+    /** Returns the workers on which something was started. */
+    List<String> starts() {
+        return effects.stream()
+                .filter(WorkflowEffect.Start.class::isInstance)
+                .map(e -> ((WorkflowEffect.Start) e).worker().id())
+                .toList();
+    }
+}
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedStore.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedStore.java
@@ -78,7 +78,7 @@
 
     /** Keeps what the store's record of an accepted job keeps: nothing of its tasks. */
     private static Job accepted(Job job) {
-        return Job.submitted(job.id(), job.queue(), job.team(), job.definition(), job.term(), 0)
+        return Job.submitted(job.id(), job.queue(), job.team(), job.definition(), job.acceptance())
                 .asStored();
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
@@ -34,6 +34,7 @@
     private record Due(long at, long order, Runnable action) {}
 
     final SplittableRandom random;
+    private final CellConfiguration configuration;
     private final PriorityQueue<Due> due =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     final List<SimulatedEntry> nodes = new ArrayList<>();
@@ -50,7 +51,12 @@
     boolean calm;
 
     Simulation(long seed, int entries, int workerCount) {
+        this(seed, entries, workerCount, configuration(LIMIT));
+    }
+
+    Simulation(long seed, int entries, int workerCount, CellConfiguration configuration) {
         random = new SplittableRandom(seed);
+        this.configuration = configuration;
         for (int i = 0; i < entries; i++) {
             nodes.add(new SimulatedEntry("e" + i));
         }
@@ -92,7 +98,7 @@
         now = end;
     }
 
-    private static CellConfiguration configuration() {
+    static CellConfiguration configuration(Resources limit) {
         CellConfiguration.Queue queue =
                 new CellConfiguration.Queue(
                         QUEUE, "h", "/q/", "s", 0, ATTEMPTS, 3_000, 2, 400, true, Optional.empty());
@@ -100,7 +106,7 @@
                 1,
                 List.of(queue),
                 List.of(new CellConfiguration.Service("s", false)),
-                List.of(new CellConfiguration.Team(TEAM, List.of(), 1, LIMIT)),
+                List.of(new CellConfiguration.Team(TEAM, List.of(), 50, limit)),
                 100_000);
     }
 
@@ -422,10 +428,7 @@
     void boot(SimulatedEntry node) {
         int life = node.life;
         node.state = WorkflowState.initial(node.name);
-        post(
-                node,
-                life,
-                new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration())));
+        post(node, life, new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
         tick(node, life);
         watchLeader(node, life);
         list(node, life);
--- a/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
@@ -17,26 +17,44 @@
             new CellConfiguration.Queue(
                     "l", "h", "/l", "s", 1, 3, 3_000, 2, 400, true, Optional.empty());
 
+    private static final long NOW = 5_000;
+
+    private static StepDefinition step(long estimateMillis) {
+        return new StepDefinition(
+                1,
+                Resources.ZERO,
+                estimateMillis,
+                List.of(),
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                false,
+                false);
+    }
+
     private static Placement.Candidate candidate(
-            String id, CellConfiguration.Queue queue, long acceptedAt) {
-        StepDefinition step =
-                new StepDefinition(
-                        1,
-                        Resources.ZERO,
-                        500,
-                        List.of(),
-                        false,
-                        false,
-                        "",
-                        "",
-                        0,
-                        false,
-                        false,
-                        false,
-                        false);
+            String id, CellConfiguration.Queue queue, long acceptedAt, boolean withinShare) {
+        StepDefinition step = step(500);
         JobDefinition definition = new JobDefinition("", List.of(step, step), 0, 0, 0);
-        Job job = Job.submitted(id, queue.name(), "", definition, 1, acceptedAt);
-        return new Placement.Candidate(new StepKey(id, 0, 0), job, step, StepRun.of(step), queue);
+        Job job =
+                Job.submitted(
+                                id,
+                                queue.name(),
+                                "",
+                                definition,
+                                new Job.Acceptance(1, acceptedAt, 0, withinShare))
+                        .withOccurrence(0);
+        return new Placement.Candidate(
+                new StepKey(id, 0, 0),
+                job,
+                step,
+                StepRun.of(step),
+                queue,
+                Urgency.rank(job, job.runs().get(0), queue, NOW));
     }
 
     /**
@@ -47,14 +65,24 @@
         List<Placement.Candidate> waiting =
                 new ArrayList<>(
                         List.of(
-                                candidate("hopeless", QUEUE, 0),
-                                candidate("late", QUEUE, 3_000),
-                                candidate("less-urgent", LESS_URGENT, 4_100),
-                                candidate("second", QUEUE, 4_500),
-                                candidate("first", QUEUE, 4_400)));
-        waiting.sort(Urgency.order(5_000));
+                                candidate("hopeless", QUEUE, 0, true),
+                                candidate("beyond-share", QUEUE, 4_400, false),
+                                candidate("late", QUEUE, 3_000, true),
+                                candidate("less-urgent", LESS_URGENT, 4_200, true),
+                                candidate("second", QUEUE, 4_500, true),
+                                candidate("first", QUEUE, 4_400, true)));
+        waiting.sort(Urgency.order());
         assertEquals(
                 waiting.stream().map(c -> c.job().id()).toList(),
-                List.of("first", "second", "less-urgent", "late", "hopeless"));
+                List.of("first", "second", "less-urgent", "late", "beyond-share", "hopeless"));
+    }
+
+    /** Guards against room for a job that is young enough, but too long to end in time. */
+    @Test
+    public void rankCountsTheWorkThatIsLeft() {
+        // 1 s old with 500 ms of work left of an objective of 1.4 s.
+        assertEquals(candidate("a", QUEUE, NOW - 1_000, true).rank(), Urgency.Rank.LATE);
+        assertEquals(candidate("b", QUEUE, NOW - 800, true).rank(), Urgency.Rank.IN_TIME);
+        assertEquals(candidate("c", QUEUE, NOW - 3_800, true).rank(), Urgency.Rank.HOPELESS);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/RecordCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/RecordCodec.java
@@ -26,7 +26,7 @@
  */
 public final class RecordCodec {
     /** First value of each record; readers refuse others. */
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
 
     /** Writes the fields of a record. */
     @FunctionalInterface
@@ -108,20 +108,25 @@
                     p.packString(job.queue());
                     p.packString(job.team());
                     p.packLong(job.term());
+                    p.packLong(job.acceptance().wallMillis());
+                    p.packBoolean(job.acceptance().withinShare());
                     packDefinition(p, job.definition());
                 });
     }
 
-    /** Decodes an accepted job without progress. */
-    public static Job job(byte[] bytes, long at) throws IOException {
+    /** Decodes an accepted job without progress; the reader knows its age on its own clock. */
+    public static Job job(byte[] bytes) throws IOException {
         return decode(
                 bytes,
                 u -> {
                     String id = u.unpackString();
                     String queue = u.unpackString();
                     String team = u.unpackString();
-                    long term = u.unpackLong();
-                    return Job.submitted(id, queue, team, unpackDefinition(u), term, at).asStored();
+                    Job.Acceptance acceptance =
+                            new Job.Acceptance(
+                                    u.unpackLong(), 0, u.unpackLong(), u.unpackBoolean());
+                    return Job.submitted(id, queue, team, unpackDefinition(u), acceptance)
+                            .asStored();
                 });
     }
 
--- a/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
@@ -64,8 +64,15 @@
 
     @Test
     public void jobSurvivesATakeover() throws IOException {
-        Job job = Job.submitted("id", "queue", "team", DEFINITION, 7, 1).asStored();
-        assertEquals(RecordCodec.job(RecordCodec.job(job), 1), job);
+        Job job =
+                Job.submitted(
+                                "id",
+                                "queue",
+                                "team",
+                                DEFINITION,
+                                new Job.Acceptance(7, 0, 1_700_000_000_000L, true))
+                        .asStored();
+        assertEquals(RecordCodec.job(RecordCodec.job(job)), job);
         StepKey step = new StepKey("id", 1, 0);
         Job changed = job.withOccurrence(1);
         changed =
