Notice earlier that the store is back and that a leader is gone

The next leader claimed at 24.9 s, when the lease of the one that was killed at 22.3 s had ended.

Change: the first question after a failed one waits 20 ms.

--- a/core/src/main/java/org/jujubefork/core/workflow/Bounds.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Bounds.java
@@ -77,9 +77,9 @@
 
     /**
      * Latest age of a leader's last sign of life at which a follower still takes it for alive. A
-     * process that has just started and serves the whole load is silent for over a second.
+     * process that has just started and serves the whole load is silent for about a second.
      */
-    public static final long LEADER_SILENCE_MILLIS = 2_000;
+    public static final long LEADER_SILENCE_MILLIS = 1_300;
 
     private Bounds() {}
 
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -45,6 +45,12 @@
     /** Time between two renewals of the leader's lease. */
     private static final Duration LEASE_RENEWAL = Duration.ofMillis(500);
 
+    /**
+     * Wait of the first question after one that failed: its answer shows that the store is back,
+     * and nothing is served before that is known.
+     */
+    private static final Duration WAIT_AFTER_FAILURE = Duration.ofMillis(20);
+
     /** Pause after a question that the store did not answer. */
     private static final Duration FAILURE_PAUSE = Duration.ofMillis(150);
 
@@ -169,7 +175,12 @@
     /** Something that is done again and again while the entry runs. */
     @FunctionalInterface
     private interface Round {
-        void run() throws IOException, InterruptedException;
+        /**
+         * Does it once.
+         *
+         * @param failing whether it failed the last time
+         */
+        void run(boolean failing) throws IOException, InterruptedException;
     }
 
     /** Repeats {@code round}; logs when it starts to fail and when it works again. */
@@ -177,7 +188,7 @@
         boolean failing = false;
         while (open) {
             try {
-                round.run();
+                round.run(failing);
                 if (failing) {
                     failing = false;
                     setup.notes().write(Note.of("dependency-regained", dependency));
@@ -213,9 +224,10 @@
         WorkflowStore.Feed<Optional<CellConfiguration>> feed = setup.store().configuration();
         repeat(
                 "store-configuration",
-                () -> {
+                failing -> {
                     long sentAt = now();
-                    Optional<CellConfiguration> newest = feed.next(CONFIGURATION_WAIT);
+                    Optional<CellConfiguration> newest =
+                            feed.next(failing ? WAIT_AFTER_FAILURE : CONFIGURATION_WAIT);
                     loop.post(new WorkflowEvent.ConfigurationRead(now(), sentAt, newest));
                 });
     }
@@ -224,10 +236,10 @@
         WorkflowStore.Feed<Optional<LeaderRecord>> feed = setup.store().leader();
         repeat(
                 "store-leader",
-                () -> {
+                failing -> {
                     long sentAt = now();
-                    Optional<LeaderRecord> leader =
-                            feed.next(term.isLeading() ? OWN_LEADERSHIP_WAIT : LEADER_WAIT);
+                    Duration wait = term.isLeading() ? OWN_LEADERSHIP_WAIT : LEADER_WAIT;
+                    Optional<LeaderRecord> leader = feed.next(failing ? WAIT_AFTER_FAILURE : wait);
                     loop.post(new WorkflowEvent.LeaderRead(now(), sentAt, leader));
                 });
     }
@@ -235,7 +247,7 @@
     private void renewLease() {
         repeat(
                 "store-lease",
-                () -> {
+                failing -> {
                     setup.store().renewLeaderLease(term.await());
                     Thread.sleep(LEASE_RENEWAL);
                 });
@@ -245,7 +257,7 @@
     private void followWorkers() {
         repeat(
                 "store-workers",
-                () -> {
+                failing -> {
                     LeaderRecord leader = term.await();
                     WorkflowStore.Feed<PMap<String, WorkerNode.Listing>> feed =
                             setup.store().workers();
