Serve the metrics of the platform's daemon

The daemon on the users' platform had no metrics. Served as /metrics on the readiness address. MetricsEndpoint is the one writer of the page for both daemons.

Tests: WorkflowMetricsTest; PlatformPathTest reads the page of real processes.

--- a/entry/src/main/java/org/jujubefork/entry/Daemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/Daemon.java
@@ -1,7 +1,5 @@
 package org.jujubefork.entry;
 
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -28,6 +26,7 @@
 import org.jujubefork.entry.http.FleetViews;
 import org.jujubefork.entry.http.HttpFrontEnd;
 import org.jujubefork.entry.http.JobEndpoint;
+import org.jujubefork.entry.http.MetricsEndpoint;
 import org.jujubefork.entry.http.OperatorAccess;
 import org.jujubefork.entry.http.OperatorEndpoint;
 import org.jujubefork.entry.http.RequestEndpoint;
@@ -43,7 +42,6 @@
 import org.jujubefork.entry.platform.StoreWatcher;
 import org.jujubefork.entry.platform.VmListPoller;
 import org.jujubefork.entry.platform.WorkerExecutor;
-import org.jujubefork.entry.telemetry.DaemonMetrics;
 import org.jujubefork.entry.telemetry.DecisionLogger;
 import org.pcollections.TreePVector;
 
@@ -167,7 +165,9 @@
                                 Method.GET, ApiPaths.CONFIG, access.protect(configuration::show)),
                         Route.exact(Method.PUT, ApiPaths.CONFIG, configuration::apply),
                         Route.exact(
-                                Method.GET, "/metrics", (e, v) -> metrics(e, context.metrics())),
+                                Method.GET,
+                                "/metrics",
+                                new MetricsEndpoint(context.metrics().registry())),
                         Route.exact(Method.GET, "/healthz", (e, v) -> text(e, 200, "ok")),
                         Route.exact(Method.GET, "/readyz", (e, v) -> ready(e))));
         return routes;
@@ -254,13 +254,6 @@
         text(exchange, ready ? 200 : 503, ready ? "ready" : "not ready");
     }
 
-    private static void metrics(Exchange exchange, DaemonMetrics metrics) throws IOException {
-        PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
-        ByteArrayOutputStream page = new ByteArrayOutputStream();
-        writer.write(page, metrics.registry().scrape());
-        exchange.send(200, writer.getContentType(), page.toByteArray());
-    }
-
     private static void text(Exchange exchange, int status, String text) throws IOException {
         exchange.send(status, "text/plain", (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
--- a/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/Exchange.java
@@ -91,6 +91,11 @@
         return body;
     }
 
+    /** Returns the status of the response, once it was sent. */
+    public int status() {
+        return response.getStatus();
+    }
+
     /** Sets a response header. */
     public void header(String name, String value) {
         response.setHeader(name, value);
--- /dev/null
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -0,0 +1,57 @@
+package org.jujubefork.entry.telemetry;
+
+import static org.testng.Assert.assertTrue;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.jujubefork.core.workflow.WorkflowEffect.Note;
+import org.jujubefork.core.workflow.WorkflowState;
+import org.testng.annotations.Test;
+
+/** Guards against decisions, calls and ages that the metrics page leaves out or tells wrongly. */
+public final class WorkflowMetricsTest {
+    private static String page(WorkflowMetrics metrics) throws IOException {
+        ByteArrayOutputStream page = new ByteArrayOutputStream();
+        PrometheusTextFormatWriter.create().write(page, metrics.registry().scrape());
+        return page.toString(StandardCharsets.UTF_8);
+    }
+
+    private static void assertLine(String page, String line) {
+        assertTrue(page.lines().anyMatch(line::equals), line + " is missing in\n" + page);
+    }
+
+    @Test
+    public void decisionsAreCountedByReason() throws IOException {
+        WorkflowMetrics metrics = WorkflowMetrics.create();
+        metrics.count(Note.of("job-refused", "id", "queue", "q", "reason", "beyond-share"));
+        metrics.count(Note.of("job-refused", "id", "queue", "q", "reason", "beyond-share"));
+        metrics.count(Note.of("task-start", "id.0.0.0", "run", 1, "waited_ms", 250));
+        String page = page(metrics);
+        assertLine(
+                page, "jujube_decisions_total{kind=\"job-refused\",reason=\"beyond-share\"} 2.0");
+        assertLine(page, "jujube_waiting_seconds_bucket{le=\"0.1\"} 0");
+        assertLine(page, "jujube_waiting_seconds_bucket{le=\"0.3\"} 1");
+    }
+
+    @Test
+    public void callsAreCountedByOutcome() throws IOException {
+        WorkflowMetrics metrics = WorkflowMetrics.create();
+        metrics.request("q", 429, 5);
+        metrics.storeCall("write", "412", 4);
+        String page = page(metrics);
+        assertLine(page, "jujube_requests_total{queue=\"q\",status=\"429\"} 1.0");
+        assertLine(page, "jujube_store_calls_total{answer=\"412\",operation=\"write\"} 1.0");
+    }
+
+    @Test
+    public void stateIsShownAsItIsNow() throws IOException {
+        WorkflowMetrics metrics = WorkflowMetrics.create();
+        WorkflowState state = WorkflowState.initial("e").at(4_000);
+        metrics.observe(() -> state, () -> 4_999);
+        String page = page(metrics);
+        assertLine(page, "jujube_leads 0.0");
+        assertLine(page, "jujube_configuration_age_seconds 5.0");
+    }
+}
--- a/standins/src/test/java/org/jujubefork/standins/platform/PlatformCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/platform/PlatformCell.java
@@ -128,6 +128,16 @@
         return status(HttpRequest.newBuilder(uri(entry.readiness, "/api/ready")).GET());
     }
 
+    /** Returns the metrics page of {@code entry}. */
+    String metrics(EntryVm entry) throws IOException, InterruptedException {
+        return client.send(
+                        HttpRequest.newBuilder(uri(entry.readiness, "/metrics"))
+                                .timeout(TIMEOUT)
+                                .build(),
+                        BodyHandlers.ofString())
+                .body();
+    }
+
     private static URI uri(int port, String path) {
         return URI.create("http://127.0.0.1:" + port + path);
     }
--- a/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
@@ -55,6 +55,15 @@
             assertEquals(
                     cell.call(first, "GET", "/q/" + id(1), "", "no-such-key").statusCode(), 401);
             assertEquals(cell.call(first, "GET", "/q/", "").body(), "{\"waiting\":0}");
+            String metrics = cell.metrics(first) + cell.metrics(second);
+            for (String line :
+                    List.of(
+                            "jujube_requests_total{queue=\"r\",status=\"410\"} 1.0",
+                            "jujube_decisions_total{kind=\"job-accepted\",reason=\"\"} 1.0",
+                            "jujube_store_calls_total{answer=\"200\",operation=\"write\"}",
+                            "jujube_leads 1.0")) {
+                assertTrue(metrics.contains(line), line + " is missing in\n" + metrics);
+            }
         }
     }
 
