--- a/core/src/main/java/org/jujubefork/core/workflow/Commits.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Commits.java
@@ -83,17 +83,11 @@
 
     /** Returns this for a new leader that has read the store. */
     public Commits recovered(long revision, PSet<String> fleet, PSet<Long> finishedBuckets) {
-        return new Commits(
-                dirty,
-                dirtySet,
-                answers,
-                inFlight,
-                nextBatch,
-                revision,
-                sentAt,
-                fleetDirty,
-                fleet,
-                finishedBuckets);
+        Builder next = new Builder(this);
+        next.previousRevision = revision;
+        next.fleetStored = fleet;
+        next.buckets = finishedBuckets;
+        return next.build();
     }
 
     /** Returns the calls that wait for a write, sent or not. */
@@ -106,47 +100,24 @@
         if (dirtySet.contains(job)) {
             return this;
         }
-        return new Commits(
-                dirty.plus(job),
-                dirtySet.plus(job),
-                answers,
-                inFlight,
-                nextBatch,
-                previousRevision,
-                sentAt,
-                fleetDirty,
-                fleetStored,
-                buckets);
+        Builder next = new Builder(this);
+        next.dirty = dirty.plus(job);
+        next.dirtySet = dirtySet.plus(job);
+        return next.build();
     }
 
     /** Returns this with a call that waits for the next write of {@code job}. */
     public Commits answering(long request, String job) {
-        return new Commits(
-                dirty,
-                dirtySet,
-                answers.plus(new PendingAnswer(request, job)),
-                inFlight,
-                nextBatch,
-                previousRevision,
-                sentAt,
-                fleetDirty,
-                fleetStored,
-                buckets);
+        Builder next = new Builder(this);
+        next.answers = answers.plus(new PendingAnswer(request, job));
+        return next.build();
     }
 
     /** Returns this with the set of workers to be written. */
     public Commits withFleetDirty() {
-        return new Commits(
-                dirty,
-                dirtySet,
-                answers,
-                inFlight,
-                nextBatch,
-                previousRevision,
-                sentAt,
-                true,
-                fleetStored,
-                buckets);
+        Builder next = new Builder(this);
+        next.fleetDirty = true;
+        return next.build();
     }
 
     /** Returns this with {@code write} under way and the rest still to be written. */
@@ -156,48 +127,33 @@
             PVector<PendingAnswer> answersLeft,
             PSet<Long> newBuckets,
             long at) {
-        return new Commits(
-                dirtyLeft,
-                HashTreePSet.from(dirtyLeft),
-                answersLeft,
-                Optional.of(write),
-                nextBatch + 1,
-                previousRevision,
-                at,
-                fleetDirty && write.fleet().isEmpty(),
-                fleetStored,
-                newBuckets);
+        Builder next = new Builder(this);
+        next.dirty = dirtyLeft;
+        next.dirtySet = HashTreePSet.from(dirtyLeft);
+        next.answers = answersLeft;
+        next.inFlight = Optional.of(write);
+        next.nextBatch = nextBatch + 1;
+        next.sentAt = at;
+        next.fleetDirty = fleetDirty && write.fleet().isEmpty();
+        next.buckets = newBuckets;
+        return next.build();
     }
 
     /** Returns this with the write under way stored at {@code revision}. */
     public Commits stored(long revision) {
         PSet<String> fleet = inFlight.flatMap(InFlight::fleet).orElse(fleetStored);
-        return new Commits(
-                dirty,
-                dirtySet,
-                answers,
-                Optional.empty(),
-                nextBatch,
-                revision,
-                sentAt,
-                fleetDirty,
-                fleet,
-                buckets);
+        Builder next = new Builder(this);
+        next.inFlight = Optional.empty();
+        next.previousRevision = revision;
+        next.fleetStored = fleet;
+        return next.build();
     }
 
     /** Returns this with other records of ended jobs in the store. */
     public Commits withBuckets(PSet<Long> other) {
-        return new Commits(
-                dirty,
-                dirtySet,
-                answers,
-                inFlight,
-                nextBatch,
-                previousRevision,
-                sentAt,
-                fleetDirty,
-                fleetStored,
-                other);
+        Builder next = new Builder(this);
+        next.buckets = other;
+        return next.build();
     }
 
     /** Returns whether the store lists {@code worker} as used, and goes on to do so. */
@@ -213,21 +169,57 @@
 
     /** Returns this without what is still to be written of {@code jobs} and their calls. */
     public Commits without(PSet<String> jobs) {
-        return new Commits(
-                dirty.minusAll(jobs),
-                dirtySet.minusAll(jobs),
-                TreePVector.from(answers.stream().filter(a -> !jobs.contains(a.job())).toList()),
-                inFlight,
-                nextBatch,
-                previousRevision,
-                sentAt,
-                fleetDirty,
-                fleetStored,
-                buckets);
+        Builder next = new Builder(this);
+        next.dirty = dirty.minusAll(jobs);
+        next.dirtySet = dirtySet.minusAll(jobs);
+        next.answers =
+                TreePVector.from(answers.stream().filter(a -> !jobs.contains(a.job())).toList());
+        return next.build();
     }
 
     /** Returns whether nothing is to be written or under way. */
     public boolean isIdle() {
         return dirty.isEmpty() && inFlight.isEmpty() && !fleetDirty;
     }
+
+    /** Holds the components of a copy while they are changed. */
+    private static final class Builder {
+        private PVector<String> dirty;
+        private PSet<String> dirtySet;
+        private PVector<PendingAnswer> answers;
+        private Optional<InFlight> inFlight;
+        private long nextBatch;
+        private long previousRevision;
+        private long sentAt;
+        private boolean fleetDirty;
+        private PSet<String> fleetStored;
+        private PSet<Long> buckets;
+
+        Builder(Commits from) {
+            this.dirty = from.dirty();
+            this.dirtySet = from.dirtySet();
+            this.answers = from.answers();
+            this.inFlight = from.inFlight();
+            this.nextBatch = from.nextBatch();
+            this.previousRevision = from.previousRevision();
+            this.sentAt = from.sentAt();
+            this.fleetDirty = from.fleetDirty();
+            this.fleetStored = from.fleetStored();
+            this.buckets = from.buckets();
+        }
+
+        Commits build() {
+            return new Commits(
+                    dirty,
+                    dirtySet,
+                    answers,
+                    inFlight,
+                    nextBatch,
+                    previousRevision,
+                    sentAt,
+                    fleetDirty,
+                    fleetStored,
+                    buckets);
+        }
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
@@ -36,148 +36,129 @@
 
     /** Returns this after the store has shown {@code leader} for a question sent at {@code at}. */
     public Leadership confirmed(Optional<LeaderRecord> leader, long at) {
-        return new Leadership(
-                leads,
-                leader,
-                true,
-                at < confirmAfter ? confirmedAt : Math.max(confirmedAt, at),
-                aliveAt,
-                refusedAt,
-                withoutStoreSince,
-                claiming,
-                claimAfter,
-                resigned,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.known = leader;
+        next.read = true;
+        next.confirmedAt = at < confirmAfter ? confirmedAt : Math.max(confirmedAt, at);
+        return next.build();
     }
 
     /**
      * Returns this with the confirmation forgotten; only a question sent from {@code at} on counts.
      */
     public Leadership unconfirmed(long at) {
-        return new Leadership(
-                leads,
-                known,
-                read,
-                Long.MIN_VALUE / 2,
-                aliveAt,
-                refusedAt,
-                withoutStoreSince,
-                claiming,
-                claimAfter,
-                resigned,
-                at);
+        Builder next = new Builder(this);
+        next.confirmedAt = Long.MIN_VALUE / 2;
+        next.confirmAfter = at;
+        return next.build();
     }
 
     /** Returns this following {@code leader} since {@code at}. */
     public Leadership following(LeaderRecord leader, long at) {
-        return new Leadership(
-                false,
-                Optional.of(leader),
-                true,
-                confirmedAt,
-                at,
-                -1,
-                -1,
-                claiming,
-                claimAfter,
-                resigned,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.leads = false;
+        next.known = Optional.of(leader);
+        next.read = true;
+        next.aliveAt = at;
+        next.refusedAt = -1;
+        next.withoutStoreSince = -1;
+        return next.build();
     }
 
     /** Returns this leading with {@code record} since {@code at}. */
     public Leadership leading(LeaderRecord record, long at) {
-        return new Leadership(
-                true,
-                Optional.of(record),
-                true,
-                Math.max(confirmedAt, at),
-                at,
-                -1,
-                -1,
-                false,
-                claimAfter,
-                resigned,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.leads = true;
+        next.known = Optional.of(record);
+        next.read = true;
+        next.confirmedAt = Math.max(confirmedAt, at);
+        next.aliveAt = at;
+        next.refusedAt = -1;
+        next.withoutStoreSince = -1;
+        next.claiming = false;
+        return next.build();
     }
 
     /** Returns this with a sign of life. */
     public Leadership alive(long at, boolean withStore) {
         long since = withStore ? -1 : withoutStoreSince >= 0 ? withoutStoreSince : at;
-        return new Leadership(
-                leads,
-                known,
-                read,
-                confirmedAt,
-                at,
-                -1,
-                since,
-                claiming,
-                claimAfter,
-                resigned,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.aliveAt = at;
+        next.refusedAt = -1;
+        next.withoutStoreSince = since;
+        return next.build();
     }
 
     /** Returns this with the connection refused. */
     public Leadership refused(long at) {
-        return new Leadership(
-                leads,
-                known,
-                read,
-                confirmedAt,
-                aliveAt,
-                at,
-                withoutStoreSince,
-                claiming,
-                claimAfter,
-                resigned,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.refusedAt = at;
+        return next.build();
     }
 
     /** Returns this with an attempt under way, or not, and the next one not before a time. */
     public Leadership claiming(boolean underWay, long notBefore) {
-        return new Leadership(
-                leads,
-                known,
-                read,
-                confirmedAt,
-                aliveAt,
-                refusedAt,
-                withoutStoreSince,
-                underWay,
-                notBefore,
-                resigned,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.claiming = underWay;
+        next.claimAfter = notBefore;
+        return next.build();
     }
 
     /** Returns this not leading any more. */
     public Leadership deposed() {
-        return new Leadership(
-                false,
-                known,
-                read,
-                confirmedAt,
-                aliveAt,
-                refusedAt,
-                withoutStoreSince,
-                claiming,
-                claimAfter,
-                resigned,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.leads = false;
+        return next.build();
     }
 
     /** Returns this stopping for good. */
     public Leadership resign() {
-        return new Leadership(
-                leads,
-                known,
-                read,
-                confirmedAt,
-                aliveAt,
-                refusedAt,
-                withoutStoreSince,
-                claiming,
-                claimAfter,
-                true,
-                confirmAfter);
+        Builder next = new Builder(this);
+        next.resigned = true;
+        return next.build();
+    }
+
+    /** Holds the components of a copy while they are changed. */
+    private static final class Builder {
+        private boolean leads;
+        private Optional<LeaderRecord> known;
+        private boolean read;
+        private long confirmedAt;
+        private long aliveAt;
+        private long refusedAt;
+        private long withoutStoreSince;
+        private boolean claiming;
+        private long claimAfter;
+        private boolean resigned;
+        private long confirmAfter;
+
+        Builder(Leadership from) {
+            this.leads = from.leads();
+            this.known = from.known();
+            this.read = from.read();
+            this.confirmedAt = from.confirmedAt();
+            this.aliveAt = from.aliveAt();
+            this.refusedAt = from.refusedAt();
+            this.withoutStoreSince = from.withoutStoreSince();
+            this.claiming = from.claiming();
+            this.claimAfter = from.claimAfter();
+            this.resigned = from.resigned();
+            this.confirmAfter = from.confirmAfter();
+        }
+
+        Leadership build() {
+            return new Leadership(
+                    leads,
+                    known,
+                    read,
+                    confirmedAt,
+                    aliveAt,
+                    refusedAt,
+                    withoutStoreSince,
+                    claiming,
+                    claimAfter,
+                    resigned,
+                    confirmAfter);
+        }
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -79,98 +79,103 @@
 
         /** Returns this with a lease call sent at {@code at}. */
         public Contact holding(long at, long newRunsUntil) {
-            return new Contact(
-                    born,
-                    reached,
-                    clockOffset,
-                    answeredAt,
-                    Math.max(runsUntil, newRunsUntil),
-                    answeredLast,
-                    true,
-                    at,
-                    seen,
-                    noted);
+            Builder next = new Builder(this);
+            next.runsUntil = Math.max(runsUntil, newRunsUntil);
+            next.holding = true;
+            next.heldAt = at;
+            return next.build();
         }
 
         /** Returns this after an order that can keep something running. */
         public Contact ordered(long newRunsUntil) {
-            return new Contact(
-                    born,
-                    reached,
-                    clockOffset,
-                    answeredAt,
-                    Math.max(runsUntil, newRunsUntil),
-                    answeredLast,
-                    holding,
-                    heldAt,
-                    seen,
-                    noted);
+            Builder next = new Builder(this);
+            next.runsUntil = Math.max(runsUntil, newRunsUntil);
+            return next.build();
         }
 
         /** Returns this after a lease call without an answer. */
         public Contact unanswered() {
-            return new Contact(
-                    born,
-                    reached,
-                    clockOffset,
-                    answeredAt,
-                    runsUntil,
-                    false,
-                    false,
-                    heldAt,
-                    seen,
-                    noted);
+            Builder next = new Builder(this);
+            next.answeredLast = false;
+            next.holding = false;
+            return next.build();
         }
 
         /** Returns this after an answer. */
         public Contact answered(long newBorn, long offset, long at, long newSeen) {
-            return new Contact(
-                    newBorn, true, offset, at, runsUntil, true, false, heldAt, newSeen, noted);
+            Builder next = new Builder(this);
+            next.born = newBorn;
+            next.reached = true;
+            next.clockOffset = offset;
+            next.answeredAt = at;
+            next.answeredLast = true;
+            next.holding = false;
+            next.seen = newSeen;
+            return next.build();
         }
 
         /** Returns this with nothing running there any more. */
         public Contact ended() {
-            return new Contact(
-                    born,
-                    reached,
-                    clockOffset,
-                    answeredAt,
-                    0,
-                    answeredLast,
-                    holding,
-                    heldAt,
-                    seen,
-                    noted);
+            Builder next = new Builder(this);
+            next.runsUntil = 0;
+            return next.build();
         }
 
         /** Returns this for a new incarnation, which has listed no end. */
         public Contact reborn() {
-            return new Contact(
-                    0,
-                    reached,
-                    clockOffset,
-                    answeredAt,
-                    runsUntil,
-                    answeredLast,
-                    holding,
-                    heldAt,
-                    0,
-                    0);
+            Builder next = new Builder(this);
+            next.born = 0;
+            next.seen = 0;
+            next.noted = 0;
+            return next.build();
         }
 
         /** Returns this with ends stored up to {@code newNoted}. */
         public Contact noted(long newNoted) {
-            return new Contact(
-                    born,
-                    reached,
-                    clockOffset,
-                    answeredAt,
-                    runsUntil,
-                    answeredLast,
-                    holding,
-                    heldAt,
-                    seen,
-                    Math.max(noted, newNoted));
+            Builder next = new Builder(this);
+            next.noted = Math.max(noted, newNoted);
+            return next.build();
+        }
+
+        /** Holds the components of a copy while they are changed. */
+        private static final class Builder {
+            private long born;
+            private boolean reached;
+            private long clockOffset;
+            private long answeredAt;
+            private long runsUntil;
+            private boolean answeredLast;
+            private boolean holding;
+            private long heldAt;
+            private long seen;
+            private long noted;
+
+            Builder(Contact from) {
+                this.born = from.born();
+                this.reached = from.reached();
+                this.clockOffset = from.clockOffset();
+                this.answeredAt = from.answeredAt();
+                this.runsUntil = from.runsUntil();
+                this.answeredLast = from.answeredLast();
+                this.holding = from.holding();
+                this.heldAt = from.heldAt();
+                this.seen = from.seen();
+                this.noted = from.noted();
+            }
+
+            Contact build() {
+                return new Contact(
+                        born,
+                        reached,
+                        clockOffset,
+                        answeredAt,
+                        runsUntil,
+                        answeredLast,
+                        holding,
+                        heldAt,
+                        seen,
+                        noted);
+            }
         }
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -104,42 +104,39 @@
 
     /** Returns this state at {@code at}. */
     public WorkflowState at(long at) {
-        return copy(Math.max(now, at), wallMillis, leadership, jobs, finished, workers, commits);
+        Builder next = new Builder(this);
+        next.now = Math.max(now, at);
+        return next.build();
     }
 
     /** Returns this state with another Unix time. */
     public WorkflowState atWall(long millis) {
-        return copy(now, millis, leadership, jobs, finished, workers, commits);
+        Builder next = new Builder(this);
+        next.wallMillis = millis;
+        return next.build();
     }
 
     /** Returns this state with {@code newer} in force, known to be the newest at {@code since}. */
     public WorkflowState withConfiguration(Optional<CellConfiguration> newer, long since) {
-        return new WorkflowState(
-                now,
-                wallMillis,
-                entry,
-                newer,
-                Math.max(configurationAt, since),
-                leadership,
-                jobs,
-                finished,
-                workers,
-                commits,
-                desk,
-                shares,
-                pressure,
-                true,
-                placedAt);
+        Builder next = new Builder(this);
+        next.configuration = newer;
+        next.configurationAt = Math.max(configurationAt, since);
+        next.placementDue = true;
+        return next.build();
     }
 
     /** Returns this state with another leadership. */
     public WorkflowState with(Leadership other) {
-        return copy(now, wallMillis, other, jobs, finished, workers, commits);
+        Builder next = new Builder(this);
+        next.leadership = other;
+        return next.build();
     }
 
     /** Returns this state with other jobs. */
     public WorkflowState withJobs(PMap<String, Job> other) {
-        return copy(now, wallMillis, leadership, other, finished, workers, commits);
+        Builder next = new Builder(this);
+        next.jobs = other;
+        return next.build();
     }
 
     /** Returns this state with {@code job} added or replaced. */
@@ -149,12 +146,16 @@
 
     /** Returns this state with other ended jobs. */
     public WorkflowState withFinished(PMap<String, Finished> other) {
-        return copy(now, wallMillis, leadership, jobs, other, workers, commits);
+        Builder next = new Builder(this);
+        next.finished = other;
+        return next.build();
     }
 
     /** Returns this state with other workers. */
     public WorkflowState withWorkers(PMap<String, WorkerNode> other) {
-        return copy(now, wallMillis, leadership, jobs, finished, other, commits);
+        Builder next = new Builder(this);
+        next.workers = other;
+        return next.build();
     }
 
     /** Returns this state with {@code worker} added or replaced. */
@@ -164,107 +165,45 @@
 
     /** Returns this state with other writes. */
     public WorkflowState with(Commits other) {
-        return copy(now, wallMillis, leadership, jobs, finished, workers, other);
+        Builder next = new Builder(this);
+        next.commits = other;
+        return next.build();
     }
 
     /** Returns this state with other calls to the advice service. */
     public WorkflowState with(AdviceDesk other) {
-        return new WorkflowState(
-                now,
-                wallMillis,
-                entry,
-                configuration,
-                configurationAt,
-                leadership,
-                jobs,
-                finished,
-                workers,
-                commits,
-                other,
-                shares,
-                pressure,
-                placementDue,
-                placedAt);
+        Builder next = new Builder(this);
+        next.desk = other;
+        return next.build();
     }
 
     /** Returns this state with other shares. */
     public WorkflowState with(Shares other) {
-        return new WorkflowState(
-                now,
-                wallMillis,
-                entry,
-                configuration,
-                configurationAt,
-                leadership,
-                jobs,
-                finished,
-                workers,
-                commits,
-                desk,
-                other,
-                pressure,
-                placementDue,
-                placedAt);
+        Builder next = new Builder(this);
+        next.shares = other;
+        return next.build();
     }
 
     /** Returns this state with another pressure. */
     public WorkflowState with(Pressure other) {
-        return new WorkflowState(
-                now,
-                wallMillis,
-                entry,
-                configuration,
-                configurationAt,
-                leadership,
-                jobs,
-                finished,
-                workers,
-                commits,
-                desk,
-                shares,
-                other,
-                placementDue,
-                placedAt);
+        Builder next = new Builder(this);
+        next.pressure = other;
+        return next.build();
     }
 
     /** Returns this state with placement due, or not. */
     public WorkflowState withPlacementDue(boolean due) {
-        return new WorkflowState(
-                now,
-                wallMillis,
-                entry,
-                configuration,
-                configurationAt,
-                leadership,
-                jobs,
-                finished,
-                workers,
-                commits,
-                desk,
-                shares,
-                pressure,
-                due,
-                placedAt);
+        Builder next = new Builder(this);
+        next.placementDue = due;
+        return next.build();
     }
 
     /** Returns this state after a pass of the placement. */
     public WorkflowState placed() {
-        return new WorkflowState(
-                now,
-                wallMillis,
-                entry,
-                configuration,
-                configurationAt,
-                leadership,
-                jobs,
-                finished,
-                workers,
-                commits,
-                desk,
-                shares,
-                pressure,
-                false,
-                now);
+        Builder next = new Builder(this);
+        next.placementDue = false;
+        next.placedAt = now;
+        return next.build();
     }
 
     /** Returns this state with {@code job} to be written to the store. */
@@ -272,29 +211,59 @@
         return with(commits.dirty(job));
     }
 
-    private WorkflowState copy(
-            long newNow,
-            long newWall,
-            Leadership newLeadership,
-            PMap<String, Job> newJobs,
-            PMap<String, Finished> newFinished,
-            PMap<String, WorkerNode> newWorkers,
-            Commits newCommits) {
-        return new WorkflowState(
-                newNow,
-                newWall,
-                entry,
-                configuration,
-                configurationAt,
-                newLeadership,
-                newJobs,
-                newFinished,
-                newWorkers,
-                newCommits,
-                desk,
-                shares,
-                pressure,
-                placementDue,
-                placedAt);
+    /** Holds the components of a copy while they are changed. */
+    private static final class Builder {
+        private long now;
+        private long wallMillis;
+        private String entry;
+        private Optional<CellConfiguration> configuration;
+        private long configurationAt;
+        private Leadership leadership;
+        private PMap<String, Job> jobs;
+        private PMap<String, Finished> finished;
+        private PMap<String, WorkerNode> workers;
+        private Commits commits;
+        private AdviceDesk desk;
+        private Shares shares;
+        private Pressure pressure;
+        private boolean placementDue;
+        private long placedAt;
+
+        Builder(WorkflowState from) {
+            this.now = from.now();
+            this.wallMillis = from.wallMillis();
+            this.entry = from.entry();
+            this.configuration = from.configuration();
+            this.configurationAt = from.configurationAt();
+            this.leadership = from.leadership();
+            this.jobs = from.jobs();
+            this.finished = from.finished();
+            this.workers = from.workers();
+            this.commits = from.commits();
+            this.desk = from.desk();
+            this.shares = from.shares();
+            this.pressure = from.pressure();
+            this.placementDue = from.placementDue();
+            this.placedAt = from.placedAt();
+        }
+
+        WorkflowState build() {
+            return new WorkflowState(
+                    now,
+                    wallMillis,
+                    entry,
+                    configuration,
+                    configurationAt,
+                    leadership,
+                    jobs,
+                    finished,
+                    workers,
+                    commits,
+                    desk,
+                    shares,
+                    pressure,
+                    placementDue,
+                    placedAt);
+        }
     }
 }
