Put the story of a job together from logs: jujubectl trace

On-call engineers had to collect and sort the lines of all entries by hand. The command reads log files of several entries, says in words what became of the job, which runs failed, what happened while a step waited (claims, takeovers, lost dependencies, lost workers), and which lines are missing.

--- a/ctl/src/main/java/org/jujubefork/ctl/operator/Jujubectl.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/Jujubectl.java
@@ -8,7 +8,11 @@
 /** The command line of operators. */
 public final class Jujubectl {
     private static final List<CommandSpec> COMMANDS =
-            Stream.of(ConfigCommands.specs(), GrantCommands.specs(), ViewCommands.specs())
+            Stream.of(
+                            ConfigCommands.specs(),
+                            GrantCommands.specs(),
+                            ViewCommands.specs(),
+                            TraceCommand.specs())
                     .flatMap(List::stream)
                     .toList();
 
