Leave members of a gang alone that are ending

The end of one member stands for all; the leader released the room of the others at once, took them for runs of nobody when the next answer of their workers still listed them, and stopped them.

Ruled out: failures (259, and 106 broken members with them) and cancellations (21 jobs).

Change: the room of the other members stays charged until their workers list their ends. It was given away too early before, too.

Test: GangEndTest fails on the old code ("a member that is ending was stopped").

--- a/core/src/main/java/org/jujubefork/core/workflow/Ends.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Ends.java
@@ -92,23 +92,19 @@
             Task task = job.task(end.task());
             return state.with(job.with(end.task(), task.waiting(Failures.NONE, "")));
         }
-        WorkflowState next = state;
         Job changed = job.with(end.task(), job.task(end.task()).done());
         if (job.step(step).gang()) {
-            // One end represents all members of the gang.
+            // One end represents all members of the gang. The room of the others stays charged
+            // until their workers list their ends; a stop in that time would waste their work.
             for (int i = 0; i < job.step(step).count(); i++) {
                 TaskKey member = step.task(i);
-                Task task = changed.task(member);
-                if (!task.worker().isEmpty()) {
-                    next = release(next, task.worker(), member, end.run());
-                }
-                changed = changed.with(member, task.done());
+                changed = changed.with(member, changed.task(member).done());
             }
         }
         if (changed.isComplete()) {
             changed = changed.withStatus(Job.Status.DONE);
         }
-        return next.with(changed).dirty(job.id()).withPlacementDue(true);
+        return state.with(changed).dirty(job.id()).withPlacementDue(true);
     }
 
     private static WorkflowTransition failed(
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/workflow/GangEndTest.java
@@ -0,0 +1,60 @@
+package org.jujubefork.core.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.jujubefork.core.workflow.WorkflowEvent.EndedRun;
+import org.jujubefork.core.workflow.WorkflowEvent.How;
+import org.jujubefork.core.workflow.WorkflowEvent.RunningRun;
+import org.testng.annotations.Test;
+
+/**
+ * Members of a gang end together, but their workers list the ends one after the other. Guards
+ * against stops of members that are ending, and against room that is given away too early.
+ */
+public final class GangEndTest {
+    private static final TaskKey FIRST = new StepKey("g", 0, 0).task(0);
+    private static final TaskKey SECOND = new StepKey("g", 0, 0).task(1);
+
+    private static boolean hasStop(LeaderFixture leader) {
+        return leader.effects.stream().anyMatch(WorkflowEffect.Stop.class::isInstance);
+    }
+
+    @Test
+    public void membersThatAreEndingAreLeftAlone() {
+        LeaderFixture leader =
+                LeaderFixture.leading(
+                        LeaderFixture.configuration(50),
+                        new WorkflowEvent.Snapshot(List.of(), List.of(), List.of()));
+        leader.list("a", "b");
+        leader.advance(40);
+        leader.answerHold("a");
+        leader.answerHold("b");
+        leader.advance(40);
+        leader.store();
+        leader.submit("g", LeaderFixture.job(2, 10, true));
+        leader.advance(40);
+        leader.store();
+        leader.advance(40);
+        leader.carryOutStarts();
+        assertEquals(leader.starts().stream().sorted().toList(), List.of("a", "b"));
+        String other = leader.starts().get(1);
+        leader.advance(40);
+        leader.answerHold(
+                leader.starts().getFirst(),
+                List.of(),
+                List.of(new EndedRun(1, FIRST, 1, How.DONE, "")));
+        leader.advance(40);
+        leader.answerHold(other, List.of(new RunningRun(SECOND, 1, "", 100)), List.of());
+        leader.advance(40);
+        assertFalse(hasStop(leader), "a member that is ending was stopped");
+        assertTrue(leader.state().workers().get(other).charges().containsKey(SECOND));
+        leader.store();
+        leader.advance(40);
+        leader.answerHold(other, List.of(), List.of(new EndedRun(1, SECOND, 1, How.DONE, "")));
+        assertTrue(leader.state().workers().get(other).charges().isEmpty(), "room is kept");
+        assertFalse(hasStop(leader), "a member that has ended was stopped");
+    }
+}
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -61,15 +61,20 @@
 
     /** Returns a job of one task of {@code cores} cores that takes a second. */
     static JobDefinition job(int cores) {
+        return job(1, cores, false);
+    }
+
+    /** Returns a job of {@code count} tasks of {@code cores} cores that take a second. */
+    static JobDefinition job(int count, int cores, boolean gang) {
         return new JobDefinition(
                 "p",
                 List.of(
                         new StepDefinition(
-                                1,
+                                count,
                                 Resources.of(cores * 1_000L, 1_000, 0),
                                 1_000,
                                 List.of(),
-                                false,
+                                gang,
                                 false,
                                 "",
                                 "",
@@ -149,6 +154,14 @@
 
     /** Answers the lease call to {@code worker}, if one is under way: nothing runs there. */
     void answerHold(String worker) {
+        answerHold(worker, List.of(), List.of());
+    }
+
+    /** Answers the lease call to {@code worker}, if one is under way. */
+    void answerHold(
+            String worker,
+            List<WorkflowEvent.RunningRun> running,
+            List<WorkflowEvent.EndedRun> ended) {
         WorkflowEffect.Hold hold = holds.remove(worker);
         if (hold != null) {
             post(
@@ -158,7 +171,7 @@
                             now,
                             worker,
                             new WorkflowEvent.WorkerReport(
-                                    7, now, TreePVector.empty(), TreePVector.empty())));
+                                    7, now, TreePVector.from(running), TreePVector.from(ended))));
         }
     }
 
@@ -230,6 +243,17 @@
                 .toList();
     }
 
+    /** Has all orders to start carried out. */
+    void carryOutStarts() {
+        for (WorkflowEffect effect : List.copyOf(effects)) {
+            if (effect instanceof WorkflowEffect.Start start) {
+                post(
+                        new WorkflowEvent.OrderEnded(
+                                now, start.fence(), start.order(), OrderOutcome.OK));
+            }
+        }
+    }
+
     /** Returns the workers on which something was started. */
     List<String> starts() {
         return effects.stream()
