--- a/core/src/main/java/org/jujubefork/core/workflow/Bounds.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Bounds.java
@@ -54,8 +54,11 @@
      */
     public static final long STORE_PATIENCE_MILLIS = 1_300;
 
-    /** Least time between two writes to the store; what changes meanwhile is written together. */
-    public static final long COMMIT_SPACING_MILLIS = 15;
+    /**
+     * Least time between two writes to the store; what changes meanwhile is written together. Each
+     * call to the store has its price, and objectives leave several hundred milliseconds.
+     */
+    public static final long COMMIT_SPACING_MILLIS = 40;
 
     /**
      * The most records that the entries of one write touch. The store takes 32 in all; three go to
