Replace a leader that the store turns away 1 s sooner

Ruled out: refusing less; a call that is held ends with 504 as well.

Change: the leader says so after 1.2 s, followers replace it 0.4 s later.

--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -18,7 +18,7 @@
  */
 final class Election {
     /** How long the leader must say that it has no store before another entry replaces it. */
-    private static final long WITHOUT_STORE_MILLIS = 800;
+    private static final long WITHOUT_STORE_MILLIS = 400;
 
     /** Greatest age of an own contact with the store that shows the store to be up. */
     private static final long STORE_CONTACT_MILLIS = 1_400;
--- a/entry/src/main/java/org/jujubefork/entry/workflow/Peers.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/Peers.java
@@ -41,7 +41,7 @@
     private static final int RECONNECT_MILLIS = 80;
 
     /** A leader whose last contact with the store is older says that it has none. */
-    private static final long STORE_LOST_MILLIS = 1_800;
+    private static final long STORE_LOST_MILLIS = 1_200;
 
     /** Time for the last message to a leader that was replaced. */
     private static final long LEAVE_MILLIS = 60;
