Rank services and schedules without regard to their age

Change: Urgency.hasDeadline says whether the age of a job matters; the bound of three times the objective stands in one place.

Test: UrgencyTest.servicesDoNotAge, HOPELESS before.

--- a/core/src/main/java/org/jujubefork/core/workflow/Admission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Admission.java
@@ -23,9 +23,6 @@
 
     private static final long MOST_RETRY_MILLIS = 10_000;
 
-    /** A job that ends after this many times its objective counts for nothing. */
-    private static final double LATEST = 3;
-
     /** What becomes of a job. */
     sealed interface Verdict {
         /** It is accepted. */
@@ -60,8 +57,8 @@
             return new Verdict.Refuse("beyond-share", retry(wait), true);
         }
         double objective = Urgency.objectiveMillis(submit.definition(), queue.get());
-        boolean timed = submit.definition().times() > 0 || objective <= 0;
-        if (!timed && wait > LATEST * objective) {
+        boolean bounded = Urgency.hasDeadline(submit.definition(), queue.get());
+        if (bounded && wait > Urgency.LATEST * objective) {
             return new Verdict.Refuse("too-late", retry(wait), true);
         }
         return new Verdict.Accept();
--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -12,7 +12,7 @@
  */
 final class Urgency {
     /** A job that takes longer than this many times its objective counts for nothing. */
-    private static final double LATEST = 3;
+    static final double LATEST = 3;
 
     /** Workers that an objective assumes in one call for advice. */
     private static final int ADVICE_WORKERS = 30;
@@ -64,8 +64,8 @@
     /** Returns the rank of the occurrence of {@code job} that consists of {@code steps}. */
     static Rank rank(Job job, List<StepRun> steps, Queue queue, long now) {
         double objective = objectiveMillis(job.definition(), queue);
-        boolean timed = job.definition().times() > 0 || objective <= 0;
-        double end = timed ? 0 : now - job.acceptedAt() + remaining(job, steps, queue, now);
+        boolean bounded = hasDeadline(job.definition(), queue);
+        double end = bounded ? now - job.acceptedAt() + remaining(job, steps, queue, now) : 0;
         if (end > LATEST * objective) {
             return Rank.HOPELESS;
         }
@@ -75,6 +75,15 @@
         return end <= objective ? Rank.IN_TIME : Rank.LATE;
     }
 
+    /**
+     * Returns whether the age of a job says how urgent it is. Occurrences of a schedule and
+     * services have to run however old their job is.
+     */
+    static boolean hasDeadline(JobDefinition job, Queue queue) {
+        boolean lasts = job.steps().stream().anyMatch(StepDefinition::service);
+        return job.times() == 0 && !lasts && objectiveMillis(job, queue) > 0;
+    }
+
     /** Returns the shortest time in which the rest of the steps can end. */
     private static double remaining(Job job, List<StepRun> steps, Queue queue, long now) {
         List<StepDefinition> definitions = job.definition().steps();
--- a/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
@@ -20,6 +20,10 @@
     private static final long NOW = 5_000;
 
     private static StepDefinition step(long estimateMillis) {
+        return step(estimateMillis, false);
+    }
+
+    private static StepDefinition step(long estimateMillis, boolean service) {
         return new StepDefinition(
                 1,
                 Resources.ZERO,
@@ -32,13 +36,21 @@
                 0,
                 false,
                 false,
-                false,
+                service,
                 false);
     }
 
     private static Placement.Candidate candidate(
             String id, CellConfiguration.Queue queue, long acceptedAt, boolean withinShare) {
-        StepDefinition step = step(500);
+        return candidate(id, queue, acceptedAt, withinShare, step(500));
+    }
+
+    private static Placement.Candidate candidate(
+            String id,
+            CellConfiguration.Queue queue,
+            long acceptedAt,
+            boolean withinShare,
+            StepDefinition step) {
         JobDefinition definition = new JobDefinition("", List.of(step, step), 0, 0, 0);
         Job job =
                 Job.submitted(
@@ -85,4 +97,11 @@
         assertEquals(candidate("b", QUEUE, NOW - 800, true).rank(), Urgency.Rank.IN_TIME);
         assertEquals(candidate("c", QUEUE, NOW - 3_800, true).rank(), Urgency.Rank.HOPELESS);
     }
+
+    /** Guards against a task of a service that ends after hours and is not started again. */
+    @Test
+    public void servicesDoNotAge() {
+        Placement.Candidate service = candidate("s", QUEUE, NOW - 3_600_000, true, step(0, true));
+        assertEquals(service.rank(), Urgency.Rank.IN_TIME);
+    }
 }
