--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -88,11 +88,7 @@
                 0);
     }
 
-    /** Returns a job that an earlier leader has accepted just now. */
-    Job accepted(String id, JobDefinition definition) {
-        return accepted(id, definition, now);
-    }
-
+    /** Returns a job that an earlier leader accepted at {@code at}. */
     static Job accepted(String id, JobDefinition definition, long at) {
         return Job.submitted(
                         id,
