Compute what a pass needs once, and read settings files in one place

Found while reading the change once more; behaviour stays.

- Urgency.objectiveMillis is infinite for jobs whose age says nothing. hasDeadline, which computed the objective a second time for each job in each pass and at each submission, is gone.
- Placement ranks only jobs that have a step to place; it ranked all.
- Placement.renew gives up room through the same loop as unassign.
- Calls.refused takes what it writes, not a submission built for it.

Not mended: the command lines of EntryMain and PlatformMain, Transition and WorkflowTransition, and two loops over all workers after each event (Fleet.holdAll, Writing.noteAll).

--- a/config/src/main/java/org/jujubefork/config/settings/DaemonSettingsReader.java
+++ b/config/src/main/java/org/jujubefork/config/settings/DaemonSettingsReader.java
@@ -1,7 +1,5 @@
 package org.jujubefork.config.settings;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,18 +25,7 @@
      *     carries all findings
      */
     public static DaemonSettings read(Path path) throws InvalidSettingsException {
-        String text;
-        try {
-            text = Files.readString(path);
-        } catch (IOException e) {
-            SourcePlace start = new SourcePlace(path.toString(), 1, 1, 0);
-            InvalidSettingsException failure =
-                    new InvalidSettingsException(
-                            List.of(Finding.error(start, "$", "cannot be read: " + e)));
-            failure.initCause(e);
-            throw failure;
-        }
-        return parse(path.toString(), text);
+        return parse(path.toString(), SettingsFile.text(path));
     }
 
     /**
--- /dev/null
+++ b/config/src/main/java/org/jujubefork/config/settings/SettingsFile.java
@@ -0,0 +1,31 @@
+package org.jujubefork.config.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.jujubefork.config.source.Finding;
+import org.jujubefork.config.source.SourcePlace;
+
+/** Reads files of settings. */
+public final class SettingsFile {
+    private SettingsFile() {}
+
+    /**
+     * Returns the text of {@code path}.
+     *
+     * @throws InvalidSettingsException with one finding if it cannot be read
+     */
+    public static String text(Path path) throws InvalidSettingsException {
+        try {
+            return Files.readString(path);
+        } catch (IOException e) {
+            SourcePlace start = new SourcePlace(path.toString(), 1, 1, 0);
+            InvalidSettingsException failure =
+                    new InvalidSettingsException(
+                            List.of(Finding.error(start, "$", "cannot be read: " + e)));
+            failure.initCause(e);
+            throw failure;
+        }
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/workflow/Admission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Admission.java
@@ -57,8 +57,7 @@
             return new Verdict.Refuse("beyond-share", retry(wait), true);
         }
         double objective = Urgency.objectiveMillis(submit.definition(), queue.get());
-        boolean bounded = Urgency.hasDeadline(submit.definition(), queue.get());
-        if (bounded && wait > Urgency.LATEST * objective) {
+        if (wait > Urgency.LATEST * objective) {
             return new Verdict.Refuse("too-late", retry(wait), true);
         }
         return new Verdict.Accept();
--- a/core/src/main/java/org/jujubefork/core/workflow/Calls.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Calls.java
@@ -57,7 +57,7 @@
         Shares.Taken taken = state.shares().take(submit.team(), weight(state, submit), state.now());
         Admission.Verdict verdict = Admission.judge(state, submit, taken.within());
         if (verdict instanceof Admission.Verdict.Refuse refuse) {
-            return refused(state, request, submit, refuse);
+            return refused(state, request, submit.job(), submit.queue(), submit.team(), refuse);
         }
         return accepted(state.with(taken.shares()), request, submit, taken.within());
     }
@@ -72,7 +72,9 @@
     private static WorkflowTransition refused(
             WorkflowState state,
             long request,
-            Call.Submit submit,
+            String job,
+            String queue,
+            String team,
             Admission.Verdict.Refuse refuse) {
         return reply(
                         state,
@@ -81,11 +83,11 @@
                 .with(
                         WorkflowEffect.Note.of(
                                 "job-refused",
-                                submit.job(),
+                                job,
                                 "queue",
-                                submit.queue(),
+                                queue,
                                 "team",
-                                submit.team(),
+                                team,
                                 "reason",
                                 refuse.reason(),
                                 "retry_after_ms",
@@ -130,11 +132,16 @@
         for (Commits.PendingAnswer answer : commits.answers()) {
             if (unsent.contains(answer.job())) {
                 Job job = state.jobs().get(answer.job());
-                Call.Submit submit =
-                        new Call.Submit(job.queue(), job.team(), job.id(), job.definition());
                 result =
                         result.then(
-                                s -> refused(s, answer.request(), submit, Admission.storeSilent()));
+                                s ->
+                                        refused(
+                                                s,
+                                                answer.request(),
+                                                job.id(),
+                                                job.queue(),
+                                                job.team(),
+                                                Admission.storeSilent()));
             }
         }
         return result;
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.StepRun.Ticket;
 import org.pcollections.PVector;
@@ -50,10 +51,10 @@
     private static void collect(Job job, Queue queue, long now, List<Candidate> waiting) {
         for (int occurrence : job.runs().keySet()) {
             List<StepRun> steps = job.runs().get(occurrence);
-            Urgency.Rank rank = Urgency.rank(job, steps, queue, now);
             for (int i = 0; i < steps.size(); i++) {
                 StepKey key = new StepKey(job.id(), occurrence, i);
                 if (steps.get(i).hasWaiting() && job.dependenciesDone(key)) {
+                    Urgency.Rank rank = Urgency.rank(job, steps, queue, now);
                     waiting.add(new Candidate(key, job, job.step(key), steps.get(i), queue, rank));
                 }
             }
@@ -192,14 +193,20 @@
         return renewals.isEmpty() ? result : result.then(s -> renew(s, key, renewals));
     }
 
-    /** Gives up the room of tasks of {@code key} that wait for a ticket, to be placed anew. */
+    /** Gives up the room of all tasks of {@code key} that wait for a ticket. */
     static WorkflowTransition unassign(WorkflowState state, StepKey key) {
+        return unassign(state, key, worker -> true);
+    }
+
+    /** Gives up the room on {@code workers} of tasks that wait for a ticket, to be placed anew. */
+    private static WorkflowTransition unassign(
+            WorkflowState state, StepKey key, Predicate<String> workers) {
         WorkflowTransition result = WorkflowTransition.of(state.withPlacementDue(true));
         PVector<Task> tasks = state.jobs().get(key.job()).run(key).tasks();
         for (int i = 0; i < tasks.size(); i++) {
             TaskKey member = key.task(i);
             Task task = tasks.get(i);
-            if (task.phase() == Task.Phase.ASSIGNED) {
+            if (task.phase() == Task.Phase.ASSIGNED && workers.test(task.worker())) {
                 result = result.then(s -> Orders.stop(s, task.worker(), member));
             }
         }
@@ -228,17 +235,6 @@
             return WorkflowTransition.of(Advising.renew(state, key, List.copyOf(named)));
         }
         // The service has withdrawn a worker: its tasks are placed anew.
-        WorkflowTransition result = WorkflowTransition.of(state.withPlacementDue(true));
-        for (int i = 0; i < run.tasks().size(); i++) {
-            Task task = run.tasks().get(i);
-            TaskKey member = key.task(i);
-            boolean release =
-                    task.phase() == Task.Phase.ASSIGNED
-                            && (job.step(key).gang() || refused.contains(task.worker()));
-            if (release) {
-                result = result.then(s -> Orders.stop(s, task.worker(), member));
-            }
-        }
-        return result;
+        return unassign(state, key, w -> job.step(key).gang() || refused.contains(w));
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -64,8 +64,7 @@
     /** Returns the rank of the occurrence of {@code job} that consists of {@code steps}. */
     static Rank rank(Job job, List<StepRun> steps, Queue queue, long now) {
         double objective = objectiveMillis(job.definition(), queue);
-        boolean bounded = hasDeadline(job.definition(), queue);
-        double end = bounded ? now - job.acceptedAt() + remaining(job, steps, queue, now) : 0;
+        double end = now - job.acceptedAt() + remaining(job, steps, queue, now);
         if (end > LATEST * objective) {
             return Rank.HOPELESS;
         }
@@ -75,15 +74,6 @@
         return end <= objective ? Rank.IN_TIME : Rank.LATE;
     }
 
-    /**
-     * Returns whether the age of a job says how urgent it is. Occurrences of a schedule and
-     * services have to run however old their job is.
-     */
-    static boolean hasDeadline(JobDefinition job, Queue queue) {
-        boolean lasts = job.steps().stream().anyMatch(StepDefinition::service);
-        return job.times() == 0 && !lasts && objectiveMillis(job, queue) > 0;
-    }
-
     /** Returns the shortest time in which the rest of the steps can end. */
     private static double remaining(Job job, List<StepRun> steps, Queue queue, long now) {
         List<StepDefinition> definitions = job.definition().steps();
@@ -102,13 +92,22 @@
         return longestChain(definitions, left) + OUTCOME_MILLIS;
     }
 
-    /** Returns the objective of a job: its longest chain of work, stretched, and a constant. */
+    /**
+     * Returns the objective of a job: its longest chain of work, stretched, and a constant. It is
+     * infinite for a job without one; occurrences of a schedule and services have to run however
+     * old their job is.
+     */
     static double objectiveMillis(JobDefinition job, Queue queue) {
+        if (job.times() > 0 || job.steps().stream().anyMatch(StepDefinition::service)) {
+            return Double.POSITIVE_INFINITY;
+        }
         double[] whole = new double[job.steps().size()];
         for (int i = 0; i < whole.length; i++) {
             whole[i] = job.steps().get(i).estimateMillis() + adviceMillis(queue);
         }
-        return queue.stretch() * longestChain(job.steps(), whole) + queue.objectiveMillis();
+        double objective =
+                queue.stretch() * longestChain(job.steps(), whole) + queue.objectiveMillis();
+        return objective > 0 ? objective : Double.POSITIVE_INFINITY;
     }
 
     private static double adviceMillis(Queue queue) {
