Make TakeoverWaitTest fail without the mechanisms that it names

With one mechanism taken out at a time, three of the four tried were not noticed: the bound came from the constant under test, the worker whose address another has was never listed, and the store listed a worker in the same write that stored the job.

Change: bounds are literal; two tests more (a listed worker that is gone, leases of a leader without the store); the job waits before the worker comes back. No assertion is dropped.

Tests build steps through TestSteps instead of four copies; the random draws of WorkflowFaultsTest stay in their order.

--- a/core/src/test/java/org/jujubefork/core/workflow/AdmissionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdmissionTest.java
@@ -23,6 +23,16 @@
         return leader;
     }
 
+    /** Hands in four jobs, the share of a team with weight 2, and has them placed if they fit. */
+    private static void submitFour(LeaderFixture leader, int cores) {
+        for (int i = 0; i < 4; i++) {
+            leader.submit("j" + i, LeaderFixture.job(cores));
+        }
+        leader.advance(60);
+        leader.store();
+        leader.advance(60);
+    }
+
     private static boolean isRefused(LeaderFixture leader, long request) {
         return leader.answer(request).filter(Reply.Refused.class::isInstance).isPresent();
     }
@@ -54,12 +64,7 @@
     @Test
     public void teamBeyondItsShareIsRefusedWhenTheFleetIsFull() {
         LeaderFixture leader = withWorker(2);
-        for (int i = 0; i < 4; i++) {
-            leader.submit("full" + i, LeaderFixture.job(16));
-        }
-        leader.advance(60);
-        leader.store();
-        leader.advance(60);
+        submitFour(leader, 16);
         long beyond = leader.submit("beyond", LeaderFixture.job(1));
         assertTrue(isRefused(leader, beyond), "accepted beyond the share of the team");
         leader.advance(1_100);
@@ -81,12 +86,7 @@
     @Test
     public void jobThatFitsNoWorkerHoldsUpNothing() {
         LeaderFixture leader = withWorker(2);
-        for (int i = 0; i < 4; i++) {
-            leader.submit("wide" + i, LeaderFixture.job(64));
-        }
-        leader.advance(60);
-        leader.store();
-        leader.advance(60);
+        submitFour(leader, 64);
         long request = leader.submit("beyond", LeaderFixture.job(1));
         assertTrue(!isRefused(leader, request), "refused with a worker free");
     }
--- a/core/src/test/java/org/jujubefork/core/workflow/GangRoomTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/GangRoomTest.java
@@ -22,26 +22,8 @@
     }
 
     private static JobDefinition job(int count, int cores, boolean gang) {
-        return new JobDefinition(
-                "p",
-                List.of(
-                        new StepDefinition(
-                                count,
-                                Resources.of(cores * 1_000L, 1_000, 0),
-                                5_000,
-                                List.of(),
-                                gang,
-                                false,
-                                "",
-                                "",
-                                0,
-                                false,
-                                false,
-                                false,
-                                false)),
-                0,
-                0,
-                0);
+        Resources size = Resources.of(cores * 1_000L, 1_000, 0);
+        return TestSteps.job(TestSteps.step(count, size, 5_000, List.of(), gang));
     }
 
     @Test(dataProvider = "seeds")
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -66,26 +66,8 @@
 
     /** Returns a job of {@code count} tasks of {@code cores} cores that take a second. */
     static JobDefinition job(int count, int cores, boolean gang) {
-        return new JobDefinition(
-                "p",
-                List.of(
-                        new StepDefinition(
-                                count,
-                                Resources.of(cores * 1_000L, 1_000, 0),
-                                1_000,
-                                List.of(),
-                                gang,
-                                false,
-                                "",
-                                "",
-                                0,
-                                false,
-                                false,
-                                false,
-                                false)),
-                0,
-                0,
-                0);
+        Resources size = Resources.of(cores * 1_000L, 1_000, 0);
+        return TestSteps.job(TestSteps.step(count, size, 1_000, List.of(), gang));
     }
 
     /** Returns a job that an earlier leader accepted at {@code at}. */
@@ -133,6 +115,25 @@
         }
     }
 
+    /** Lets time pass while the store does not answer. */
+    void advanceUnconfirmed(long millis) {
+        for (long end = now + millis; now < end; ) {
+            now += TICK_MILLIS;
+            tick();
+        }
+    }
+
+    /** Returns the ends of all leases that were given; the workers' clocks are the leader's. */
+    List<Long> leases() {
+        List<Long> leases = new ArrayList<>();
+        for (WorkflowEffect effect : effects) {
+            if (effect instanceof WorkflowEffect.Hold hold) {
+                hold.until().ifPresent(leases::add);
+            }
+        }
+        return leases;
+    }
+
     private void confirm() {
         if (state.leadership().leads()) {
             post(new WorkflowEvent.LeaderRead(now, now, state.leadership().known()));
--- a/core/src/test/java/org/jujubefork/core/workflow/TakeoverWaitTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/TakeoverWaitTest.java
@@ -14,6 +14,9 @@
  * what can still run.
  */
 public final class TakeoverWaitTest {
+    /** Latest end of a lease after the store last confirmed the leader that gave it. */
+    private static final long LATEST_LEASE_MILLIS = 8_000;
+
     private static LeaderFixture takeover() {
         return LeaderFixture.leading(
                 LeaderFixture.configuration(50),
@@ -37,12 +40,41 @@
     public void unreachedWorkerIsWaitedForUntilItsLeasesHaveEnded() {
         LeaderFixture leader = takeover();
         leader.list("a", "b");
-        pass(leader, Bounds.CONFIRMED_LEASE_MILLIS, OrderOutcome.UNKNOWN);
+        pass(leader, LATEST_LEASE_MILLIS, OrderOutcome.UNKNOWN);
         assertEquals(leader.starts(), List.of(), "starts before the leases have ended");
         pass(leader, 1_000, OrderOutcome.UNKNOWN);
         assertEquals(leader.starts(), List.of("a"));
     }
 
+    /** The wait of the next leader is long enough only if no lease ends later. */
+    @Test
+    public void leasesOfALeaderWithoutTheStoreEndInTime() {
+        LeaderFixture leader = takeover();
+        leader.list("a");
+        pass(leader, 500, OrderOutcome.OTHER_WORKER);
+        long confirmedAt = leader.now();
+        leader.effects.clear();
+        for (int i = 0; i < 45; i++) {
+            leader.advanceUnconfirmed(100);
+            leader.answerHold("a");
+        }
+        List<Long> leases = leader.leases();
+        assertFalse(leases.isEmpty(), "no lease was given");
+        for (long until : leases) {
+            assertTrue(until <= confirmedAt + LATEST_LEASE_MILLIS, "ends at " + until);
+        }
+        assertTrue(leader.now() + Bounds.WORKER_LEASE_MILLIS > confirmedAt + LATEST_LEASE_MILLIS);
+    }
+
+    /** The list of workers may still have an entry of a worker that is gone. */
+    @Test
+    public void listedWorkerWhoseAddressAnotherHasIsNotWaitedFor() {
+        LeaderFixture leader = takeover();
+        leader.list("a", "b");
+        pass(leader, 500, OrderOutcome.OTHER_WORKER);
+        assertEquals(leader.starts(), List.of("a"));
+    }
+
     @Test
     public void workerWhoseAddressAnotherHasIsNotWaitedFor() {
         LeaderFixture leader = takeover();
@@ -56,22 +88,19 @@
     public void workerThatRunsNothingLeavesTheStoredSet() {
         LeaderFixture leader = takeover();
         leader.list("a", "b");
-        pass(leader, Bounds.CONFIRMED_LEASE_MILLIS + 2_000, OrderOutcome.UNKNOWN);
+        pass(leader, LATEST_LEASE_MILLIS + 2_000, OrderOutcome.UNKNOWN);
         assertFalse(leader.state().commits().listsWorker("b"), "an abandoned worker is listed");
         assertTrue(leader.state().commits().listsWorker("a"), "a worker in use is not listed");
-        // It comes back: no start before the store lists it again.
+        // The job fits only on the other worker, which comes back.
+        leader.submit("k", LeaderFixture.job(16));
+        pass(leader, 300, OrderOutcome.UNKNOWN);
         leader.advance(400);
         leader.answerHold("b");
         assertFalse(leader.state().commits().listsWorker("b"));
-        leader.failHold("a", OrderOutcome.UNKNOWN);
-        leader.submit("k", LeaderFixture.job(16));
-        leader.submit("l", LeaderFixture.job(16));
-        leader.advance(100);
+        leader.advance(200);
         assertFalse(leader.starts().contains("b"), "a start before the worker is listed");
         leader.store();
         leader.advance(100);
-        leader.store();
-        leader.advance(100);
         assertTrue(leader.starts().contains("b"), "no start on a worker that came back");
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
@@ -19,30 +19,10 @@
 
     private static final long NOW = 5_000;
 
-    private static StepDefinition step(long estimateMillis) {
-        return step(estimateMillis, false);
-    }
-
-    private static StepDefinition step(long estimateMillis, boolean service) {
-        return new StepDefinition(
-                1,
-                Resources.ZERO,
-                estimateMillis,
-                List.of(),
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                false,
-                service,
-                false);
-    }
-
     private static Placement.Candidate candidate(
             String id, CellConfiguration.Queue queue, long acceptedAt, boolean withinShare) {
-        return candidate(id, queue, acceptedAt, withinShare, step(500));
+        return candidate(
+                id, queue, acceptedAt, withinShare, TestSteps.step(1, Resources.ZERO, 500));
     }
 
     private static Placement.Candidate candidate(
@@ -101,7 +81,8 @@
     /** Guards against a task of a service that ends after hours and is not started again. */
     @Test
     public void servicesDoNotAge() {
-        Placement.Candidate service = candidate("s", QUEUE, NOW - 3_600_000, true, step(0, true));
+        Placement.Candidate service =
+                candidate("s", QUEUE, NOW - 3_600_000, true, TestSteps.service(Resources.ZERO));
         assertEquals(service.rank(), Urgency.Rank.IN_TIME);
     }
 }
--- a/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
@@ -33,21 +33,10 @@
         int count = 1 + world.random.nextInt(2);
         for (int i = 0; i < count; i++) {
             boolean gang = world.random.nextInt(3) == 0;
-            steps.add(
-                    new StepDefinition(
-                            1 + world.random.nextInt(5),
-                            Resources.of(500 + world.random.nextInt(4_000), 1_000, 0),
-                            0,
-                            i == 0 ? List.of() : List.of(i - 1),
-                            gang,
-                            false,
-                            "",
-                            "",
-                            0,
-                            false,
-                            false,
-                            false,
-                            false));
+            int tasks = 1 + world.random.nextInt(5);
+            Resources size = Resources.of(500 + world.random.nextInt(4_000), 1_000, 0);
+            List<Integer> after = i == 0 ? List.of() : List.of(i - 1);
+            steps.add(TestSteps.step(tasks, size, 0, after, gang));
         }
         return new JobDefinition("p", steps, 0, 0, 0);
     }
