--- a/core/src/main/java/org/jujubefork/core/model/Resources.java
+++ b/core/src/main/java/org/jujubefork/core/model/Resources.java
@@ -68,6 +68,19 @@
                 && accelerators <= other.accelerators;
     }
 
+    /** Returns how often these resources fit into {@code total}, {@code max} at most. */
+    public long countIn(Resources total, long max) {
+        long count = max;
+        count = Math.min(count, quotient(total.cpuMillis, cpuMillis, max));
+        count = Math.min(count, quotient(total.memoryMb, memoryMb, max));
+        count = Math.min(count, quotient(total.accelerators, accelerators, max));
+        return Math.max(0, count);
+    }
+
+    private static long quotient(long total, long amount, long max) {
+        return amount == 0 ? (total < 0 ? 0 : max) : total / amount;
+    }
+
     /** Returns whether any component is negative. */
     public boolean isNegative() {
         return cpuMillis < 0 || memoryMb < 0 || accelerators < 0;
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -7,19 +7,18 @@
 import java.util.Optional;
 import org.jujubefork.core.workflow.AdviceRequests.AdviceRequest;
 import org.jujubefork.core.workflow.AdviceRequests.InFlightRequest;
+import org.jujubefork.core.workflow.AdviceRequests.Purpose;
 import org.jujubefork.core.workflow.StepProgress.Ticket;
 
 /** Asks the advice service which workers may run a step, and renews tickets. */
 final class AdviceDispatcher {
-    /** Maximum number of workers in one request that the service accepts. */
-    private static final int MAX_WORKERS_PER_REQUEST = 100;
-
     /**
-     * Renewals go first, because capacity is already allocated for them; then requests of more
-     * urgent steps, then of more urgent queues.
+     * The order of the purposes, then requests of more urgent steps, then of more urgent queues. A
+     * further request for a step must not delay the first request of another one, or steps whose
+     * queue is less urgent would get no tickets while the fleet is full.
      */
     private static final Comparator<AdviceRequest> DISPATCH_ORDER =
-            Comparator.comparing((AdviceRequest request) -> !request.isRenewal())
+            Comparator.comparing(AdviceRequest::purpose)
                     .thenComparing(AdviceRequest::rank)
                     .thenComparing(AdviceRequest::priority);
 
@@ -28,14 +27,16 @@
     /** Queues a request for tickets for the workers that could run a step. */
     static WorkflowState requestAdvice(
             WorkflowState state, Placement.Candidate candidate, List<String> workers) {
-        return enqueue(state, candidate.key(), workers, candidate.rank(), false);
+        Purpose purpose =
+                candidate.progress().advice().received() ? Purpose.FURTHER : Purpose.FIRST;
+        return enqueue(state, candidate.key(), workers, candidate.rank(), purpose);
     }
 
     /**
      * Queues a request for new tickets for {@code workers}, on which capacity is already allocated.
      */
     static WorkflowState renewTickets(WorkflowState state, StepKey key, List<String> workers) {
-        return enqueue(state, key, workers, Urgency.Rank.ON_TIME, true);
+        return enqueue(state, key, workers, Urgency.Rank.ON_TIME, Purpose.RENEWAL);
     }
 
     private static WorkflowState enqueue(
@@ -43,16 +44,15 @@
             StepKey key,
             List<String> workers,
             Urgency.Rank rank,
-            boolean isRenewal) {
+            Purpose purpose) {
         Job job = state.jobs().get(key.job());
         Optional<CellConfiguration.Queue> queue = state.queueOf(job);
         if (queue.isEmpty() || queue.get().advice().isEmpty() || workers.isEmpty()) {
             return state;
         }
         List<String> candidates =
-                workers.size() > MAX_WORKERS_PER_REQUEST
-                        ? workers.subList(0, MAX_WORKERS_PER_REQUEST)
-                        : workers;
+                workers.subList(
+                        0, Math.min(workers.size(), AdviceCandidates.MAX_WORKERS_PER_REQUEST));
         StepProgress progress = job.progress(key);
         AdviceRequest request =
                 new AdviceRequest(
@@ -60,10 +60,12 @@
                         candidates,
                         rank,
                         queue.get().priority(),
-                        isRenewal,
+                        purpose,
                         Math.round(queue.get().advice().get().costMillis(candidates.size())));
         return state.with(
-                        job.with(key, progress.withAdvice(progress.advice().withPendingRequest())))
+                        job.with(
+                                key,
+                                progress.withAdvice(progress.advice().withPendingRequest(purpose))))
                 .with(state.adviceRequests().withPending(request));
     }
 
@@ -79,36 +81,64 @@
             if (loads.isFull()) {
                 return result;
             }
-            AdviceRequests requests = result.state().adviceRequests();
+            if (!isNeeded(result.state(), request)) {
+                result = result.withState(withoutRequest(result.state(), request));
+                continue;
+            }
             Optional<String> advisor = loads.assign(request);
-            if (advisor.isPresent() && !requests.inFlight().containsKey(request.step())) {
-                result =
-                        result.withState(
-                                        result.state()
-                                                .with(
-                                                        requests.withInFlight(
-                                                                request, advisor.get())))
-                                .with(
-                                        new WorkflowEffect.RequestAdvice(
-                                                advisor.get(),
-                                                request.step(),
-                                                request.workers(),
-                                                request.costMillis(),
-                                                state.fence()));
+            if (advisor.isPresent()) {
+                result = result.then(s -> send(s, request, advisor.get()));
             }
         }
         return result;
     }
 
+    /** Returns whether the answer to {@code request} can still help to start a task. */
+    private static boolean isNeeded(WorkflowState state, AdviceRequest request) {
+        Job job = state.jobs().get(request.step().job());
+        if (job == null || !job.isActive()) {
+            return false;
+        }
+        return request.purpose() == Purpose.RENEWAL || job.progress(request.step()).hasWaiting();
+    }
+
+    private static WorkflowState withoutRequest(WorkflowState state, AdviceRequest request) {
+        WorkflowState next = state.with(state.adviceRequests().withoutPending(request));
+        Job job = next.jobs().get(request.step().job());
+        if (job == null) {
+            return next;
+        }
+        StepProgress progress = job.progress(request.step());
+        return next.with(
+                job.with(
+                        request.step(),
+                        progress.withAdvice(
+                                progress.advice().withFailedRequest(request.purpose()))));
+    }
+
+    private static WorkflowTransition send(
+            WorkflowState state, AdviceRequest request, String advisor) {
+        AdviceRequests requests = state.adviceRequests();
+        return WorkflowTransition.of(state.with(requests.withInFlight(request, advisor)))
+                .with(
+                        new WorkflowEffect.RequestAdvice(
+                                requests.nextNumber(),
+                                advisor,
+                                request.step(),
+                                request.workers(),
+                                request.costMillis(),
+                                state.fence()));
+    }
+
     static WorkflowTransition completed(WorkflowState state, WorkflowEvent.AdviceCompleted event) {
-        InFlightRequest inFlight = state.adviceRequests().inFlight().get(event.step());
-        if (inFlight == null || !inFlight.advisor().equals(event.advisor())) {
+        InFlightRequest inFlight = state.adviceRequests().inFlight().get(event.number());
+        if (inFlight == null) {
             return WorkflowTransition.of(state);
         }
         WorkflowState next =
-                state.with(state.adviceRequests().withoutInFlight(event.step()))
+                state.with(state.adviceRequests().withoutInFlight(event.number()))
                         .withPlacementDue(true);
-        Job job = next.jobs().get(event.step().job());
+        Job job = next.jobs().get(inFlight.request().step().job());
         if (job == null) {
             return dispatch(next);
         }
@@ -120,20 +150,29 @@
             Job job,
             WorkflowEvent.AdviceCompleted event,
             InFlightRequest inFlight) {
-        StepProgress progress = job.progress(event.step());
+        AdviceRequest request = inFlight.request();
+        StepKey step = request.step();
+        StepProgress progress = job.progress(step);
         if (event.tickets().isEmpty()) {
-            StepProgress failedProgress =
-                    progress.withAdvice(progress.advice().withFailedRequest());
-            return Placement.unassign(
-                            state.with(job.with(event.step(), failedProgress)), event.step())
-                    .with(
-                            WorkflowEffect.LogEvent.of(
-                                    "advice-failed",
-                                    event.step(),
-                                    "advisor",
-                                    event.advisor(),
-                                    "workers",
-                                    inFlight.request().workers().size()));
+            WorkflowState failed =
+                    state.with(
+                            job.with(
+                                    step,
+                                    progress.withAdvice(
+                                            progress.advice()
+                                                    .withFailedRequest(request.purpose()))));
+            WorkflowTransition result =
+                    request.purpose() == Purpose.RENEWAL
+                            ? Placement.unassign(failed, step)
+                            : WorkflowTransition.of(failed);
+            return result.with(
+                    WorkflowEffect.LogEvent.of(
+                            "advice-failed",
+                            step,
+                            "advisor",
+                            inFlight.advisor(),
+                            "workers",
+                            request.workers().size()));
         }
         long validMillis =
                 state.queueOf(job).flatMap(q -> q.advice()).map(a -> a.validMillis()).orElse(0L);
@@ -142,9 +181,24 @@
         event.tickets().get().forEach((w, t) -> tickets.put(w, new Ticket(t, validUntil)));
         StepProgress updatedProgress =
                 progress.withAdvice(
-                        progress.advice().withTickets(inFlight.request().workers(), tickets));
+                        progress.advice()
+                                .withTickets(request.workers(), tickets, request.purpose()));
         return Placement.startAssigned(
-                state.with(job.with(event.step(), updatedProgress)), event.step());
+                withYield(state, job, request, tickets.size())
+                        .with(job.with(step, updatedProgress)),
+                step);
+    }
+
+    private static WorkflowState withYield(
+            WorkflowState state, Job job, AdviceRequest request, int granted) {
+        if (request.purpose() == Purpose.RENEWAL) {
+            return state;
+        }
+        AdviceRequests requests = state.adviceRequests();
+        return state.with(
+                requests.withYields(
+                        requests.yields()
+                                .withAnswer(job.queue(), request.workers().size(), granted)));
     }
 
     /** Marks the ticket of {@code worker} as expired, so that it is renewed before its next use. */
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
@@ -14,12 +14,16 @@
  *
  * @param advisors the names of the entries that can send requests to the service
  * @param pending the requests that have not been sent yet
- * @param inFlight the requests that were sent and have not been answered yet, by step
+ * @param inFlight the requests that were sent and have not been answered yet, by number
+ * @param nextNumber the number of the next request that is sent
+ * @param yields how many of the named workers may run the steps of each queue
  */
 public record AdviceRequests(
         PSet<String> advisors,
         PVector<AdviceRequest> pending,
-        PMap<StepKey, InFlightRequest> inFlight) {
+        PMap<Long, InFlightRequest> inFlight,
+        long nextNumber,
+        AdviceYields yields) {
     /**
      * Requests that cost more than this are long. A long request blocks its entry, so urgent
      * requests are sent through other entries.
@@ -32,6 +36,16 @@
      */
     static final int MAX_SHORT_REQUESTS_PER_ADVISOR = 2;
 
+    /** Why tickets are requested; the most urgent purpose first. */
+    enum Purpose {
+        /** Tickets expire; the capacity is allocated already and stays idle until the answer. */
+        RENEWAL,
+        /** The step has no tickets yet, so none of its tasks can start. */
+        FIRST,
+        /** The step does not fit on the workers for which it has tickets. */
+        FURTHER
+    }
+
     /**
      * A request for tickets.
      *
@@ -39,8 +53,7 @@
      * @param workers the workers for which tickets are requested
      * @param rank the rank of the step when the request was queued
      * @param priority the priority of its queue, 0 is the most urgent
-     * @param isRenewal whether it renews tickets; the capacity is then already allocated and stays
-     *     idle until the answer
+     * @param purpose why the tickets are requested
      * @param costMillis the time that the service needs to process the request
      */
     public record AdviceRequest(
@@ -48,7 +61,7 @@
             List<String> workers,
             Urgency.Rank rank,
             int priority,
-            boolean isRenewal,
+            Purpose purpose,
             long costMillis) {
         /** Copies the candidates. */
         public AdviceRequest {
@@ -71,22 +84,32 @@
     /** Returns an instance without requests, with {@code entry} as the only advisor. */
     public static AdviceRequests of(String entry) {
         return new AdviceRequests(
-                HashTreePSet.singleton(entry), TreePVector.empty(), HashTreePMap.empty());
+                HashTreePSet.singleton(entry),
+                TreePVector.empty(),
+                HashTreePMap.empty(),
+                1,
+                AdviceYields.NONE);
     }
 
     /** Returns a copy with {@code other} as the advisors. */
     public AdviceRequests withAdvisors(PSet<String> other) {
-        return new AdviceRequests(other, pending, inFlight);
+        return new AdviceRequests(other, pending, inFlight, nextNumber, yields);
     }
 
     /** Returns a copy without pending and in-flight requests. */
     public AdviceRequests cleared() {
-        return new AdviceRequests(advisors, TreePVector.empty(), HashTreePMap.empty());
+        return new AdviceRequests(
+                advisors, TreePVector.empty(), HashTreePMap.empty(), nextNumber, yields);
     }
 
     /** Returns a copy with {@code request} pending. */
     public AdviceRequests withPending(AdviceRequest request) {
-        return new AdviceRequests(advisors, pending.plus(request), inFlight);
+        return new AdviceRequests(advisors, pending.plus(request), inFlight, nextNumber, yields);
+    }
+
+    /** Returns a copy in which {@code request} is not pending. */
+    public AdviceRequests withoutPending(AdviceRequest request) {
+        return new AdviceRequests(advisors, pending.minus(request), inFlight, nextNumber, yields);
     }
 
     /** Returns a copy with {@code request} in flight at {@code advisor} instead of pending. */
@@ -94,11 +117,18 @@
         return new AdviceRequests(
                 advisors,
                 pending.minus(request),
-                inFlight.plus(request.step(), new InFlightRequest(advisor, request)));
+                inFlight.plus(nextNumber, new InFlightRequest(advisor, request)),
+                nextNumber + 1,
+                yields);
+    }
+
+    /** Returns a copy with {@code other} as the learned yields. */
+    public AdviceRequests withYields(AdviceYields other) {
+        return new AdviceRequests(advisors, pending, inFlight, nextNumber, other);
     }
 
-    /** Returns a copy without the request for {@code step} that is in flight, if there is one. */
-    public AdviceRequests withoutInFlight(StepKey step) {
-        return new AdviceRequests(advisors, pending, inFlight.minus(step));
+    /** Returns a copy in which the request {@code number} is not in flight. */
+    public AdviceRequests withoutInFlight(long number) {
+        return new AdviceRequests(advisors, pending, inFlight.minus(number), nextNumber, yields);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
@@ -12,12 +12,11 @@
  * entries. Mutable; used on the control thread for one round of assignments only.
  */
 final class AdvisorLoads {
-    /**
-     * Fraction of the entries that may have a long request in flight, as numerator and denominator.
-     */
-    private static final int LONG_REQUEST_SHARE_NUMERATOR = 1;
+    /** Number of entries that are kept free of long requests, if there are enough entries. */
+    private static final int MIN_ENTRIES_FOR_SHORT_REQUESTS = 4;
 
-    private static final int LONG_REQUEST_SHARE_DENOMINATOR = 2;
+    /** Part of the entries that is kept free of long requests in a large cell. */
+    private static final int SHORT_REQUEST_SHARE_DENOMINATOR = 4;
 
     /** The requests that one entry has in flight. */
     private record Load(int requestCount, boolean hasLongRequest, long totalMillis) {
@@ -63,18 +62,24 @@
                                                 >= AdviceRequests.MAX_SHORT_REQUESTS_PER_ADVISOR);
     }
 
+    /**
+     * Returns how many of {@code entryCount} entries may have a long request in flight: half of a
+     * few entries, three quarters of many.
+     */
+    static int maxLongRequestCount(int entryCount) {
+        int reserved =
+                Math.max(
+                        Math.min(MIN_ENTRIES_FOR_SHORT_REQUESTS, entryCount / 2),
+                        entryCount / SHORT_REQUEST_SHARE_DENOMINATOR);
+        return Math.max(1, entryCount - reserved);
+    }
+
     /**
      * Assigns {@code request} to the least loaded entry that can accept it. Returns the name of
      * that entry, or empty if no entry can accept the request.
      */
     Optional<String> assign(AdviceRequest request) {
-        int maxLongRequests =
-                Math.max(
-                        1,
-                        loads.size()
-                                * LONG_REQUEST_SHARE_NUMERATOR
-                                / LONG_REQUEST_SHARE_DENOMINATOR);
-        if (request.isLong() && longRequestCount >= maxLongRequests) {
+        if (request.isLong() && longRequestCount >= maxLongRequestCount(loads.size())) {
             return Optional.empty();
         }
         Optional<String> advisor =
--- a/core/src/main/java/org/jujubefork/core/workflow/CallHandler.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CallHandler.java
@@ -133,7 +133,7 @@
         PSet<String> unsentJobs = HashTreePSet.empty();
         for (CommitQueue.PendingAnswer answer : queue.pendingAnswers()) {
             Job job = state.jobs().get(answer.job());
-            boolean isInFlight = queue.inFlight().orElseThrow().jobs().contains(answer.job());
+            boolean isInFlight = queue.isInFlight(answer.job());
             if (job != null && job.isActive() && !job.stored() && !isInFlight) {
                 unsentJobs = unsentJobs.plus(answer.job());
             }
--- a/core/src/main/java/org/jujubefork/core/workflow/CommitQueue.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitQueue.java
@@ -23,6 +23,8 @@
  * @param sentAt when the last commit was sent, -1 before the first commit
  * @param fleetDirty whether the set of workers has changed
  * @param storedFleet the workers in the stored set
+ * @param silentWorkersDirty whether the record of silent workers has to be written
+ * @param storedSilentWorkers the workers in the stored record of silent workers
  * @param jobRemovals the jobs that have ended and whose records are still in the store
  * @param finishedBuckets the numbers of the store records of finished jobs
  */
@@ -36,6 +38,8 @@
         long sentAt,
         boolean fleetDirty,
         PSet<String> storedFleet,
+        boolean silentWorkersDirty,
+        PSet<String> storedSilentWorkers,
         PVector<String> jobRemovals,
         PSet<Long> finishedBuckets) {
     /** A queue without changes to write. */
@@ -50,6 +54,8 @@
                     -1,
                     false,
                     HashTreePSet.empty(),
+                    false,
+                    HashTreePSet.empty(),
                     TreePVector.empty(),
                     HashTreePSet.empty());
 
@@ -69,13 +75,16 @@
      * @param pendingAnswers the requests that are answered once it is stored
      * @param watermarks the completions that are durable once it is stored, by worker
      * @param fleet the set of workers that it writes, empty if it does not write the set
+     * @param silentWorkers the silent workers that it records, empty if it does not write that
+     *     record
      */
     public record InFlight(
             WorkflowEffect.Commit commit,
             PVector<String> jobs,
             PVector<PendingAnswer> pendingAnswers,
             PMap<String, CompletionWatermark> watermarks,
-            Optional<PSet<String>> fleet) {}
+            Optional<PSet<String>> fleet,
+            Optional<PSet<String>> silentWorkers) {}
 
     /**
      * Stands for all completions of a worker's incarnation up to a sequence number.
@@ -90,17 +99,22 @@
      *
      * @param revision the revision of the leader's record
      * @param newStoredFleet the workers in the stored set
+     * @param silentWorkers the workers whose runs the previous leader has recorded
      * @param newJobRemovals the jobs that have ended and whose records are still in the store
      * @param storedBuckets the numbers of the store records of finished jobs
      */
     public CommitQueue recovered(
             long revision,
             PSet<String> newStoredFleet,
+            PSet<String> silentWorkers,
             PVector<String> newJobRemovals,
             PSet<Long> storedBuckets) {
         Builder next = new Builder(this);
         next.previousRevision = revision;
         next.storedFleet = newStoredFleet;
+        next.storedSilentWorkers = silentWorkers;
+        // The record counts only if the newest leader has written it.
+        next.silentWorkersDirty = !silentWorkers.isEmpty();
         next.jobRemovals = newJobRemovals;
         next.finishedBuckets = storedBuckets;
         return next.build();
@@ -114,6 +128,11 @@
         return inFlight.map(f -> f.pendingAnswers().plusAll(pendingAnswers)).orElse(pendingAnswers);
     }
 
+    /** Returns whether the commit in flight writes {@code job}. */
+    public boolean isInFlight(String job) {
+        return inFlight.map(f -> f.jobs().contains(job)).orElse(false);
+    }
+
     /**
      * Returns a copy in which {@code job} is marked as changed, so that the next commit writes it.
      */
@@ -147,6 +166,13 @@
         return next.build();
     }
 
+    /** Returns a copy in which the next commit writes the record of silent workers. */
+    public CommitQueue withSilentWorkersDirty() {
+        Builder next = new Builder(this);
+        next.silentWorkersDirty = true;
+        return next.build();
+    }
+
     /**
      * Returns a copy with {@code write} as the commit in flight, sent at {@code at}, and with the
      * given remaining changes and answers.
@@ -165,6 +191,7 @@
         next.nextBatch = nextBatch + 1;
         next.sentAt = at;
         next.fleetDirty = fleetDirty && write.fleet().isEmpty();
+        next.silentWorkersDirty = silentWorkersDirty && write.silentWorkers().isEmpty();
         next.finishedBuckets = newFinishedBuckets;
         return next.build();
     }
@@ -178,6 +205,7 @@
         next.inFlight = Optional.empty();
         next.previousRevision = revision;
         next.storedFleet = fleet;
+        next.storedSilentWorkers = newestSilentWorkers();
         return next.build();
     }
 
@@ -214,6 +242,21 @@
                 && inFlight.flatMap(InFlight::fleet).map(f -> f.contains(worker)).orElse(true);
     }
 
+    /** Returns the silent workers that the newest commit, stored or in flight, has recorded. */
+    public PSet<String> newestSilentWorkers() {
+        return inFlight.flatMap(InFlight::silentWorkers).orElse(storedSilentWorkers);
+    }
+
+    /**
+     * Returns whether runs may be started on {@code worker}: the stored set of workers contains it,
+     * and it is not recorded as silent, before and after the commit in flight.
+     */
+    public boolean isOpenForStarts(String worker) {
+        return isWorkerRecorded(worker)
+                && !storedSilentWorkers.contains(worker)
+                && !newestSilentWorkers().contains(worker);
+    }
+
     /**
      * Returns whether the commit in flight has been unanswered for longer than the stall timeout.
      */
@@ -235,9 +278,14 @@
         return next.build();
     }
 
+    /** Returns whether the set of workers or the record of silent workers has to be written. */
+    public boolean hasWorkerChanges() {
+        return fleetDirty || silentWorkersDirty;
+    }
+
     /** Returns whether there are no changes to write and no commit is in flight. */
     public boolean isIdle() {
-        return dirtyJobs.isEmpty() && inFlight.isEmpty() && !fleetDirty;
+        return dirtyJobs.isEmpty() && inFlight.isEmpty() && !hasWorkerChanges();
     }
 
     /** Mutable copy of the components, used to build a changed instance. */
@@ -251,6 +299,8 @@
         private long sentAt;
         private boolean fleetDirty;
         private PSet<String> storedFleet;
+        private boolean silentWorkersDirty;
+        private PSet<String> storedSilentWorkers;
         private PVector<String> jobRemovals;
         private PSet<Long> finishedBuckets;
 
@@ -264,6 +314,8 @@
             this.sentAt = from.sentAt();
             this.fleetDirty = from.fleetDirty();
             this.storedFleet = from.storedFleet();
+            this.silentWorkersDirty = from.silentWorkersDirty();
+            this.storedSilentWorkers = from.storedSilentWorkers();
             this.jobRemovals = from.jobRemovals();
             this.finishedBuckets = from.finishedBuckets();
         }
@@ -279,6 +331,8 @@
                     sentAt,
                     fleetDirty,
                     storedFleet,
+                    silentWorkersDirty,
+                    storedSilentWorkers,
                     jobRemovals,
                     finishedBuckets);
         }
--- a/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
@@ -19,12 +19,13 @@
  */
 final class CommitWriter {
     /**
-     * Number of records of a commit that are reserved for finished jobs and the set of workers.
-     * Finished jobs need few records, because all jobs that end in the same time slice share one
-     * record. The job and progress records of an ended job are removed later, by commits with
-     * records to spare, so that a slow store delays neither acceptances nor completions.
+     * Number of records of a commit that are reserved for finished jobs, the set of workers and the
+     * silent workers. Finished jobs need few records, because all jobs that end in the same time
+     * slice share one record. The job and progress records of an ended job are removed later, by
+     * commits with records to spare, so that a slow store delays neither acceptances nor
+     * completions.
      */
-    private static final int RESERVED_RECORD_COUNT = 3;
+    private static final int RESERVED_RECORD_COUNT = 4;
 
     /** Number of records that are written for each job: the job itself and its progress. */
     private static final int RECORDS_PER_JOB = 2;
@@ -44,13 +45,13 @@
     static WorkflowTransition sendIfDue(WorkflowState state) {
         CommitQueue queue = state.commitQueue();
         long sinceLastCommit = state.now() - queue.sentAt();
-        boolean hasChanges = !queue.dirtyJobs().isEmpty() || queue.fleetDirty();
+        boolean hasChanges = !queue.dirtyJobs().isEmpty() || queue.hasWorkerChanges();
         boolean isDue =
                 hasChanges
                         ? sinceLastCommit >= WorkflowLimits.MIN_COMMIT_INTERVAL_MILLIS
                         : !queue.jobRemovals().isEmpty() && sinceLastCommit >= REMOVAL_DELAY_MILLIS;
         if (queue.inFlight().isPresent() || !isDue) {
-            return WorkflowTransition.of(queue.isIdle() ? acknowledgeAll(state) : state);
+            return WorkflowTransition.of(state);
         }
         return write(state);
     }
@@ -87,7 +88,8 @@
         }
         addBuckets(next, entries, buckets);
         Optional<PSet<String>> fleet = addFleet(next, entries);
-        return send(next, entries, includedJobs, buckets, fleet);
+        Optional<PSet<String>> silentWorkers = addSilentWorkers(next, entries);
+        return send(next, entries, includedJobs, buckets, fleet, silentWorkers);
     }
 
     private static void addBuckets(WorkflowState state, List<Entry> entries, PSet<Long> buckets) {
@@ -115,12 +117,23 @@
                 HashTreePSet.from(listings.stream().map(WorkerNode.Listing::id).toList()));
     }
 
+    private static Optional<PSet<String>> addSilentWorkers(
+            WorkflowState state, List<Entry> entries) {
+        if (!state.commitQueue().silentWorkersDirty()) {
+            return Optional.empty();
+        }
+        SilentWorkers silentWorkers = SilentWorkers.of(state);
+        entries.add(new Entry.PutSilentWorkers(silentWorkers));
+        return Optional.of(silentWorkers.workers());
+    }
+
     private static WorkflowTransition send(
             WorkflowState state,
             List<Entry> entries,
             PVector<String> includedJobs,
             PSet<Long> buckets,
-            Optional<PSet<String>> fleet) {
+            Optional<PSet<String>> fleet,
+            Optional<PSet<String>> silentWorkers) {
         CommitQueue queue = state.commitQueue();
         PVector<String> remainingJobs = queue.dirtyJobs().minusAll(includedJobs);
         PSet<String> includedJobSet = HashTreePSet.from(includedJobs);
@@ -135,7 +148,8 @@
                 new WorkflowEffect.Commit(
                         queue.nextBatch(), state.fence(), queue.previousRevision(), entries);
         CommitQueue.InFlight write =
-                new CommitQueue.InFlight(commit, includedJobs, includedAnswers, watermarks, fleet);
+                new CommitQueue.InFlight(
+                        commit, includedJobs, includedAnswers, watermarks, fleet, silentWorkers);
         CommitQueue queueAfterSend =
                 queue.sent(
                         write,
@@ -163,11 +177,25 @@
     }
 
     /**
-     * Acknowledges all processed completions. Called when there is nothing to write: the
-     * completions then have changed no job, or their changes are stored.
+     * Acknowledges all processed completions if there is nothing to write: the completions then
+     * have changed no job, or their changes are stored.
      */
-    private static WorkflowState acknowledgeAll(WorkflowState state) {
-        return acknowledge(state, unstoredWatermarks(state));
+    static WorkflowTransition acknowledgeAllIfIdle(WorkflowState state) {
+        return WorkflowTransition.of(
+                state.commitQueue().isIdle()
+                        ? acknowledge(state, unstoredWatermarks(state))
+                        : state);
+    }
+
+    /** Acknowledges the processed completions of {@code worker} if there is nothing to write. */
+    static WorkflowTransition acknowledgeIfIdle(WorkflowState state, String worker) {
+        WorkerNode node = state.workers().get(worker);
+        if (node == null || !state.commitQueue().isIdle()) {
+            return WorkflowTransition.of(state);
+        }
+        WorkerNode.Contact contact = node.contact();
+        return WorkflowTransition.of(
+                state.with(node.with(contact.withStoredSequence(contact.processedSequence()))));
     }
 
     private static WorkflowState acknowledge(
@@ -311,6 +339,7 @@
                 entries,
                 TreePVector.empty(),
                 HashTreePSet.empty(),
+                Optional.empty(),
                 Optional.empty());
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -1,13 +1,13 @@
 package org.jujubefork.core.workflow;
 
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import org.jujubefork.core.workflow.WorkflowEvent.ClaimResult;
 import org.jujubefork.core.workflow.WorkflowEvent.LeaderSignal;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
-import org.pcollections.PVector;
-import org.pcollections.TreePVector;
 
 /**
  * Election of the leader. The record in the store decides who leads: it can be replaced only by a
@@ -39,47 +39,97 @@
 
     private static final int MAX_CLAIM_JITTER_MILLIS = 200;
 
+    /** Time that an entry leaves to each entry before it in the order of succession. */
+    private static final long SUCCESSION_STEP_MILLIS = 60;
+
+    /** Maximum time that an entry leaves to the entries before it in the order of succession. */
+    private static final long MAX_SUCCESSION_DELAY_MILLIS = 480;
+
+    /** Processor capacity from which an entry without a known position claims without delay. */
+    private static final int MIN_LEADER_MILLICORES = 700;
+
+    /** Time that a smaller entry without a known position leaves to the larger ones. */
+    private static final long SMALL_ENTRY_DELAY_MILLIS = 300;
+
     private Election() {}
 
+    /**
+     * A reason to replace the leader.
+     *
+     * @param name the reason as it appears in the log
+     * @param since since when it has applied, in milliseconds of the monotonic clock
+     */
+    private record ClaimReason(String name, long since) {}
+
     static WorkflowTransition claimIfNeeded(WorkflowState state) {
+        Optional<ClaimReason> reason = claimReason(state);
+        return reason.isPresent() && state.now() >= claimAt(state, reason.get())
+                ? claim(state, reason.get().name())
+                : WorkflowTransition.of(state);
+    }
+
+    /** Returns when this entry next tries to become the leader, if there is a reason to. */
+    static long nextClaimAt(WorkflowState state) {
+        return claimReason(state).map(r -> claimAt(state, r)).orElse(Long.MAX_VALUE);
+    }
+
+    private static long claimAt(WorkflowState state, ClaimReason reason) {
+        return Math.max(state.leadership().nextClaimAt(), reason.since() + claimDelayMillis(state));
+    }
+
+    /**
+     * Returns how long this entry leaves the claim to others. If all entries claimed at once, the
+     * winner would be any of them, and a small one is slow as the leader of a large fleet.
+     */
+    private static long claimDelayMillis(WorkflowState state) {
+        int position = state.leadership().successionPosition();
+        if (position >= 0) {
+            return Math.min(MAX_SUCCESSION_DELAY_MILLIS, position * SUCCESSION_STEP_MILLIS);
+        }
+        boolean isSmall = state.processorMillicores() < MIN_LEADER_MILLICORES;
+        return isSmall ? SMALL_ENTRY_DELAY_MILLIS + jitterMillis(state) : 0;
+    }
+
+    private static int jitterMillis(WorkflowState state) {
+        return Math.floorMod(state.entry().hashCode(), MAX_CLAIM_JITTER_MILLIS);
+    }
+
+    private static Optional<ClaimReason> claimReason(WorkflowState state) {
         Leadership leadership = state.leadership();
         boolean claimDisallowed =
                 leadership.leads()
                         || leadership.claimInFlight()
                         || leadership.resigning()
-                        || !leadership.storeRead()
-                        || state.now() < leadership.nextClaimAt()
+                        || leadership.storeFirstReadAt() < 0
                         || state.configuration().isEmpty();
-        Optional<String> reason = claimDisallowed ? Optional.empty() : claimReason(state);
-        return reason.isPresent() ? claim(state, reason.get()) : WorkflowTransition.of(state);
+        return claimDisallowed ? Optional.empty() : reasonAgainstLeader(state);
     }
 
-    private static Optional<String> claimReason(WorkflowState state) {
+    private static Optional<ClaimReason> reasonAgainstLeader(WorkflowState state) {
         Leadership leadership = state.leadership();
         if (leadership.leaderRecord().isEmpty()) {
-            return Optional.of("no-leader");
+            return Optional.of(new ClaimReason("no-leader", leadership.storeFirstReadAt()));
         }
         LeaderRecord leader = leadership.leaderRecord().get();
         if (leader.entry().equals(state.entry())) {
-            return Optional.of("own-earlier-life");
+            return Optional.of(new ClaimReason("own-earlier-life", leadership.storeFirstReadAt()));
         }
         if (leadership.connectionRefusedAt() >= 0) {
-            return Optional.of("leader-process-gone");
+            return Optional.of(
+                    new ClaimReason("leader-process-gone", leadership.connectionRefusedAt()));
         }
-        boolean leaderUnreachable =
-                state.now() - leadership.leaderSeenAt()
-                        > WorkflowLimits.LEADER_CONTACT_TIMEOUT_MILLIS;
-        if (leaderUnreachable && !leader.leaseValid()) {
-            return Optional.of("leader-silent");
+        long silentAt = leadership.leaderSeenAt() + WorkflowLimits.LEADER_CONTACT_TIMEOUT_MILLIS;
+        if (state.now() > silentAt && !leader.leaseValid()) {
+            return Optional.of(new ClaimReason("leader-silent", silentAt));
         }
         boolean storeReachable =
                 state.now() - leadership.confirmedAt() < MAX_STORE_CONTACT_AGE_MILLIS;
+        long withoutStoreAt =
+                leadership.leaderWithoutStoreSince() + LEADER_WITHOUT_STORE_TIMEOUT_MILLIS;
         boolean leaderWithoutStore =
-                leadership.leaderWithoutStoreSince() >= 0
-                        && state.now() - leadership.leaderWithoutStoreSince()
-                                > LEADER_WITHOUT_STORE_TIMEOUT_MILLIS;
+                leadership.leaderWithoutStoreSince() >= 0 && state.now() > withoutStoreAt;
         return leaderWithoutStore && storeReachable
-                ? Optional.of("leader-without-store")
+                ? Optional.of(new ClaimReason("leader-without-store", withoutStoreAt))
                 : Optional.empty();
     }
 
@@ -148,13 +198,7 @@
     static WorkflowTransition leaderSignalReceived(
             WorkflowState state, WorkflowEvent.LeaderSignalReceived event) {
         Leadership leadership = state.leadership();
-        boolean fromLeader =
-                !leadership.leads()
-                        && leadership
-                                .leaderRecord()
-                                .map(LeaderRecord::address)
-                                .equals(Optional.of(event.leader()));
-        if (!fromLeader) {
+        if (!isFollowing(state, event.leader())) {
             return WorkflowTransition.of(state);
         }
         Leadership next =
@@ -178,63 +222,56 @@
         return switch (event.result()) {
             case ClaimResult.Won won -> lead(state, won);
             case ClaimResult.NotWon lost -> {
-                int jitter = Math.floorMod(state.entry().hashCode(), MAX_CLAIM_JITTER_MILLIS);
-                yield WorkflowTransition.of(
-                        state.with(
-                                leadership.withClaim(
-                                        false, state.now() + MIN_CLAIM_INTERVAL_MILLIS + jitter)));
+                long nextClaimAt = state.now() + MIN_CLAIM_INTERVAL_MILLIS + jitterMillis(state);
+                yield WorkflowTransition.of(state.with(leadership.withClaim(false, nextClaimAt)));
             }
         };
     }
 
+    static WorkflowTransition followersChanged(
+            WorkflowState state, WorkflowEvent.FollowersChanged event) {
+        PMap<String, Integer> followers = event.followers();
+        WorkflowState next =
+                state.with(
+                        state.adviceRequests()
+                                .withAdvisors(
+                                        HashTreePSet.from(followers.keySet()).plus(state.entry())));
+        WorkflowTransition result = AdviceDispatcher.dispatch(next);
+        return state.leadership().leads()
+                ? result.with(new WorkflowEffect.AnnounceSuccession(successors(followers)))
+                : result;
+    }
+
+    /** Returns the entries in the order in which they replace the leader: the largest first. */
+    private static List<String> successors(PMap<String, Integer> followers) {
+        return followers.keySet().stream()
+                .sorted(Comparator.comparing((String e) -> -followers.get(e)).thenComparing(e -> e))
+                .toList();
+    }
+
+    static WorkflowTransition successionAnnounced(
+            WorkflowState state, WorkflowEvent.SuccessionAnnounced event) {
+        return WorkflowTransition.of(
+                isFollowing(state, event.leader())
+                        ? state.with(state.leadership().withSuccessionPosition(event.position()))
+                        : state);
+    }
+
+    private static boolean isFollowing(WorkflowState state, String leaderAddress) {
+        Leadership leadership = state.leadership();
+        return !leadership.leads()
+                && leadership
+                        .leaderRecord()
+                        .map(LeaderRecord::address)
+                        .equals(Optional.of(leaderAddress));
+    }
+
     private static WorkflowTransition lead(WorkflowState state, ClaimResult.Won won) {
         long revision = state.leadership().leaderRecord().map(LeaderRecord::revision).orElse(0L);
         if (revision > won.leader().revision()) {
             return WorkflowTransition.of(state.with(state.leadership().withClaim(false, 0)));
         }
-        // The store confirms no earlier leader after the claim, so older leases expire by this
-        // time.
-        long runsUntil =
-                WorkflowLimits.addLeaseMargin(
-                        state.now() + WorkflowLimits.MAX_LEASE_AFTER_CONFIRMATION_MILLIS);
-        PMap<String, FinishedJob> finished = HashTreePMap.empty();
-        for (FinishedJob finishedJob : won.snapshot().finished()) {
-            finished = finished.plus(finishedJob.id(), finishedJob);
-        }
-        PMap<String, Job> jobs = HashTreePMap.empty();
-        PVector<String> unremovedJobs = TreePVector.empty();
-        for (Job job : won.snapshot().jobs()) {
-            if (finished.containsKey(job.id())) {
-                unremovedJobs = unremovedJobs.plus(job.id());
-                continue;
-            }
-            Job recovered =
-                    job.with(job.acceptance().onLocalClock(state.now(), state.wallMillis()));
-            // Workers may report runs of occurrences that became due before the takeover.
-            jobs = jobs.plus(job.id(), Schedules.withDueOccurrences(recovered, state.wallMillis()));
-        }
-        PMap<String, WorkerNode> workers = HashTreePMap.empty();
-        for (WorkerNode.Listing listing : won.snapshot().fleet()) {
-            workers =
-                    workers.plus(
-                            listing.id(),
-                            WorkerNode.of(listing, runsUntil).withListing(listing, false));
-        }
-        CommitQueue queue =
-                CommitQueue.NONE.recovered(
-                        won.leader().revision(),
-                        HashTreePSet.from(workers.keySet()),
-                        unremovedJobs,
-                        HashTreePSet.from(
-                                finished.values().stream().map(FinishedJob::bucket).toList()));
-        WorkflowState next =
-                state.with(state.leadership().leading(won.leader(), state.now()))
-                        .withJobs(jobs)
-                        .withFinished(finished)
-                        .withWorkers(workers)
-                        .with(queue)
-                        .with(state.adviceRequests().cleared())
-                        .withPlacementDue(true);
+        WorkflowState next = Takeover.lead(state, won);
         return WorkflowTransition.of(next)
                 .with(new WorkflowEffect.LeaderChanged(won.leader(), true))
                 .with(
@@ -244,11 +281,13 @@
                                 "fence",
                                 won.leader().revision(),
                                 "jobs",
-                                jobs.size(),
+                                next.jobs().size(),
                                 "finished",
-                                finished.size(),
+                                next.finished().size(),
                                 "workers",
-                                workers.size()));
+                                next.workers().size(),
+                                "silent",
+                                next.commitQueue().storedSilentWorkers().size()));
     }
 
     /** Stops leading and drops the jobs, which the next leader reads from the store. */
@@ -263,11 +302,13 @@
                                         reason,
                                         "jobs",
                                         state.jobs().size()));
-        for (CommitQueue.PendingAnswer answer : state.commitQueue().allPendingAnswers()) {
-            result =
-                    result.with(
-                            new WorkflowEffect.Answer(
-                                    answer.requestId(), new WorkflowEffect.Reply.NotLeading()));
+        CommitQueue queue = state.commitQueue();
+        for (CommitQueue.PendingAnswer answer : queue.allPendingAnswers()) {
+            WorkflowEffect.Reply reply =
+                    queue.isInFlight(answer.job())
+                            ? new WorkflowEffect.Reply.OutcomeUnknown()
+                            : new WorkflowEffect.Reply.NotLeading();
+            result = result.with(new WorkflowEffect.Answer(answer.requestId(), reply));
         }
         return result.withState(
                 state.with(state.leadership().withLeadershipLost())
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -42,11 +42,11 @@
 
     /**
      * Returns whether all runs that earlier leaders may have started are known: each worker has
-     * answered, or its leases have expired.
+     * answered, its runs are recorded, or its leases have expired.
      */
     static boolean isRecovered(WorkflowState state) {
         return state.workers().values().stream()
-                .allMatch(w -> w.contact().reached() || w.contact().runsUntil() < state.now());
+                .allMatch(w -> w.contact().areRunsKnown() || w.contact().runsUntil() < state.now());
     }
 
     static WorkflowTransition leaseRenewalFailed(
@@ -91,6 +91,10 @@
         return node.listed() ? result : result.withState(withoutWorker(result.state(), worker));
     }
 
+    private static WorkflowState withSilentWorkersDirty(WorkflowState state) {
+        return state.with(state.commitQueue().withSilentWorkersDirty());
+    }
+
     private static WorkflowState withoutWorker(WorkflowState state, String worker) {
         return state.withWorkers(state.workers().minus(worker))
                 .with(state.commitQueue().withFleetDirty());
@@ -135,6 +139,10 @@
                     RunCompletions.runLost(
                             next, taskAndCharge.getKey(), taskAndCharge.getValue().runNumber());
         }
+        if (next.commitQueue().newestSilentWorkers().contains(worker)) {
+            // The record still names the lost runs.
+            next = withSilentWorkersDirty(next);
+        }
         return WorkflowTransition.of(next.withPlacementDue(true))
                 .with(
                         WorkflowEffect.LogEvent.of(
@@ -170,13 +178,19 @@
     static WorkflowTransition renewDueLeases(WorkflowState state) {
         WorkflowTransition result = WorkflowTransition.of(state);
         for (WorkerNode node : state.workers().values()) {
-            if (!node.contact().renewalInFlight() && isRenewalDue(state, node)) {
-                result = result.then(s -> renewLease(s, s.workers().get(node.id())));
-            }
+            result = result.then(s -> renewLeaseIfDue(s, node.id()));
         }
         return result;
     }
 
+    /** Sends a lease renewal to {@code worker} if it is due. */
+    static WorkflowTransition renewLeaseIfDue(WorkflowState state, String worker) {
+        WorkerNode node = state.workers().get(worker);
+        return node != null && !node.contact().renewalInFlight() && isRenewalDue(state, node)
+                ? renewLease(state, node)
+                : WorkflowTransition.of(state);
+    }
+
     private static boolean isRenewalDue(WorkflowState state, WorkerNode node) {
         WorkerNode.Contact contact = node.contact();
         if (!node.listed() && node.charges().isEmpty() && contact.reached()) {
@@ -204,7 +218,9 @@
         // processed.
         long acknowledgedSequence = contact.lastRenewalAnswered() ? contact.storedSequence() : 0;
         boolean mayHoldAnswer =
-                reachable && contact.storedSequence() >= contact.processedSequence();
+                reachable
+                        && contact.lastRenewalAnswered()
+                        && contact.storedSequence() >= contact.processedSequence();
         long runsUntil =
                 reachable ? WorkflowLimits.addLeaseMargin(leaseExpiry(state)) : contact.runsUntil();
         return WorkflowTransition.of(
--- a/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
@@ -7,23 +7,25 @@
  *
  * @param leads whether this entry leads
  * @param leaderRecord the newest leader record that was read from the store, if any
- * @param storeRead whether the store was read at least once
+ * @param storeFirstReadAt when the store was first read, -1 if it was not read yet
  * @param confirmedAt the latest time at which {@code leaderRecord} was known to be the newest in
  *     the store
  * @param leaderSeenAt when the leader last sent a heartbeat
- * @param connectionRefusedAt when the connection to the leader was last reset or refused, -1 if
- *     neither has happened since the last heartbeat
+ * @param connectionRefusedAt when the connection to the leader was first reset or refused since the
+ *     last heartbeat, -1 if neither has happened
  * @param leaderWithoutStoreSince since when the leader has reported that it cannot reach the store,
  *     -1 if it can
  * @param claimInFlight whether an attempt to become the leader is in flight
  * @param nextClaimAt the earliest time of the next attempt to become the leader
  * @param resigning whether this entry is shutting down and must not lead again
+ * @param successionPosition the position of this entry among those that replace the leader, -1 if
+ *     the leader has not announced it
  * @param confirmableSince only answers to store reads sent at or after this time confirm the leader
  */
 public record Leadership(
         boolean leads,
         Optional<LeaderRecord> leaderRecord,
-        boolean storeRead,
+        long storeFirstReadAt,
         long confirmedAt,
         long leaderSeenAt,
         long connectionRefusedAt,
@@ -31,10 +33,11 @@
         boolean claimInFlight,
         long nextClaimAt,
         boolean resigning,
+        int successionPosition,
         long confirmableSince) {
     /** Leadership as known to an entry that has not read the store yet. */
     public static final Leadership NONE =
-            new Leadership(false, Optional.empty(), false, -1, -1, -1, -1, false, 0, false, -1);
+            new Leadership(false, Optional.empty(), -1, -1, -1, -1, -1, false, 0, false, -1, -1);
 
     /**
      * Returns a copy after the store returned {@code leader} for a read that was sent at {@code
@@ -43,7 +46,7 @@
     public Leadership confirmed(Optional<LeaderRecord> leader, long at) {
         Builder next = new Builder(this);
         next.leaderRecord = leader;
-        next.storeRead = true;
+        next.storeFirstReadAt = storeFirstReadAt < 0 ? at : storeFirstReadAt;
         next.confirmedAt = at < confirmableSince ? confirmedAt : Math.max(confirmedAt, at);
         return next.build();
     }
@@ -64,10 +67,11 @@
         Builder next = new Builder(this);
         next.leads = false;
         next.leaderRecord = Optional.of(leader);
-        next.storeRead = true;
+        next.storeFirstReadAt = storeFirstReadAt < 0 ? at : storeFirstReadAt;
         next.leaderSeenAt = at;
         next.connectionRefusedAt = -1;
         next.leaderWithoutStoreSince = -1;
+        next.successionPosition = -1;
         return next.build();
     }
 
@@ -79,11 +83,12 @@
         Builder next = new Builder(this);
         next.leads = true;
         next.leaderRecord = Optional.of(record);
-        next.storeRead = true;
+        next.storeFirstReadAt = storeFirstReadAt < 0 ? at : storeFirstReadAt;
         next.confirmedAt = Math.max(confirmedAt, at);
         next.leaderSeenAt = at;
         next.connectionRefusedAt = -1;
         next.leaderWithoutStoreSince = -1;
+        next.successionPosition = -1;
         next.claimInFlight = false;
         return next.build();
     }
@@ -101,10 +106,17 @@
         return next.build();
     }
 
+    /** Returns a copy in which the leader has announced {@code position}. */
+    public Leadership withSuccessionPosition(int position) {
+        Builder next = new Builder(this);
+        next.successionPosition = position;
+        return next.build();
+    }
+
     /** Returns a copy after the connection to the leader was refused or reset at {@code at}. */
     public Leadership withConnectionRefused(long at) {
         Builder next = new Builder(this);
-        next.connectionRefusedAt = at;
+        next.connectionRefusedAt = connectionRefusedAt < 0 ? at : connectionRefusedAt;
         return next.build();
     }
 
@@ -137,7 +149,7 @@
     private static final class Builder {
         private boolean leads;
         private Optional<LeaderRecord> leaderRecord;
-        private boolean storeRead;
+        private long storeFirstReadAt;
         private long confirmedAt;
         private long leaderSeenAt;
         private long connectionRefusedAt;
@@ -145,12 +157,13 @@
         private boolean claimInFlight;
         private long nextClaimAt;
         private boolean resigning;
+        private int successionPosition;
         private long confirmableSince;
 
         Builder(Leadership from) {
             this.leads = from.leads();
             this.leaderRecord = from.leaderRecord();
-            this.storeRead = from.storeRead();
+            this.storeFirstReadAt = from.storeFirstReadAt();
             this.confirmedAt = from.confirmedAt();
             this.leaderSeenAt = from.leaderSeenAt();
             this.connectionRefusedAt = from.connectionRefusedAt();
@@ -158,6 +171,7 @@
             this.claimInFlight = from.claimInFlight();
             this.nextClaimAt = from.nextClaimAt();
             this.resigning = from.resigning();
+            this.successionPosition = from.successionPosition();
             this.confirmableSince = from.confirmableSince();
         }
 
@@ -165,7 +179,7 @@
             return new Leadership(
                     leads,
                     leaderRecord,
-                    storeRead,
+                    storeFirstReadAt,
                     confirmedAt,
                     leaderSeenAt,
                     connectionRefusedAt,
@@ -173,6 +187,7 @@
                     claimInFlight,
                     nextClaimAt,
                     resigning,
+                    successionPosition,
                     confirmableSince);
         }
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.Placement.Candidate;
+import org.pcollections.PSet;
 
 /**
  * Free capacity of the workers and of the teams' limits during one placement pass. Mutable; used on
@@ -55,8 +56,8 @@
                         .computeIfAbsent(taskAndCharge.getKey().stepKey(), k -> new HashMap<>())
                         .merge(node.id(), 1, Integer::sum);
             }
-            boolean isRecorded = state.commitQueue().isWorkerRecorded(node.id());
-            if (isRecorded && node.isUsable(state.now())) {
+            boolean isOpen = state.commitQueue().isOpenForStarts(node.id());
+            if (isOpen && node.isUsable(state.now())) {
                 result.usableWorkers.add(node);
                 result.freeByWorker.put(node.id(), freeCapacity);
                 result.maxFree = result.maxFree.max(freeCapacity);
@@ -132,33 +133,40 @@
                 return;
             }
             reservedWorkers.add(node.id());
-            remainingTasks -= Math.max(1, countFitting(candidate, node));
+            remainingTasks -= Math.max(1, placesIn(candidate, freeByWorker.get(node.id())));
         }
     }
 
-    private long countFitting(Candidate candidate, WorkerNode node) {
+    /**
+     * Returns how many tasks of the step fit on {@code node} now; 0 if the worker is reserved for a
+     * gang.
+     */
+    long freePlaces(Candidate candidate, WorkerNode node) {
+        return reservedWorkers.contains(node.id())
+                ? 0
+                : placesIn(candidate, freeByWorker.get(node.id()));
+    }
+
+    /** Returns how many tasks of the step fit on {@code node} when nothing runs there. */
+    static long totalPlaces(Candidate candidate, WorkerNode node) {
+        return placesIn(candidate, node.listing().capacity());
+    }
+
+    private static long placesIn(Candidate candidate, Resources free) {
         int maxPerWorker = candidate.definition().maxPerWorker();
-        Resources size = candidate.definition().chargedCapacity();
-        long count = 0;
-        while ((maxPerWorker == 0 || count < maxPerWorker)
-                && count < candidate.progress().tasks().size()
-                && size.times(count + 1).fitsIn(freeByWorker.get(node.id()))) {
-            count++;
-        }
-        return count;
+        long maxCount = candidate.progress().tasks().size();
+        long count = candidate.definition().chargedCapacity().countIn(free, maxCount);
+        return maxPerWorker == 0 ? count : Math.min(count, maxPerWorker);
     }
 
     /**
      * Returns the workers that could run the step and for which the advice service has not answered
      * yet.
      */
-    List<String> workersToRequest(Candidate candidate, StepProgress.AdviceState advice) {
+    List<WorkerNode> workersWithoutAdvice(Candidate candidate) {
+        PSet<String> requested = candidate.progress().advice().requestedWorkers();
         return usableWorkers.stream()
-                .filter(
-                        n ->
-                                isEligible(candidate, n)
-                                        && !advice.requestedWorkers().contains(n.id()))
-                .map(WorkerNode::id)
+                .filter(n -> isEligible(candidate, n) && !requested.contains(n.id()))
                 .toList();
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -24,9 +24,9 @@
          * Returns the estimated CPU time of the waiting tasks, in millicores times milliseconds.
          */
         long waitingWork() {
-            long tasks =
-                    progress.tasks().stream().filter(t -> t.phase() == Task.Phase.WAITING).count();
-            return tasks * definition.size().cpuMillis() * definition.estimateMillis();
+            return progress.waitingCount()
+                    * definition.size().cpuMillis()
+                    * definition.estimateMillis();
         }
     }
 
@@ -76,24 +76,41 @@
                                     candidate.key(),
                                     candidate.progress().withReadyAt(state.now())));
         }
-        if (candidate.queue().advice().isPresent()) {
-            StepProgress.AdviceState advice = candidate.progress().advice();
-            List<String> workersToRequest = capacity.workersToRequest(candidate, advice);
-            if (!advice.pending() && !workersToRequest.isEmpty()) {
-                next = AdviceDispatcher.requestAdvice(next, candidate, workersToRequest);
-            }
-            if (!advice.received()) {
-                return WorkflowTransition.of(next);
-            }
+        boolean needsAdvice = candidate.queue().advice().isPresent();
+        if (needsAdvice && !candidate.progress().advice().received()) {
+            return WorkflowTransition.of(requestAdvice(next, candidate, capacity));
         }
         if (!candidate.job().stored()
                 || !capacity.hasRequiredFreeCapacity(
                         candidate.queue().service(), candidate.rank())) {
             return WorkflowTransition.of(next);
         }
-        return candidate.definition().gang()
-                ? placeGang(next, candidate, capacity)
-                : placeTasks(next, candidate, capacity);
+        WorkflowTransition placed =
+                candidate.definition().gang()
+                        ? placeGang(next, candidate, capacity)
+                        : placeTasks(next, candidate, capacity);
+        return needsAdvice && hasWaiting(placed.state(), candidate.key())
+                ? placed.withState(requestAdvice(placed.state(), candidate, capacity))
+                : placed;
+    }
+
+    private static boolean hasWaiting(WorkflowState state, StepKey key) {
+        return state.jobs().get(key.job()).progress(key).hasWaiting();
+    }
+
+    /** Asks the advice service about workers that it was not asked about yet, if there are any. */
+    private static WorkflowState requestAdvice(
+            WorkflowState state, Candidate candidate, PassCapacity capacity) {
+        if (candidate.progress().advice().choicePending()) {
+            return state;
+        }
+        double yield = state.adviceRequests().yields().fraction(candidate.queue().name());
+        List<String> workers =
+                AdviceCandidates.select(
+                        candidate, capacity.workersWithoutAdvice(candidate), capacity, yield);
+        return workers.isEmpty()
+                ? state
+                : AdviceDispatcher.requestAdvice(state, candidate, workers);
     }
 
     private static WorkflowTransition placeTasks(
@@ -125,8 +142,7 @@
     private static WorkflowTransition placeGang(
             WorkflowState state, Candidate candidate, PassCapacity capacity) {
         List<Task> tasks = candidate.progress().tasks();
-        boolean allWaiting = tasks.stream().allMatch(t -> t.phase() == Task.Phase.WAITING);
-        if (!allWaiting) {
+        if (candidate.progress().waitingCount() < tasks.size()) {
             return releasePartial(state, candidate);
         }
         Optional<List<String>> workers = capacity.allocateAll(candidate, tasks.size());
@@ -263,7 +279,7 @@
             WorkflowState state, StepKey key, Set<String> workers) {
         Job job = state.jobs().get(key.job());
         StepProgress progress = job.progress(key);
-        if (progress.advice().pending()) {
+        if (progress.advice().renewalPending()) {
             return WorkflowTransition.of(state);
         }
         Set<String> workersToRequest = new HashSet<>(workers);
--- a/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.jujubefork.core.workflow.AdviceRequests.Purpose;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
@@ -13,38 +14,57 @@
  * The progress of a step in one occurrence of its job, that is one scheduled repetition.
  *
  * @param tasks its tasks, by index
+ * @param waitingCount the number of tasks that wait to be placed
+ * @param doneCount the number of tasks that have completed successfully
  * @param gangFailedRuns the runs of the gang that have failed
  * @param readyAt when the step was first considered for placement with all of its dependencies
  *     done, in milliseconds of the monotonic clock; -1 until then
  * @param advice the tickets that the advice service has granted so far
  */
 public record StepProgress(
-        PVector<Task> tasks, FailedRuns gangFailedRuns, long readyAt, AdviceState advice) {
+        PVector<Task> tasks,
+        int waitingCount,
+        int doneCount,
+        FailedRuns gangFailedRuns,
+        long readyAt,
+        AdviceState advice) {
     /**
      * The state of the requests to the advice service for a step.
      *
-     * @param pending whether a request is queued or in flight
+     * @param choicePending whether a request that names further workers is queued or in flight
+     * @param renewalPending whether a request that renews tickets is queued or in flight
      * @param received whether at least one request has been answered
      * @param requestedWorkers the workers that were named in answered requests
      * @param tickets the newest ticket of each worker that may run the step
      */
     public record AdviceState(
-            boolean pending,
+            boolean choicePending,
+            boolean renewalPending,
             boolean received,
             PSet<String> requestedWorkers,
             PMap<String, Ticket> tickets) {
         /** No advice has been requested yet. */
         public static final AdviceState NONE =
-                new AdviceState(false, false, HashTreePSet.empty(), HashTreePMap.empty());
+                new AdviceState(false, false, false, HashTreePSet.empty(), HashTreePMap.empty());
 
         /** Returns a copy with a pending request. */
-        public AdviceState withPendingRequest() {
-            return new AdviceState(true, received, requestedWorkers, tickets);
+        public AdviceState withPendingRequest(Purpose purpose) {
+            return withPending(purpose, true);
+        }
+
+        private AdviceState withPending(Purpose purpose, boolean pending) {
+            boolean isRenewal = purpose == Purpose.RENEWAL;
+            return new AdviceState(
+                    isRenewal ? choicePending : pending,
+                    isRenewal ? pending : renewalPending,
+                    received,
+                    requestedWorkers,
+                    tickets);
         }
 
         /** Returns a copy after a request failed. */
-        public AdviceState withFailedRequest() {
-            return new AdviceState(false, received, requestedWorkers, tickets);
+        public AdviceState withFailedRequest(Purpose purpose) {
+            return withPending(purpose, false);
         }
 
         /**
@@ -52,10 +72,14 @@
          *
          * @param workers the workers that were named in the request
          * @param newTickets the tickets of those workers that may run the step, by worker
+         * @param purpose why the tickets were requested
          */
-        public AdviceState withTickets(List<String> workers, Map<String, Ticket> newTickets) {
+        public AdviceState withTickets(
+                List<String> workers, Map<String, Ticket> newTickets, Purpose purpose) {
+            AdviceState answered = withPending(purpose, false);
             return new AdviceState(
-                    false,
+                    answered.choicePending,
+                    answered.renewalPending,
                     true,
                     requestedWorkers.plusAll(workers),
                     tickets.minusAll(workers).plusAll(newTickets));
@@ -70,7 +94,8 @@
             return ticket == null
                     ? this
                     : new AdviceState(
-                            pending,
+                            choicePending,
+                            renewalPending,
                             received,
                             requestedWorkers,
                             tickets.plus(worker, new Ticket(ticket.token(), 0)));
@@ -91,38 +116,51 @@
         for (int i = 0; i < definition.taskCount(); i++) {
             tasks = tasks.plus(Task.NEW);
         }
-        return new StepProgress(tasks, FailedRuns.NONE, -1, AdviceState.NONE);
+        return new StepProgress(
+                tasks, definition.taskCount(), 0, FailedRuns.NONE, -1, AdviceState.NONE);
     }
 
     /** Returns whether all tasks have completed successfully. */
     public boolean isDone() {
-        return tasks.stream().allMatch(t -> t.phase() == Task.Phase.DONE);
+        return doneCount == tasks.size();
     }
 
     /** Returns whether at least one task waits to be placed. */
     public boolean hasWaiting() {
-        return tasks.stream().anyMatch(t -> t.phase() == Task.Phase.WAITING);
+        return waitingCount > 0;
     }
 
     /** Returns a copy with {@code task} at {@code index}. */
     public StepProgress withTask(int index, Task task) {
-        return new StepProgress(tasks.with(index, task), gangFailedRuns, readyAt, advice);
+        Task.Phase previous = tasks.get(index).phase();
+        return new StepProgress(
+                tasks.with(index, task),
+                waitingCount + change(previous, task.phase(), Task.Phase.WAITING),
+                doneCount + change(previous, task.phase(), Task.Phase.DONE),
+                gangFailedRuns,
+                readyAt,
+                advice);
+    }
+
+    /** Returns by how much a change of phase changes the number of tasks in {@code counted}. */
+    private static int change(Task.Phase from, Task.Phase to, Task.Phase counted) {
+        return (to == counted ? 1 : 0) - (from == counted ? 1 : 0);
     }
 
     /** Returns a copy with {@code other} as the failed runs of the gang. */
     public StepProgress withGangFailedRuns(FailedRuns other) {
-        return new StepProgress(tasks, other, readyAt, advice);
+        return new StepProgress(tasks, waitingCount, doneCount, other, readyAt, advice);
     }
 
     /**
      * Returns a copy with {@code at} as {@code readyAt}, in milliseconds of the monotonic clock.
      */
     public StepProgress withReadyAt(long at) {
-        return new StepProgress(tasks, gangFailedRuns, at, advice);
+        return new StepProgress(tasks, waitingCount, doneCount, gangFailedRuns, at, advice);
     }
 
     /** Returns a copy with {@code other} as the state of the advice requests. */
     public StepProgress withAdvice(AdviceState other) {
-        return new StepProgress(tasks, gangFailedRuns, readyAt, other);
+        return new StepProgress(tasks, waitingCount, doneCount, gangFailedRuns, readyAt, other);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
@@ -0,0 +1,150 @@
+package org.jujubefork.core.workflow;
+
+import org.jujubefork.core.workflow.WorkflowEvent.ClaimResult;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/** Builds the state of a new leader from the contents of the store. */
+final class Takeover {
+    private final WorkflowState state;
+    private final ClaimResult.Won won;
+
+    private Takeover(WorkflowState state, ClaimResult.Won won) {
+        this.state = state;
+        this.won = won;
+    }
+
+    /** Returns {@code state} as the state of the leader that has {@code won} the claim. */
+    static WorkflowState lead(WorkflowState state, ClaimResult.Won won) {
+        return new Takeover(state, won).lead();
+    }
+
+    private WorkflowState lead() {
+        PMap<String, FinishedJob> finished = finishedJobs();
+        PMap<String, Job> jobs = HashTreePMap.empty();
+        PVector<String> unremovedJobs = TreePVector.empty();
+        for (Job job : won.snapshot().jobs()) {
+            if (finished.containsKey(job.id())) {
+                unremovedJobs = unremovedJobs.plus(job.id());
+            } else {
+                jobs = jobs.plus(job.id(), recovered(job));
+            }
+        }
+        PMap<String, WorkerNode> workers = workers();
+        SilentWorkers silent = recordOfPreviousTerm();
+        for (String worker : silent.workers()) {
+            if (workers.containsKey(worker)) {
+                workers = workers.plus(worker, withKnownRuns(workers.get(worker)));
+            }
+        }
+        WorkflowState next =
+                state.with(state.leadership().leading(won.leader(), state.now()))
+                        .withJobs(jobs)
+                        .withFinished(finished)
+                        .withWorkers(workers)
+                        .with(commitQueue(workers, silent, unremovedJobs, finished))
+                        .with(state.adviceRequests().cleared())
+                        .withPlacementDue(true);
+        return adoptRecordedRuns(next, silent);
+    }
+
+    private PMap<String, FinishedJob> finishedJobs() {
+        PMap<String, FinishedJob> finished = HashTreePMap.empty();
+        for (FinishedJob finishedJob : won.snapshot().finished()) {
+            finished = finished.plus(finishedJob.id(), finishedJob);
+        }
+        return finished;
+    }
+
+    /** Returns {@code job} as read from the store, with its age on the clock of this entry. */
+    private Job recovered(Job job) {
+        Job recovered = job.with(job.acceptance().onLocalClock(state.now(), state.wallMillis()));
+        // Workers may report runs of occurrences that became due before the takeover.
+        return Schedules.withDueOccurrences(recovered, state.wallMillis());
+    }
+
+    private PMap<String, WorkerNode> workers() {
+        // The store confirms no earlier leader after the claim, so older leases expire by this
+        // time.
+        long runsUntil =
+                WorkflowLimits.addLeaseMargin(
+                        state.now() + WorkflowLimits.MAX_LEASE_AFTER_CONFIRMATION_MILLIS);
+        PMap<String, WorkerNode> workers = HashTreePMap.empty();
+        for (WorkerNode.Listing listing : won.snapshot().fleet()) {
+            workers =
+                    workers.plus(
+                            listing.id(),
+                            WorkerNode.of(listing, runsUntil).withListing(listing, false));
+        }
+        return workers;
+    }
+
+    private static WorkerNode withKnownRuns(WorkerNode node) {
+        return node.with(node.contact().withKnownRuns());
+    }
+
+    /**
+     * Returns the record of silent workers if the previous leader has written it. An older record
+     * lacks the runs that the previous leader has started.
+     */
+    private SilentWorkers recordOfPreviousTerm() {
+        SilentWorkers silent = won.snapshot().silentWorkers();
+        return silent.term() == won.leader().term() - 1 ? silent : SilentWorkers.NONE;
+    }
+
+    private CommitQueue commitQueue(
+            PMap<String, WorkerNode> workers,
+            SilentWorkers silent,
+            PVector<String> unremovedJobs,
+            PMap<String, FinishedJob> finished) {
+        return CommitQueue.NONE.recovered(
+                won.leader().revision(),
+                HashTreePSet.from(workers.keySet()),
+                silent.workers(),
+                unremovedJobs,
+                HashTreePSet.from(finished.values().stream().map(FinishedJob::bucket).toList()));
+    }
+
+    /**
+     * Charges the recorded runs of silent workers to these workers, and regards their tasks as
+     * running, until the worker answers or its leases have expired.
+     */
+    private static WorkflowState adoptRecordedRuns(WorkflowState state, SilentWorkers silent) {
+        WorkflowState next = state;
+        for (String worker : silent.workers()) {
+            PMap<TaskKey, Long> runs = silent.runs().get(worker);
+            for (TaskKey task : runs.keySet()) {
+                next = adoptRecordedRun(next, worker, task, runs.get(task));
+            }
+        }
+        return next;
+    }
+
+    private static WorkflowState adoptRecordedRun(
+            WorkflowState state, String worker, TaskKey key, long runNumber) {
+        WorkerNode node = state.workers().get(worker);
+        Job job = state.jobs().get(key.job());
+        if (node == null || job == null || !job.hasTask(key)) {
+            return state;
+        }
+        Task task = job.task(key);
+        if (task.phase() == Task.Phase.DONE) {
+            return state;
+        }
+        WorkerNode.Charge charge =
+                new WorkerNode.Charge(
+                        runNumber,
+                        job.step(key.stepKey()).chargedCapacity(),
+                        job.team(),
+                        state.now(),
+                        false,
+                        state.now());
+        WorkflowState next = state.with(node.withCharge(key, charge));
+        return runNumber > task.runNumber()
+                ? next.with(job.with(key, task.asRunning(worker, runNumber)))
+                : next;
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -55,6 +55,8 @@
      * @param incarnation the start of the worker process in Unix milliseconds, which identifies the
      *     incarnation; 0 before the first answer
      * @param reached whether the worker has answered in this term
+     * @param areRunsKnown whether all runs that may be active on the worker are charged, because it
+     *     has answered or because the previous leader has recorded its runs
      * @param clockOffset the worker's clock minus the leader's, in milliseconds
      * @param lastContactAt when the worker last answered, -1 if it has not answered yet
      * @param runsUntil the time at which all runs of the worker have ended if no further call
@@ -70,6 +72,7 @@
     public record Contact(
             long incarnation,
             boolean reached,
+            boolean areRunsKnown,
             long clockOffset,
             long lastContactAt,
             long runsUntil,
@@ -83,7 +86,14 @@
          * {@code runsUntil}.
          */
         public static Contact unknown(long runsUntil) {
-            return new Contact(0, false, 0, -1, runsUntil, false, false, -1, 0, 0);
+            return new Contact(0, false, false, 0, -1, runsUntil, false, false, -1, 0, 0);
+        }
+
+        /** Returns a copy in which all runs that may be active are charged. */
+        public Contact withKnownRuns() {
+            Builder next = new Builder(this);
+            next.areRunsKnown = true;
+            return next.build();
         }
 
         /** Returns a copy after a lease renewal was sent at {@code at}. */
@@ -116,6 +126,7 @@
             Builder next = new Builder(this);
             next.incarnation = newIncarnation;
             next.reached = true;
+            next.areRunsKnown = true;
             next.clockOffset = offset;
             next.lastContactAt = at;
             next.lastRenewalAnswered = true;
@@ -151,6 +162,7 @@
         private static final class Builder {
             private long incarnation;
             private boolean reached;
+            private boolean areRunsKnown;
             private long clockOffset;
             private long lastContactAt;
             private long runsUntil;
@@ -163,6 +175,7 @@
             Builder(Contact from) {
                 this.incarnation = from.incarnation();
                 this.reached = from.reached();
+                this.areRunsKnown = from.areRunsKnown();
                 this.clockOffset = from.clockOffset();
                 this.lastContactAt = from.lastContactAt();
                 this.runsUntil = from.runsUntil();
@@ -177,6 +190,7 @@
                 return new Contact(
                         incarnation,
                         reached,
+                        areRunsKnown,
                         clockOffset,
                         lastContactAt,
                         runsUntil,
@@ -263,6 +277,12 @@
                 && health.quarantinedUntil() <= now;
     }
 
+    /** Returns whether the worker has not answered its last calls and for some time before. */
+    public boolean isSilent(long now) {
+        return !contact.lastRenewalAnswered()
+                && now - contact.lastContactAt() >= WorkflowLimits.SILENT_WORKER_MILLIS;
+    }
+
     /** Returns whether the worker is unreachable and all of its runs have ended by {@code now}. */
     public boolean isUnreachableAndIdle(long now) {
         return contact.runsUntil() < now
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
@@ -143,8 +143,18 @@
     }
 
     /**
-     * Handles an active run that this leader did not start. Adopts the run if its task is waiting
-     * and the run is newer than the known runs of the task; stops the run otherwise.
+     * Returns whether the newest known run of {@code task} is known only from the record of silent
+     * workers. The earlier leader has started a newer run only after that run had ended.
+     */
+    private static boolean isRecordedRunOnly(WorkflowState state, Task task) {
+        WorkerNode node = state.workers().get(task.worker());
+        return task.phase() == Task.Phase.RUNNING && node != null && !node.contact().reached();
+    }
+
+    /**
+     * Handles an active run that this leader did not start. Adopts the run if it is newer than the
+     * known runs of its task, and the task is waiting or its known run was only recorded by an
+     * earlier leader; stops the run otherwise.
      */
     private static WorkflowTransition unexpectedRun(
             WorkflowState state, String worker, RunningRun runningRun) {
@@ -154,7 +164,8 @@
         boolean adoptable =
                 isKnownTask
                         && job.isActive()
-                        && job.task(key).phase() == Task.Phase.WAITING
+                        && (job.task(key).phase() == Task.Phase.WAITING
+                                || isRecordedRunOnly(state, job.task(key)))
                         && runningRun.runNumber() > job.task(key).runNumber();
         WorkerNode node = state.workers().get(worker);
         Resources size =
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowEffect.java
@@ -48,6 +48,9 @@
 
         /** This entry does not lead; nothing was done. */
         record NotLeading() implements Reply {}
+
+        /** This entry has stopped leading; the request may have been carried out. */
+        record OutcomeUnknown() implements Reply {}
     }
 
     /**
@@ -66,6 +69,18 @@
      */
     record LeaderChanged(LeaderRecord leader, boolean thisEntryLeads) implements WorkflowEffect {}
 
+    /**
+     * Announces to the followers in which order they are to replace this leader.
+     *
+     * @param entries the followers, the first successor first
+     */
+    record AnnounceSuccession(List<String> entries) implements WorkflowEffect {
+        /** Copies the list. */
+        public AnnounceSuccession {
+            entries = List.copyOf(entries);
+        }
+    }
+
     /** Announces to the followers that this entry stops leading. */
     record Resign() implements WorkflowEffect {}
 
@@ -140,6 +155,13 @@
                 workers = List.copyOf(workers);
             }
         }
+
+        /**
+         * Writes the record of silent workers.
+         *
+         * @param silentWorkers the workers and the runs that may be active on them
+         */
+        record PutSilentWorkers(SilentWorkers silentWorkers) implements Entry {}
     }
 
     /**
@@ -195,6 +217,7 @@
     /**
      * Asks the advice service which workers may run a step.
      *
+     * @param number the number that identifies the request
      * @param advisor the entry that sends the request to the service
      * @param step the step
      * @param workers the candidates
@@ -202,7 +225,12 @@
      * @param fence the fencing token of the leader
      */
     record RequestAdvice(
-            String advisor, StepKey step, List<String> workers, long costMillis, long fence)
+            long number,
+            String advisor,
+            StepKey step,
+            List<String> workers,
+            long costMillis,
+            long fence)
             implements WorkflowEffect {
         /** Copies the candidates. */
         public RequestAdvice {
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.pcollections.PMap;
-import org.pcollections.PSet;
 import org.pcollections.PVector;
 
 /** An input of the control thread. Times are in milliseconds of the entry's monotonic clock. */
@@ -107,12 +106,21 @@
             implements WorkflowEvent {}
 
     /**
-     * The entries that can send requests to the advice service have changed.
+     * The entries that are connected to this leader have changed.
      *
      * @param at when they changed
-     * @param advisors the names of the entries
+     * @param followers the processor capacity of each entry in thousandths of a core, by name
      */
-    record AdvisorsChanged(long at, PSet<String> advisors) implements WorkflowEvent {}
+    record FollowersChanged(long at, PMap<String, Integer> followers) implements WorkflowEvent {}
+
+    /**
+     * The leader has announced the position of this entry among its successors.
+     *
+     * @param at when the announcement arrived
+     * @param leader the address of the leader
+     * @param position the position, 0 for the entry that replaces the leader first
+     */
+    record SuccessionAnnounced(long at, String leader, int position) implements WorkflowEvent {}
 
     /**
      * A worker has answered a lease renewal.
@@ -254,17 +262,11 @@
      *
      * @param at when the answer arrived
      * @param fence the fencing token of the leader that sent the request
-     * @param step the step
-     * @param advisor the entry that sent the request to the service
+     * @param number the number of the request
      * @param tickets the tickets of the workers that may run the step, by worker; empty if the
      *     request failed
      */
-    record AdviceCompleted(
-            long at,
-            long fence,
-            StepKey step,
-            String advisor,
-            Optional<Map<String, String>> tickets)
+    record AdviceCompleted(long at, long fence, long number, Optional<Map<String, String>> tickets)
             implements FencedOutcome {}
 
     /**
@@ -356,8 +358,13 @@
      * @param jobs the active jobs with their progress
      * @param finished the jobs that have ended
      * @param fleet the workers on which earlier leaders may have started runs
+     * @param silentWorkers the newest record of silent workers
      */
-    record Snapshot(List<Job> jobs, List<FinishedJob> finished, List<WorkerNode.Listing> fleet) {
+    record Snapshot(
+            List<Job> jobs,
+            List<FinishedJob> finished,
+            List<WorkerNode.Listing> fleet,
+            SilentWorkers silentWorkers) {
         /** Copies the lists. */
         public Snapshot {
             jobs = List.copyOf(jobs);
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowLimits.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowLimits.java
@@ -56,6 +56,12 @@
     /** A worker without contact for this time gets no new tasks. */
     public static final long WORKER_CONTACT_TIMEOUT_MILLIS = 3_200;
 
+    /**
+     * A worker whose last lease renewal has failed and that has not answered for this time is
+     * recorded as silent. Shorter than a takeover takes, so that the next leader finds the record.
+     */
+    public static final long SILENT_WORKER_MILLIS = 600;
+
     /** A start command that is not answered within this time is followed by a stop command. */
     public static final long START_TIMEOUT_MILLIS = 700;
 
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -26,7 +26,7 @@
                         && !(state.leadership().leads() && outcome.fence() == state.fence());
         WorkflowTransition reduced =
                 isStale ? WorkflowTransition.of(current) : dispatch(current, event);
-        return reduced.then(WorkflowReducer::afterEvent);
+        return reduced.then(s -> afterEvent(s, event));
     }
 
     private static WorkflowTransition dispatch(WorkflowState state, WorkflowEvent event) {
@@ -38,9 +38,8 @@
             case WorkflowEvent.ClaimCompleted e -> Election.claimCompleted(state, e);
             case WorkflowEvent.ResignRequested e -> Election.resign(state);
             case WorkflowEvent.WorkersListed e -> Fleet.workersListed(state, e);
-            case WorkflowEvent.AdvisorsChanged e ->
-                    AdviceDispatcher.dispatch(
-                            state.with(state.adviceRequests().withAdvisors(e.advisors())));
+            case WorkflowEvent.FollowersChanged e -> Election.followersChanged(state, e);
+            case WorkflowEvent.SuccessionAnnounced e -> Election.successionAnnounced(state, e);
             case WorkflowEvent.LeaseRenewalAnswered e ->
                     WorkerReports.leaseRenewalAnswered(state, e);
             case WorkflowEvent.LeaseRenewalFailed e -> Fleet.leaseRenewalFailed(state, e);
@@ -75,6 +74,7 @@
         }
         return result.then(Schedules::makeOccurrencesDue)
                 .then(Fleet::checkExpiredLeases)
+                .then(SilentWorkers::updateRecord)
                 .then(WorkerCommands::retryStops)
                 .then(CallHandler::rejectUnsent)
                 .then(CommitWriter::forgetOldJobs)
@@ -120,11 +120,31 @@
                 : result;
     }
 
-    private static WorkflowTransition afterEvent(WorkflowState state) {
+    /**
+     * Sends the commit and the lease renewals that the event has made due. Most events concern one
+     * worker or none, and only then are the others left alone: a leader handles thousands of events
+     * a second and has hundreds of workers.
+     */
+    private static WorkflowTransition afterEvent(WorkflowState state, WorkflowEvent event) {
         if (!state.hasConfirmedLeadership()) {
             return WorkflowTransition.of(state);
         }
-        WorkflowTransition result = WorkflowTransition.of(state).then(CommitWriter::sendIfDue);
-        return result.then(Fleet::renewDueLeases);
+        return switch (event) {
+            case WorkflowEvent.LeaseRenewalAnswered e ->
+                    CommitWriter.sendIfDue(state)
+                            .then(s -> CommitWriter.acknowledgeIfIdle(s, e.worker()))
+                            .then(s -> Fleet.renewLeaseIfDue(s, e.worker()));
+            case Tick e -> afterFleetEvent(state);
+            case WorkflowEvent.CommitCompleted e -> afterFleetEvent(state);
+            case WorkflowEvent.WorkersListed e -> afterFleetEvent(state);
+            case WorkflowEvent.ClaimCompleted e -> afterFleetEvent(state);
+            default -> CommitWriter.sendIfDue(state);
+        };
+    }
+
+    private static WorkflowTransition afterFleetEvent(WorkflowState state) {
+        return CommitWriter.sendIfDue(state)
+                .then(CommitWriter::acknowledgeAllIfIdle)
+                .then(Fleet::renewDueLeases);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -10,6 +10,7 @@
  * @param now the time of the newest event, in milliseconds of the monotonic clock
  * @param wallMillis the newest known Unix time in milliseconds
  * @param entry the name of this entry
+ * @param processorMillicores the processor capacity of this entry in thousandths of a core
  * @param configuration the operators' configuration, if it is known
  * @param configurationConfirmedAt the latest time at which the configuration was known to be the
  *     newest in the store; -1 if none was read yet
@@ -31,6 +32,7 @@
         long now,
         long wallMillis,
         String entry,
+        int processorMillicores,
         Optional<CellConfiguration> configuration,
         long configurationConfirmedAt,
         Leadership leadership,
@@ -44,11 +46,12 @@
         boolean placementDue,
         long lastPlacementAt) {
     /** Returns the state of an entry that has just started. */
-    public static WorkflowState initial(String entry) {
+    public static WorkflowState initial(String entry, int processorMillicores) {
         return new WorkflowState(
                 0,
                 0,
                 entry,
+                processorMillicores,
                 Optional.empty(),
                 -1,
                 Leadership.NONE,
@@ -71,11 +74,11 @@
 
     /**
      * Returns when the next tick is needed. A leader has to check its leases and commits often; a
-     * follower needs only the regular ticks of the control loop.
+     * follower needs only the regular ticks of the control loop and one for its next claim.
      */
     public long nextTickAt() {
         if (!leadership.leads()) {
-            return Long.MAX_VALUE;
+            return Election.nextClaimAt(this);
         }
         long nextTick = now + WorkflowLimits.LEADER_TICK_MILLIS;
         if (hasConfirmedLeadership()
@@ -235,6 +238,7 @@
         private long now;
         private long wallMillis;
         private String entry;
+        private int processorMillicores;
         private Optional<CellConfiguration> configuration;
         private long configurationConfirmedAt;
         private Leadership leadership;
@@ -252,6 +256,7 @@
             this.now = from.now();
             this.wallMillis = from.wallMillis();
             this.entry = from.entry();
+            this.processorMillicores = from.processorMillicores();
             this.configuration = from.configuration();
             this.configurationConfirmedAt = from.configurationConfirmedAt();
             this.leadership = from.leadership();
@@ -271,6 +276,7 @@
                     now,
                     wallMillis,
                     entry,
+                    processorMillicores,
                     configuration,
                     configurationConfirmedAt,
                     leadership,
--- a/core/src/test/java/org/jujubefork/core/workflow/CommitWriterTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/CommitWriterTest.java
@@ -21,7 +21,7 @@
         LeaderFixture leader =
                 LeaderFixture.leading(
                         LeaderFixture.configuration(1_000),
-                        new WorkflowEvent.Snapshot(jobs, finished, List.of()));
+                        new WorkflowEvent.Snapshot(jobs, finished, List.of(), SilentWorkers.NONE));
         leader.listWorkers("a");
         leader.advance(40);
         leader.answerLeaseRenewal("a");
--- a/core/src/test/java/org/jujubefork/core/workflow/GangCompletionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/GangCompletionTest.java
@@ -28,7 +28,8 @@
         LeaderFixture leader =
                 LeaderFixture.leading(
                         LeaderFixture.configuration(50),
-                        new WorkflowEvent.Snapshot(List.of(), List.of(), List.of()));
+                        new WorkflowEvent.Snapshot(
+                                List.of(), List.of(), List.of(), SilentWorkers.NONE));
         leader.listWorkers("a", "b");
         leader.advance(40);
         leader.answerLeaseRenewal("a");
--- a/core/src/test/java/org/jujubefork/core/workflow/JobAdmissionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/JobAdmissionTest.java
@@ -11,7 +11,7 @@
 /** Guards against jobs that are accepted or left waiting although they cannot be served in time. */
 public final class JobAdmissionTest {
     private static final WorkflowEvent.Snapshot EMPTY_SNAPSHOT =
-            new WorkflowEvent.Snapshot(List.of(), List.of(), List.of());
+            new WorkflowEvent.Snapshot(List.of(), List.of(), List.of(), SilentWorkers.NONE);
 
     private static LeaderFixture leaderWithWorker(double weight) {
         LeaderFixture leader =
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -22,7 +22,7 @@
     final List<WorkflowEffect> effects = new ArrayList<>();
     private final Map<String, WorkflowEffect.RenewLease> renewals = new HashMap<>();
     private final List<WorkflowEffect.Commit> commits = new ArrayList<>();
-    private WorkflowState state = WorkflowState.initial("e0");
+    private WorkflowState state = WorkflowState.initial("e0", 1_000);
     private long now = 100_000;
     private long revision = 10;
     private long nextRequestId = 1;
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedEntry.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedEntry.java
@@ -20,6 +20,6 @@
 
     SimulatedEntry(String id) {
         this.id = id;
-        this.state = WorkflowState.initial(id);
+        this.state = WorkflowState.initial(id, 1_000);
     }
 }
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedStore.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedStore.java
@@ -15,6 +15,7 @@
     private final Map<String, Job> progressRecords = new HashMap<>();
     private final Map<String, FinishedJob> finishedRecords = new HashMap<>();
     private List<WorkerNode.Listing> fleetRecord = List.of();
+    private SilentWorkers silentWorkersRecord = SilentWorkers.NONE;
     private Optional<LeaderRecord> leader = Optional.empty();
     private long revision = 1;
     private long lastWriteRevision;
@@ -58,7 +59,8 @@
             Job progress = progressRecords.get(job.id());
             jobs.add(progress == null ? job : progress);
         }
-        return new WorkflowEvent.Snapshot(jobs, List.copyOf(finishedRecords.values()), fleetRecord);
+        return new WorkflowEvent.Snapshot(
+                jobs, List.copyOf(finishedRecords.values()), fleetRecord, silentWorkersRecord);
     }
 
     private void store(Entry entry) {
@@ -73,6 +75,7 @@
             case Entry.RemoveFinished e ->
                     finishedRecords.values().removeIf(f -> f.bucket() == e.bucket());
             case Entry.PutFleet e -> fleetRecord = e.workers();
+            case Entry.PutSilentWorkers e -> silentWorkersRecord = e.silentWorkers();
         }
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
@@ -218,6 +218,7 @@
             case WorkflowEffect.Answer e -> callers.answered(e);
             case WorkflowEffect.LeaderChanged e -> {}
             case WorkflowEffect.Resign e -> {}
+            case WorkflowEffect.AnnounceSuccession e -> {}
             case WorkflowEffect.RequestAdvice e -> {}
             case WorkflowEffect.LogEvent e -> {}
         }
@@ -440,7 +441,7 @@
     /** Starts an entry, for the first time or after a crash. */
     void startEntry(SimulatedEntry entry) {
         int boot = entry.boot;
-        entry.state = WorkflowState.initial(entry.id);
+        entry.state = WorkflowState.initial(entry.id, 1_000);
         post(entry, boot, new WorkflowEvent.ConfigurationRead(now, now, Optional.of(config)));
         tick(entry, boot);
         watchLeader(entry, boot);
--- a/core/src/test/java/org/jujubefork/core/workflow/TakeoverWaitTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/TakeoverWaitTest.java
@@ -25,7 +25,8 @@
                 new WorkflowEvent.Snapshot(
                         List.of(LeaderFixture.acceptedJob("j", LeaderFixture.job(2), 100_000)),
                         List.of(),
-                        List.of(LeaderFixture.worker("a"), LeaderFixture.worker("b"))));
+                        List.of(LeaderFixture.worker("a"), LeaderFixture.worker("b")),
+                        SilentWorkers.NONE));
     }
 
     /**
@@ -140,7 +141,8 @@
                                         LeaderFixture.acceptedJob(
                                                 "j", LeaderFixture.job(2), 93_000)),
                                 List.of(),
-                                List.of()));
+                                List.of(),
+                                SilentWorkers.NONE));
         assertEquals(leader.state().jobs().get("j").acceptedAt(), 93_000L);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/CallGateway.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/CallGateway.java
@@ -36,10 +36,10 @@
          */
         record Answered(Reply reply) implements Outcome {}
 
-        /** No leader could be reached. The call was not executed and will not be. */
+        /** No leader has taken the call. It was not executed and will not be. */
         record NotRun() implements Outcome {}
 
-        /** The call was sent but not answered; it may have been executed. */
+        /** The call was sent, but no leader has told its outcome; it may have been executed. */
         record Unknown() implements Outcome {}
     }
 
@@ -66,26 +66,33 @@
      */
     public Outcome call(Call call, long timeoutMillis) throws InterruptedException {
         long startedAt = clock.millis();
-        boolean wasSent = false;
+        boolean mayHaveRun = false;
         while (true) {
             long elapsedMillis = clock.millis() - startedAt;
             if (elapsedMillis >= timeoutMillis
-                    || (!wasSent && elapsedMillis >= MAX_LEADER_WAIT_MILLIS)) {
-                return wasSent ? new Outcome.Unknown() : new Outcome.NotRun();
+                    || (!mayHaveRun && elapsedMillis >= MAX_LEADER_WAIT_MILLIS)) {
+                return mayHaveRun ? new Outcome.Unknown() : new Outcome.NotRun();
             }
             Optional<CompletableFuture<Reply>> pendingReply = send(call);
             Optional<Reply> reply =
                     pendingReply.isPresent()
                             ? await(pendingReply.get(), timeoutMillis - elapsedMillis)
                             : Optional.empty();
-            if (reply.isPresent() && !(reply.get() instanceof Reply.NotLeading)) {
+            boolean isRetried = reply.map(CallGateway::isRetried).orElse(true);
+            if (!isRetried) {
                 return new Outcome.Answered(reply.get());
             }
-            wasSent |= pendingReply.isPresent();
+            boolean wasDenied = reply.map(r -> r instanceof Reply.NotLeading).orElse(false);
+            mayHaveRun |= pendingReply.isPresent() && !wasDenied;
             Thread.sleep(RETRY_INTERVAL_MILLIS);
         }
     }
 
+    /** Returns whether another leader may give an answer that says more than {@code reply}. */
+    private static boolean isRetried(Reply reply) {
+        return reply instanceof Reply.NotLeading || reply instanceof Reply.OutcomeUnknown;
+    }
+
     private Optional<CompletableFuture<Reply>> send(Call call) {
         if (!peerConnections.isLeading()) {
             return peerConnections.forward(call);
--- a/entry/src/main/java/org/jujubefork/entry/workflow/LinkMessage.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/LinkMessage.java
@@ -19,7 +19,8 @@
 /**
  * A message between a follower and the leader. A frame consists of four bytes for the length of the
  * message, and the message in MessagePack. The message starts with the version of the encoding and
- * the number of the message type.
+ * the number of the message type. A reader ignores fields that it does not know at the end of a
+ * message, so that entries of different versions can work together during an upgrade.
  */
 sealed interface LinkMessage {
     /** The length limit of a frame, without the four bytes that hold the length. */
@@ -30,15 +31,18 @@
      * follower's heartbeat.
      *
      * @param entry the name of the follower
+     * @param processorMillicores the processor capacity of the follower in thousandths of a core
      */
-    record Hello(String entry) implements LinkMessage {}
+    record Hello(String entry, int processorMillicores) implements LinkMessage {}
 
     /**
      * A heartbeat of the leader.
      *
      * @param storeAgeMillis time since the leader's last contact with the store
+     * @param successionPosition the position of the follower among those that replace the leader,
+     *     -1 if it is not decided yet
      */
-    record Heartbeat(long storeAgeMillis) implements LinkMessage {}
+    record Heartbeat(long storeAgeMillis, int successionPosition) implements LinkMessage {}
 
     /** The leader gives up leadership because its process is stopping. */
     record LeaderResigned() implements LinkMessage {}
@@ -74,8 +78,10 @@
      * @param step the step that is to be placed
      * @param workers identifiers of the candidate workers
      * @param timeoutMillis time limit of the call
+     * @param number the number of the request, returned in the answer
      */
-    record AdviceRequest(long fence, StepKey step, List<String> workers, long timeoutMillis)
+    record AdviceRequest(
+            long fence, StepKey step, List<String> workers, long timeoutMillis, long number)
             implements LinkMessage {}
 
     /**
@@ -84,8 +90,9 @@
      * @param fence the fencing token from {@link AdviceRequest}
      * @param step the step from {@link AdviceRequest}
      * @param tickets the tickets by worker, empty if the service gave no usable answer
+     * @param number the number from {@link AdviceRequest}
      */
-    record AdviceReply(long fence, StepKey step, Optional<Map<String, String>> tickets)
+    record AdviceReply(long fence, StepKey step, Optional<Map<String, String>> tickets, long number)
             implements LinkMessage {}
 
     /** Writes this message to {@code output} as one frame. */
@@ -110,8 +117,10 @@
 
     private static void pack(MessagePacker packer, LinkMessage message) throws IOException {
         switch (message) {
-            case Hello m -> packer.packInt(1).packString(m.entry());
-            case Heartbeat m -> packer.packInt(2).packLong(m.storeAgeMillis());
+            case Hello m ->
+                    packer.packInt(1).packString(m.entry()).packInt(m.processorMillicores());
+            case Heartbeat m ->
+                    packer.packInt(2).packLong(m.storeAgeMillis()).packInt(m.successionPosition());
             case LeaderResigned m -> packer.packInt(3);
             case Forward m -> {
                 packer.packInt(4).packLong(m.id());
@@ -127,6 +136,7 @@
                 for (String worker : m.workers()) {
                     packer.packString(worker);
                 }
+                packer.packLong(m.number());
             }
             case LeaderReplaced m -> {
                 packer.packInt(8).packString(m.leader().entry()).packString(m.leader().address());
@@ -135,6 +145,7 @@
             case AdviceReply m -> {
                 packStep(packer.packInt(7).packLong(m.fence()), m.step());
                 packTickets(packer, m.tickets());
+                packer.packLong(m.number());
             }
         }
     }
@@ -142,15 +153,18 @@
     private static LinkMessage unpack(MessageUnpacker unpacker) throws IOException {
         int type = unpacker.unpackInt();
         return switch (type) {
-            case 1 -> new Hello(unpacker.unpackString());
-            case 2 -> new Heartbeat(unpacker.unpackLong());
+            case 1 -> new Hello(unpacker.unpackString(), unpackTrailingInt(unpacker, 0));
+            case 2 -> new Heartbeat(unpacker.unpackLong(), unpackTrailingInt(unpacker, -1));
             case 3 -> new LeaderResigned();
             case 4 -> new Forward(unpacker.unpackLong(), unpackCall(unpacker));
             case 5 -> new ForwardReply(unpacker.unpackLong(), unpackReply(unpacker));
             case 6 -> unpackAdviceRequest(unpacker);
             case 7 ->
                     new AdviceReply(
-                            unpacker.unpackLong(), unpackStep(unpacker), unpackTickets(unpacker));
+                            unpacker.unpackLong(),
+                            unpackStep(unpacker),
+                            unpackTickets(unpacker),
+                            unpackTrailingLong(unpacker, 0));
             case 8 ->
                     new LeaderReplaced(
                             new LeaderRecord(
@@ -164,6 +178,16 @@
         };
     }
 
+    private static int unpackTrailingInt(MessageUnpacker unpacker, int defaultValue)
+            throws IOException {
+        return unpacker.hasNext() ? unpacker.unpackInt() : defaultValue;
+    }
+
+    private static long unpackTrailingLong(MessageUnpacker unpacker, long defaultValue)
+            throws IOException {
+        return unpacker.hasNext() ? unpacker.unpackLong() : defaultValue;
+    }
+
     private static void packStep(MessagePacker packer, StepKey step) throws IOException {
         packer.packString(step.job()).packInt(step.occurrence()).packInt(step.step());
     }
@@ -181,7 +205,8 @@
         for (int i = 0; i < count; i++) {
             workers.add(unpacker.unpackString());
         }
-        return new AdviceRequest(fence, step, workers, timeoutMillis);
+        return new AdviceRequest(
+                fence, step, workers, timeoutMillis, unpackTrailingLong(unpacker, 0));
     }
 
     private static void packTickets(MessagePacker packer, Optional<Map<String, String>> tickets)
@@ -247,6 +272,7 @@
             case Reply.Rejected r ->
                     packer.packInt(5).packLong(r.retryAfterMillis()).packBoolean(r.overloaded());
             case Reply.NotLeading r -> packer.packInt(6);
+            case Reply.OutcomeUnknown r -> packer.packInt(7);
         }
     }
 
@@ -261,6 +287,7 @@
             case 4 -> new Reply.WaitingJobs(unpacker.unpackInt());
             case 5 -> new Reply.Rejected(unpacker.unpackLong(), unpacker.unpackBoolean());
             case 6 -> new Reply.NotLeading();
+            case 7 -> new Reply.OutcomeUnknown();
             default -> throw new IOException("unknown reply type " + type);
         };
     }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
@@ -6,6 +6,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -22,7 +24,8 @@
 import org.jujubefork.core.workflow.WorkflowEvent;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
 import org.jujubefork.entry.control.Clock;
-import org.pcollections.HashTreePSet;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
 
 /**
  * The connections between the entries. Each follower keeps one connection to the leader, which
@@ -50,28 +53,39 @@
 
     private static final int ACCEPT_BACKLOG = 128;
 
+    /** Position of a follower of which the leader has not decided when it replaces the leader. */
+    private static final int UNDECIDED_POSITION = -1;
+
     private static final Logger log = Logger.getLogger(PeerConnections.class);
 
     /** The parts of the daemon that the connections use. */
     record Context(
             String entry,
+            int processorMillicores,
             HostPort address,
             Clock clock,
             Consumer<WorkflowEvent> events,
             PendingCalls pendingCalls,
             AdviceClient adviceClient) {}
 
+    /** A connected follower. */
+    private record Follower(Link link, int processorMillicores) {}
+
     private final Context context;
     private final ServerSocket serverSocket;
-    private final ConcurrentMap<String, Link> followerLinks = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, Follower> followers = new ConcurrentHashMap<>();
     private final ConcurrentMap<Long, CompletableFuture<Reply>> pendingForwards =
             new ConcurrentHashMap<>();
     private final AtomicLong nextForwardId = new AtomicLong(1);
     private volatile Optional<LeaderRecord> currentLeader = Optional.empty();
     private volatile Optional<Link> leaderLink = Optional.empty();
     private volatile boolean leading;
+    private volatile List<String> successors = List.of();
     private volatile boolean open = true;
 
+    /** Used by the thread that reads from the leader only. */
+    private int announcedPosition = UNDECIDED_POSITION;
+
     private PeerConnections(Context context, ServerSocket server) {
         this.context = context;
         this.serverSocket = server;
@@ -106,7 +120,12 @@
         currentLeader = Optional.of(leader);
         leading = true;
         leavePreviousLeader(leader);
-        postConnectedAdvisors();
+        postFollowers();
+    }
+
+    /** Sets the order in which the followers replace this leader; heartbeats announce it. */
+    void announceSuccession(List<String> entries) {
+        successors = entries;
     }
 
     /**
@@ -138,7 +157,7 @@
 
     /** Tells all followers that this entry gives up leadership. */
     void announceResignation() {
-        followerLinks.values().forEach(l -> l.send(new LinkMessage.LeaderResigned()));
+        followers.values().forEach(f -> f.link().send(new LinkMessage.LeaderResigned()));
     }
 
     /** Returns whether this entry is the leader. */
@@ -177,19 +196,26 @@
      * @return whether the request was queued; false if that entry is not connected
      */
     boolean requestAdvice(WorkflowEffect.RequestAdvice request, long timeoutMillis) {
-        Link link = followerLinks.get(request.advisor());
-        return link != null
-                && link.send(
-                        new LinkMessage.AdviceRequest(
-                                request.fence(), request.step(), request.workers(), timeoutMillis));
+        Follower follower = followers.get(request.advisor());
+        return follower != null
+                && follower.link()
+                        .send(
+                                new LinkMessage.AdviceRequest(
+                                        request.fence(),
+                                        request.step(),
+                                        request.workers(),
+                                        timeoutMillis,
+                                        request.number()));
     }
 
-    private void postConnectedAdvisors() {
+    private void postFollowers() {
+        PMap<String, Integer> capacities = HashTreePMap.empty();
+        for (Map.Entry<String, Follower> follower : followers.entrySet()) {
+            capacities =
+                    capacities.plus(follower.getKey(), follower.getValue().processorMillicores());
+        }
         context.events()
-                .accept(
-                        new WorkflowEvent.AdvisorsChanged(
-                                context.clock().millis(),
-                                HashTreePSet.from(followerLinks.keySet()).plus(context.entry())));
+                .accept(new WorkflowEvent.FollowersChanged(context.clock().millis(), capacities));
     }
 
     private void acceptConnections() {
@@ -216,9 +242,9 @@
             log.debugf(
                     "event=follower-lost entry=%s reason=\"%s\"", followerName[0], e.getMessage());
         } finally {
-            followerLinks.computeIfPresent(followerName[0], (n, l) -> l.isOpen() ? l : null);
+            followers.computeIfPresent(followerName[0], (n, f) -> f.link().isOpen() ? f : null);
             if (leading) {
-                postConnectedAdvisors();
+                postFollowers();
             }
         }
     }
@@ -227,8 +253,9 @@
     private String handleFollowerMessage(Link link, String followerName, LinkMessage message) {
         switch (message) {
             case LinkMessage.Hello hello -> {
-                if (followerLinks.put(hello.entry(), link) != link && leading) {
-                    postConnectedAdvisors();
+                Follower follower = new Follower(link, hello.processorMillicores());
+                if (!follower.equals(followers.put(hello.entry(), follower)) && leading) {
+                    postFollowers();
                 }
                 return hello.entry();
             }
@@ -254,8 +281,7 @@
                                     new WorkflowEvent.AdviceCompleted(
                                             context.clock().millis(),
                                             advice.fence(),
-                                            advice.step(),
-                                            followerName,
+                                            advice.number(),
                                             advice.tickets()));
             default ->
                     log.warnf(
@@ -266,19 +292,33 @@
 
     private void sendHeartbeats(LongSupplier storeAgeMillis) {
         while (open) {
-            LinkMessage message =
-                    leading
-                            ? new LinkMessage.Heartbeat(storeAgeMillis.getAsLong())
-                            : new LinkMessage.Hello(context.entry());
             if (leading) {
-                followerLinks.values().forEach(l -> l.send(message));
+                sendLeaderHeartbeats(storeAgeMillis.getAsLong());
             } else {
-                leaderLink.ifPresent(l -> l.send(message));
+                leaderLink.ifPresent(l -> l.send(hello()));
             }
             pause(HEARTBEAT_INTERVAL_MILLIS);
         }
     }
 
+    private void sendLeaderHeartbeats(long storeAgeMillis) {
+        Map<String, Integer> positions = new HashMap<>();
+        for (String successor : successors) {
+            positions.put(successor, positions.size());
+        }
+        followers.forEach(
+                (name, follower) ->
+                        follower.link()
+                                .send(
+                                        new LinkMessage.Heartbeat(
+                                                storeAgeMillis,
+                                                positions.getOrDefault(name, UNDECIDED_POSITION))));
+    }
+
+    private LinkMessage.Hello hello() {
+        return new LinkMessage.Hello(context.entry(), context.processorMillicores());
+    }
+
     private void maintainLeaderConnection() {
         while (open) {
             Optional<LeaderRecord> leader = currentLeader;
@@ -291,7 +331,8 @@
 
     private void connectToLeader(LeaderRecord leader) {
         try (Link link = Link.connect(HostPort.parse(leader.address()), CONNECT_TIMEOUT_MILLIS)) {
-            link.send(new LinkMessage.Hello(context.entry()));
+            link.send(hello());
+            announcedPosition = UNDECIDED_POSITION;
             leaderLink = Optional.of(link);
             link.readMessages(READ_TIMEOUT_MILLIS, m -> handleLeaderMessage(link, leader, m));
         } catch (ConnectException e) {
@@ -306,12 +347,7 @@
 
     private void handleLeaderMessage(Link link, LeaderRecord leader, LinkMessage message) {
         switch (message) {
-            case LinkMessage.Heartbeat heartbeat ->
-                    postLeaderSignalReceived(
-                            leader,
-                            heartbeat.storeAgeMillis() > MAX_STORE_CONTACT_AGE_MILLIS
-                                    ? WorkflowEvent.LeaderSignal.HEARTBEAT_WITHOUT_STORE
-                                    : WorkflowEvent.LeaderSignal.HEARTBEAT);
+            case LinkMessage.Heartbeat heartbeat -> handleHeartbeat(leader, heartbeat);
             case LinkMessage.LeaderResigned resigned ->
                     postLeaderSignalReceived(leader, WorkflowEvent.LeaderSignal.RESIGNED);
             case LinkMessage.ForwardReply reply -> {
@@ -326,6 +362,21 @@
         }
     }
 
+    private void handleHeartbeat(LeaderRecord leader, LinkMessage.Heartbeat heartbeat) {
+        postLeaderSignalReceived(
+                leader,
+                heartbeat.storeAgeMillis() > MAX_STORE_CONTACT_AGE_MILLIS
+                        ? WorkflowEvent.LeaderSignal.HEARTBEAT_WITHOUT_STORE
+                        : WorkflowEvent.LeaderSignal.HEARTBEAT);
+        if (heartbeat.successionPosition() != announcedPosition) {
+            announcedPosition = heartbeat.successionPosition();
+            context.events()
+                    .accept(
+                            new WorkflowEvent.SuccessionAnnounced(
+                                    context.clock().millis(), leader.address(), announcedPosition));
+        }
+    }
+
     private void answerAdviceRequest(Link link, LinkMessage.AdviceRequest request) {
         Optional<Map<String, String>> tickets =
                 context.adviceClient()
@@ -333,7 +384,9 @@
                                 request.step(),
                                 request.workers(),
                                 Duration.ofMillis(request.timeoutMillis()));
-        link.send(new LinkMessage.AdviceReply(request.fence(), request.step(), tickets));
+        link.send(
+                new LinkMessage.AdviceReply(
+                        request.fence(), request.step(), tickets, request.number()));
     }
 
     private void postLeaderSignalReceived(LeaderRecord leader, WorkflowEvent.LeaderSignal signal) {
@@ -368,6 +421,6 @@
         open = false;
         serverSocket.close();
         leaderLink.ifPresent(Link::close);
-        followerLinks.values().forEach(Link::close);
+        followers.values().forEach(f -> f.link().close());
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/RecordCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/RecordCodec.java
@@ -13,7 +13,6 @@
 import org.jujubefork.core.workflow.StepProgress;
 import org.jujubefork.core.workflow.Task;
 import org.jujubefork.core.workflow.TaskKey;
-import org.jujubefork.core.workflow.WorkerNode;
 import org.jujubefork.core.workflow.WorkflowDefinition;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -270,68 +269,13 @@
                 });
     }
 
-    /** Encodes the workers on which tasks may be running. */
-    public static byte[] encodeFleet(List<WorkerNode.Listing> workers) {
-        return encode(
-                p -> {
-                    p.packArrayHeader(workers.size());
-                    for (WorkerNode.Listing worker : workers) {
-                        packWorker(p, worker);
-                    }
-                });
-    }
-
-    private static void packWorker(MessagePacker packer, WorkerNode.Listing worker)
-            throws IOException {
-        packer.packString(worker.id());
-        packer.packString(worker.service());
-        packer.packString(worker.address());
-        packer.packString(worker.zone());
-        packResources(packer, worker.capacity());
-        packer.packArrayHeader(worker.labels().size());
-        for (String label : worker.labels()) {
-            packer.packString(label);
-        }
-        packer.packString(worker.rack());
-    }
-
-    /** Decodes the workers on which tasks may be running. */
-    public static List<WorkerNode.Listing> decodeFleet(byte[] bytes) throws IOException {
-        return decode(
-                bytes,
-                u -> {
-                    List<WorkerNode.Listing> workers = new ArrayList<>();
-                    int count = u.unpackArrayHeader();
-                    for (int i = 0; i < count; i++) {
-                        workers.add(unpackWorker(u));
-                    }
-                    return workers;
-                });
-    }
-
-    private static WorkerNode.Listing unpackWorker(MessageUnpacker unpacker) throws IOException {
-        String id = unpacker.unpackString();
-        String service = unpacker.unpackString();
-        String address = unpacker.unpackString();
-        String zone = unpacker.unpackString();
-        Resources capacity = unpackResources(unpacker);
-        List<String> labels = new ArrayList<>();
-        int count = unpacker.unpackArrayHeader();
-        for (int i = 0; i < count; i++) {
-            labels.add(unpacker.unpackString());
-        }
-        return new WorkerNode.Listing(
-                id, service, address, zone, false, capacity, labels, unpacker.unpackString());
-    }
-
-    private static void packResources(MessagePacker packer, Resources resources)
-            throws IOException {
+    static void packResources(MessagePacker packer, Resources resources) throws IOException {
         packer.packLong(resources.cpuMillis());
         packer.packLong(resources.memoryMb());
         packer.packLong(resources.accelerators());
     }
 
-    private static Resources unpackResources(MessageUnpacker unpacker) throws IOException {
+    static Resources unpackResources(MessageUnpacker unpacker) throws IOException {
         return Resources.of(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
     }
 
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -64,6 +64,7 @@
      * The identity of an entry and the services that it uses.
      *
      * @param entry the name of the entry
+     * @param processorMillicores the processor capacity of its VM in thousandths of a core
      * @param address the address on which it accepts connections of other entries
      * @param clock the monotonic clock
      * @param store the platform's store
@@ -73,6 +74,7 @@
      */
     public record Setup(
             String entry,
+            int processorMillicores,
             HostPort address,
             Clock clock,
             WorkflowStore store,
@@ -93,7 +95,7 @@
         this.loop =
                 ReducerLoop.of(
                         new ReducerLoop.Setup<>(
-                                WorkflowState.initial(setup.entry()),
+                                WorkflowState.initial(setup.entry(), setup.processorMillicores()),
                                 WorkflowDaemon::reduce,
                                 now -> new WorkflowEvent.Tick(now, System.currentTimeMillis()),
                                 MAX_TICK_INTERVAL_MILLIS,
@@ -106,6 +108,7 @@
                 PeerConnections.start(
                         new PeerConnections.Context(
                                 setup.entry(),
+                                setup.processorMillicores(),
                                 setup.address(),
                                 setup.clock(),
                                 events,
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
@@ -50,6 +50,8 @@
                     context.pendingCalls().complete(e.requestId(), e.reply());
             case WorkflowEffect.LogEvent e -> context.logWriter().write(e);
             case WorkflowEffect.LeaderChanged e -> changeLeader(e);
+            case WorkflowEffect.AnnounceSuccession e ->
+                    context.peerConnections().announceSuccession(e.entries());
             case WorkflowEffect.Resign e -> context.peerConnections().announceResignation();
             case WorkflowEffect.Claim e -> runAsync(() -> claimLeadership(e));
             case WorkflowEffect.Commit e -> runAsync(() -> commit(e));
@@ -167,10 +169,6 @@
         context.events()
                 .accept(
                         new WorkflowEvent.AdviceCompleted(
-                                now(),
-                                request.fence(),
-                                request.step(),
-                                request.advisor(),
-                                tickets));
+                                now(), request.fence(), request.number(), tickets));
     }
 }
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -50,7 +50,7 @@
     @Test
     public void gaugesAreComputedFromTheCurrentState() throws IOException {
         WorkflowMetrics metrics = WorkflowMetrics.create();
-        WorkflowState state = WorkflowState.initial("e").withTime(4_000);
+        WorkflowState state = WorkflowState.initial("e", 1_000).withTime(4_000);
         metrics.registerStateGauges(() -> state, () -> 4_999);
         String page = metricsPage(metrics);
         assertLine(page, "jujube_leads 0.0");
--- a/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
@@ -16,12 +16,15 @@
 import org.jujubefork.core.workflow.FinishedJob;
 import org.jujubefork.core.workflow.Job;
 import org.jujubefork.core.workflow.LeaderRecord;
+import org.jujubefork.core.workflow.SilentWorkers;
 import org.jujubefork.core.workflow.StepDefinition;
 import org.jujubefork.core.workflow.StepKey;
+import org.jujubefork.core.workflow.TaskKey;
 import org.jujubefork.core.workflow.WorkerNode;
 import org.jujubefork.core.workflow.WorkflowDefinition;
 import org.jujubefork.core.workflow.WorkflowEffect.Reply;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
+import org.pcollections.HashTreePMap;
 import org.testng.annotations.Test;
 
 /** Guards against records and messages whose values change when another entry decodes them. */
@@ -109,7 +112,16 @@
                                 Resources.of(1, 2, 3),
                                 List.of("a", "r"),
                                 "r"));
-        assertEquals(RecordCodec.decodeFleet(RecordCodec.encodeFleet(fleet)), fleet);
+        assertEquals(WorkerRecordCodec.decodeFleet(WorkerRecordCodec.encodeFleet(fleet)), fleet);
+        SilentWorkers silentWorkers =
+                new SilentWorkers(
+                        4,
+                        HashTreePMap.singleton(
+                                "w", HashTreePMap.singleton(new TaskKey("id", 1, 2, 3), 5L)));
+        assertEquals(
+                WorkerRecordCodec.decodeSilentWorkers(
+                        WorkerRecordCodec.encodeSilentWorkers(silentWorkers)),
+                silentWorkers);
         assertEquals(
                 RecordCodec.decodeLeader(RecordCodec.encodeLeader("e", "a:1", 3), 9, true),
                 new LeaderRecord("e", "a:1", 3, 9, true));
@@ -121,8 +133,8 @@
     public void messagesRoundTrip() throws IOException {
         List<LinkMessage> messages =
                 List.of(
-                        new LinkMessage.Hello("e"),
-                        new LinkMessage.Heartbeat(5),
+                        new LinkMessage.Hello("e", 750),
+                        new LinkMessage.Heartbeat(5, 2),
                         new LinkMessage.LeaderResigned(),
                         new LinkMessage.LeaderReplaced(new LeaderRecord("e", "a:1", 3, 9, true)),
                         new LinkMessage.Forward(1, new Call.Submit("q", "t", "id", DEFINITION)),
@@ -135,11 +147,13 @@
                         new LinkMessage.ForwardReply(4, new Reply.WaitingJobs(6)),
                         new LinkMessage.ForwardReply(5, new Reply.Rejected(1_000, true)),
                         new LinkMessage.ForwardReply(6, new Reply.NotLeading()),
+                        new LinkMessage.ForwardReply(7, new Reply.OutcomeUnknown()),
                         new LinkMessage.AdviceRequest(
-                                7, new StepKey("id", 1, 2), List.of("w"), 100),
-                        new LinkMessage.AdviceReply(7, new StepKey("id", 1, 2), Optional.empty()),
+                                7, new StepKey("id", 1, 2), List.of("w"), 100, 8),
+                        new LinkMessage.AdviceReply(
+                                7, new StepKey("id", 1, 2), Optional.empty(), 8),
                         new LinkMessage.AdviceReply(
-                                7, new StepKey("id", 1, 2), Optional.of(Map.of("w", "ticket"))));
+                                7, new StepKey("id", 1, 2), Optional.of(Map.of("w", "ticket")), 9));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         for (LinkMessage message : messages) {
             message.writeTo(new DataOutputStream(bytes));
