--- a/bench/src/main/java/org/jujubefork/bench/Bench.java
+++ b/bench/src/main/java/org/jujubefork/bench/Bench.java
@@ -1,6 +1,7 @@
 package org.jujubefork.bench;
 
 import java.util.Arrays;
+import org.jujubefork.bench.workflow.LeaderBenchmark;
 
 /** Entry point of {@code bin/jujube-bench}, which runs benchmarks and the policy report. */
 public final class Bench {
@@ -20,6 +21,7 @@
         int status =
                 switch (command) {
                     case "decisions" -> DecisionBenchmarkRunner.run(commandArguments);
+                    case "leader" -> LeaderBenchmark.run(commandArguments);
                     case "policies" -> PolicyReport.run(commandArguments);
                     default -> usage();
                 };
@@ -32,6 +34,9 @@
 
     private static int usage() {
         System.err.println("usage: jujube-bench decisions [--main]");
+        System.err.println(
+                "       jujube-bench leader [--workers LIST] [--load FACTOR] [--slowdown FACTOR]"
+                        + " [--seconds N] [--seed N]");
         System.err.println("       jujube-bench policies [--seed N] [--out FILE]");
         return USAGE_ERROR;
     }
--- /dev/null
+++ b/bench/src/test/java/org/jujubefork/bench/workflow/LeaderEmulatorTest.java
@@ -0,0 +1,27 @@
+package org.jujubefork.bench.workflow;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a leader that leaves jobs of a less urgent queue waiting on a calm day of a large
+ * fleet, although the fleet has capacity for them.
+ */
+public final class LeaderEmulatorTest {
+    private static final int SECONDS = 30;
+
+    @Test
+    public void calmDayOfLargeFleetIsServed() {
+        LeaderReport report =
+                LeaderEmulator.run(
+                        new LeaderEmulator.Setup(
+                                1, 258, 47, JobKind.WAITING_LIST, 0.9, 0, SECONDS));
+        for (Map.Entry<String, Double> kind : report.doneFractions().entrySet()) {
+            assertTrue(
+                    kind.getValue() >= 0.8,
+                    kind.getKey() + " done " + kind.getValue() + "; " + report.lines());
+        }
+    }
+}
