Make a placement pass cheaper, and reserve workers only for gangs that are due

Gangs reserved up to half of the workers from the moment they came, although they could wait for seconds without being late.

Change: a step that has asked about all workers looks for new ones after 500 ms; placement looks only at workers with a ticket; finished jobs are kept by store record; leases and stops of all workers are checked every 80 ms, not in each tick. A gang reserves workers when it can wait at most 5 s without making its job late.

--- a/bench/src/main/java/org/jujubefork/bench/workflow/JobKind.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/JobKind.java
@@ -24,6 +24,7 @@
  * @param objectiveFactor factor of the critical path in the objective of a job
  * @param objectiveBaseMillis constant part of the objective of a job, in milliseconds
  * @param advice cost of an advice request
+ * @param worth what an average job earns when it is done in time
  * @param goodFraction fraction of the workers that may run a step
  */
 record JobKind(
@@ -38,6 +39,7 @@
         double objectiveFactor,
         long objectiveBaseMillis,
         AdviceSettings advice,
+        double worth,
         double goodFraction) {
     static final String SERVICE = "waitlist";
 
@@ -59,6 +61,7 @@
                             2.2,
                             1_200,
                             new AdviceSettings(390, 5.6, 2_000),
+                            4.97,
                             0.3),
                     new JobKind(
                             "offer-reconcile",
@@ -72,6 +75,7 @@
                             4,
                             3_000,
                             new AdviceSettings(140, 2, 2_000),
+                            2.3,
                             0.45),
                     new JobKind(
                             "place-check",
@@ -85,11 +89,15 @@
                             1.5,
                             400,
                             new AdviceSettings(19, 0.27, 2_000),
+                            0.441,
                             0.7));
 
     /** Largest multiple of a mean that a drawn value has. */
     private static final double MAX_MULTIPLE = 2.5;
 
+    /** Number of workers in the advice request that an objective allows for each step. */
+    private static final int ASSUMED_ADVICE_WORKERS = 30;
+
     private static final int MAX_ATTEMPTS = 4;
     private static final long TIMEOUT_MILLIS = 3_000;
 
@@ -108,6 +116,15 @@
                 Optional.of(advice));
     }
 
+    /** Returns the time in which a job has to end to be in time, in milliseconds. */
+    double objectiveMillis(WorkflowDefinition definition) {
+        double chainMillis = 0;
+        for (StepDefinition step : definition.steps()) {
+            chainMillis += step.estimateMillis() + advice.costMillis(ASSUMED_ADVICE_WORKERS);
+        }
+        return objectiveFactor * chainMillis + objectiveBaseMillis;
+    }
+
     /** Draws a job. */
     WorkflowDefinition draw(SplittableRandom random) {
         int stepCount = (int) Math.max(1, Math.round(draw(meanSteps, 0.4, random)));
--- a/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
@@ -39,7 +39,7 @@
     private static final long CALL_MILLIS = 3;
     private static final long STORE_MILLIS = 8;
     private static final long FIRST_REVISION = 10;
-    private static final long WALL_OFFSET_MILLIS = 1_700_000_000_000L;
+    static final long WALL_OFFSET_MILLIS = 1_700_000_000_000L;
 
     /** Time before the first job, in which the leader reaches the workers. */
     private static final long WARM_UP_MILLIS = 1_000;
@@ -204,6 +204,9 @@
         for (EmulatedWorker worker : workers.values()) {
             listings = listings.plus(worker.listing.id(), worker.listing);
         }
+        if (now > 2 * WARM_UP_MILLIS) {
+            report.addSample(state);
+        }
         post(new WorkflowEvent.WorkersListed(time(), listings));
         after(400, this::listWorkers);
     }
@@ -228,7 +231,7 @@
         String id = String.format("%016x", definitions.size());
         WorkflowDefinition definition = kind.draw(random);
         definitions.put(id, definition);
-        report.addSubmitted(id, kind, time());
+        report.addSubmitted(id, kind, definition, time());
         post(
                 new WorkflowEvent.CallArrived(
                         time(),
--- a/bench/src/test/java/org/jujubefork/bench/workflow/LeaderEmulatorTest.java
+++ b/bench/src/test/java/org/jujubefork/bench/workflow/LeaderEmulatorTest.java
@@ -6,8 +6,8 @@
 import org.testng.annotations.Test;
 
 /**
- * Guards against a leader that leaves jobs of a less urgent queue waiting on a calm day of a large
- * fleet, although the fleet has capacity for them.
+ * Guards against a leader that leaves jobs of a less urgent queue waiting in a large fleet,
+ * although the fleet has capacity for them.
  */
 public final class LeaderEmulatorTest {
     private static final int SECONDS = 30;
@@ -24,4 +24,20 @@
                     kind.getKey() + " done " + kind.getValue() + "; " + report.lines());
         }
     }
+
+    /**
+     * Guards against capacity that is kept idle for gangs which can still wait. The jobs ask for
+     * almost the whole fleet.
+     */
+    @Test
+    public void waitingGangsLeaveCapacityToOtherWork() {
+        LeaderReport report =
+                LeaderEmulator.run(
+                        new LeaderEmulator.Setup(1, 258, 52, JobKind.WAITING_LIST, 1.2, 0, 45));
+        for (Map.Entry<String, Double> kind : report.doneFractions().entrySet()) {
+            assertTrue(
+                    kind.getValue() >= 0.7,
+                    kind.getKey() + " done " + kind.getValue() + "; " + report.lines());
+        }
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/CommitQueue.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitQueue.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.workflow;
 
 import java.util.Optional;
+import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
 import org.pcollections.PSet;
@@ -26,7 +27,7 @@
  * @param silentWorkersDirty whether the record of silent workers has to be written
  * @param storedSilentWorkers the workers in the stored record of silent workers
  * @param jobRemovals the jobs that have ended and whose records are still in the store
- * @param finishedBuckets the numbers of the store records of finished jobs
+ * @param finishedBuckets the finished jobs by the number of their store record
  */
 public record CommitQueue(
         PVector<String> dirtyJobs,
@@ -41,7 +42,7 @@
         boolean silentWorkersDirty,
         PSet<String> storedSilentWorkers,
         PVector<String> jobRemovals,
-        PSet<Long> finishedBuckets) {
+        PMap<Long, PMap<String, FinishedJob>> finishedBuckets) {
     /** A queue without changes to write. */
     public static final CommitQueue NONE =
             new CommitQueue(
@@ -57,7 +58,7 @@
                     false,
                     HashTreePSet.empty(),
                     TreePVector.empty(),
-                    HashTreePSet.empty());
+                    HashTreePMap.empty());
 
     /**
      * A request that is answered once the changes to a job are stored.
@@ -101,14 +102,14 @@
      * @param newStoredFleet the workers in the stored set
      * @param silentWorkers the workers whose runs the previous leader has recorded
      * @param newJobRemovals the jobs that have ended and whose records are still in the store
-     * @param storedBuckets the numbers of the store records of finished jobs
+     * @param storedBuckets the finished jobs by the number of their store record
      */
     public CommitQueue recovered(
             long revision,
             PSet<String> newStoredFleet,
             PSet<String> silentWorkers,
             PVector<String> newJobRemovals,
-            PSet<Long> storedBuckets) {
+            PMap<Long, PMap<String, FinishedJob>> storedBuckets) {
         Builder next = new Builder(this);
         next.previousRevision = revision;
         next.storedFleet = newStoredFleet;
@@ -181,7 +182,7 @@
             InFlight write,
             PVector<String> remainingDirtyJobs,
             PVector<PendingAnswer> remainingAnswers,
-            PSet<Long> newFinishedBuckets,
+            PMap<Long, PMap<String, FinishedJob>> newFinishedBuckets,
             long at) {
         Builder next = new Builder(this);
         next.dirtyJobs = remainingDirtyJobs;
@@ -226,8 +227,8 @@
         return next.build();
     }
 
-    /** Returns a copy with {@code other} as the numbers of the store records of finished jobs. */
-    public CommitQueue withFinishedBuckets(PSet<Long> other) {
+    /** Returns a copy with {@code other} as the finished jobs by store record. */
+    public CommitQueue withFinishedBuckets(PMap<Long, PMap<String, FinishedJob>> other) {
         Builder next = new Builder(this);
         next.finishedBuckets = other;
         return next.build();
@@ -302,7 +303,7 @@
         private boolean silentWorkersDirty;
         private PSet<String> storedSilentWorkers;
         private PVector<String> jobRemovals;
-        private PSet<Long> finishedBuckets;
+        private PMap<Long, PMap<String, FinishedJob>> finishedBuckets;
 
         Builder(CommitQueue from) {
             this.dirtyJobs = from.dirtyJobs();
--- a/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
@@ -1,7 +1,6 @@
 package org.jujubefork.core.workflow;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import org.jujubefork.core.workflow.WorkflowEffect.Entry;
@@ -60,7 +59,8 @@
         CommitQueue queue = state.commitQueue();
         List<Entry> entries = new ArrayList<>();
         PVector<String> includedJobs = TreePVector.empty();
-        PSet<Long> buckets = HashTreePSet.empty();
+        PSet<Long> changedBuckets = HashTreePSet.empty();
+        PMap<Long, PMap<String, FinishedJob>> buckets = queue.finishedBuckets();
         WorkflowState next = state;
         int recordCount = 0;
         for (String id : queue.dirtyJobs()) {
@@ -76,7 +76,8 @@
                 FinishedJob finishedJob =
                         new FinishedJob(id, job.queue(), job.status(), state.wallMillis());
                 next = next.withFinished(next.finished().plus(id, finishedJob));
-                buckets = buckets.plus(finishedJob.bucket());
+                buckets = withFinishedJob(buckets, finishedJob);
+                changedBuckets = changedBuckets.plus(finishedJob.bucket());
             }
         }
         for (String endedJob : queue.jobRemovals()) {
@@ -86,21 +87,19 @@
             }
             entries.add(new Entry.RemoveJob(endedJob));
         }
-        addBuckets(next, entries, buckets);
+        for (long bucket : changedBuckets) {
+            entries.add(new Entry.PutFinished(bucket, List.copyOf(buckets.get(bucket).values())));
+        }
         Optional<PSet<String>> fleet = addFleet(next, entries);
         Optional<PSet<String>> silentWorkers = addSilentWorkers(next, entries);
         return send(next, entries, includedJobs, buckets, fleet, silentWorkers);
     }
 
-    private static void addBuckets(WorkflowState state, List<Entry> entries, PSet<Long> buckets) {
-        for (long bucket : buckets) {
-            entries.add(
-                    new Entry.PutFinished(
-                            bucket,
-                            state.finished().values().stream()
-                                    .filter(f -> f.bucket() == bucket)
-                                    .toList()));
-        }
+    /** Returns {@code buckets} with {@code job} in its store record. */
+    static PMap<Long, PMap<String, FinishedJob>> withFinishedJob(
+            PMap<Long, PMap<String, FinishedJob>> buckets, FinishedJob job) {
+        PMap<String, FinishedJob> jobs = buckets.getOrDefault(job.bucket(), HashTreePMap.empty());
+        return buckets.plus(job.bucket(), jobs.plus(job.id(), job));
     }
 
     private static Optional<PSet<String>> addFleet(WorkflowState state, List<Entry> entries) {
@@ -131,7 +130,7 @@
             WorkflowState state,
             List<Entry> entries,
             PVector<String> includedJobs,
-            PSet<Long> buckets,
+            PMap<Long, PMap<String, FinishedJob>> finishedBuckets,
             Optional<PSet<String>> fleet,
             Optional<PSet<String>> silentWorkers) {
         CommitQueue queue = state.commitQueue();
@@ -155,7 +154,7 @@
                         write,
                         remainingJobs,
                         queue.pendingAnswers().minusAll(includedAnswers),
-                        queue.finishedBuckets().plusAll(buckets),
+                        finishedBuckets,
                         state.now());
         return WorkflowTransition.of(state.with(queueAfterSend)).with(commit);
     }
@@ -293,52 +292,25 @@
             return WorkflowTransition.of(state);
         }
         long retainedSince = state.wallMillis() - WorkflowLimits.FINISHED_JOB_RETENTION_MILLIS;
-        long oldestBucket = Collections.min(queue.finishedBuckets());
-        if (oldestBucket >= FinishedJob.bucketOf(retainedSince)) {
-            return WorkflowTransition.of(state);
-        }
-        List<FinishedJob> expiredJobs =
-                state.finished().values().stream()
-                        .filter(f -> f.endedAtWallMillis() < retainedSince)
+        List<Long> expiredBuckets =
+                queue.finishedBuckets().keySet().stream()
+                        .filter(b -> b < FinishedJob.bucketOf(retainedSince))
+                        .limit(WorkflowLimits.MAX_RECORDS_PER_COMMIT)
                         .toList();
-        if (expiredJobs.isEmpty() || !state.hasConfirmedLeadership()) {
+        if (expiredBuckets.isEmpty() || !state.hasConfirmedLeadership()) {
             return WorkflowTransition.of(state);
         }
-        PSet<Long> buckets =
-                HashTreePSet.from(expiredJobs.stream().map(FinishedJob::bucket).toList());
-        PSet<Long> expiredBuckets =
-                HashTreePSet.from(
-                        buckets.stream()
-                                .filter(
-                                        b ->
-                                                state.finished().values().stream()
-                                                        .filter(f -> f.bucket() == b)
-                                                        .allMatch(
-                                                                f ->
-                                                                        f.endedAtWallMillis()
-                                                                                < retainedSince))
-                                .limit(WorkflowLimits.MAX_RECORDS_PER_COMMIT)
-                                .toList());
-        if (expiredBuckets.isEmpty()) {
-            return WorkflowTransition.of(state);
+        PMap<String, FinishedJob> retainedJobs = state.finished();
+        for (long bucket : expiredBuckets) {
+            retainedJobs = retainedJobs.minusAll(queue.finishedBuckets().get(bucket).keySet());
         }
-        PMap<String, FinishedJob> retainedJobs =
-                state.finished()
-                        .minusAll(
-                                expiredJobs.stream()
-                                        .filter(f -> expiredBuckets.contains(f.bucket()))
-                                        .map(FinishedJob::id)
-                                        .toList());
         List<Entry> entries = new ArrayList<>();
         expiredBuckets.forEach(b -> entries.add(new Entry.RemoveFinished(b)));
-        WorkflowState next = state.withFinished(retainedJobs);
         return send(
-                next.with(
-                        queue.withFinishedBuckets(
-                                queue.finishedBuckets().minusAll(expiredBuckets))),
+                state.withFinished(retainedJobs),
                 entries,
                 TreePVector.empty(),
-                HashTreePSet.empty(),
+                queue.finishedBuckets().minusAll(expiredBuckets),
                 Optional.empty(),
                 Optional.empty());
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -7,8 +7,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.Placement.Candidate;
 import org.pcollections.PSet;
@@ -29,17 +31,28 @@
      */
     private static final double MAX_RESERVED_FRACTION = 0.5;
 
+    /**
+     * A gang gets a reservation when it can wait no longer than this without becoming late. Before
+     * that, the capacity that a reservation keeps idle serves other work.
+     */
+    private static final double MAX_RESERVATION_SLACK_MILLIS = 5_000;
+
     private final WorkflowState state;
     private final Map<String, Resources> freeByWorker = new HashMap<>();
     private final Map<String, Resources> usageByTeam = new HashMap<>();
-    private final Map<StepKey, Map<String, Integer>> taskCountsByStep = new HashMap<>();
-    private final List<WorkerNode> usableWorkers = new ArrayList<>();
+    private final Map<StepKey, Map<String, Integer>> newTasksByStep = new HashMap<>();
+    private final Map<String, WorkerNode> usableWorkers = new HashMap<>();
     private final Set<String> reservedWorkers = new HashSet<>();
     private final List<Candidate> unplacedCandidates = new ArrayList<>();
     private final Map<String, Resources> capacityByService = new HashMap<>();
     private final Map<String, Resources> allocatedByService = new HashMap<>();
     private Resources maxFree = Resources.ZERO;
 
+    /** The candidate that {@link #runnableWorkers} belongs to; steps are placed one by one. */
+    private Candidate runnableWorkersCandidate;
+
+    private List<WorkerNode> runnableWorkers = List.of();
+
     private PassCapacity(WorkflowState state) {
         this.state = state;
     }
@@ -48,17 +61,13 @@
         PassCapacity result = new PassCapacity(state);
         for (WorkerNode node : state.workers().values()) {
             Resources freeCapacity = node.listing().capacity();
-            for (Map.Entry<TaskKey, WorkerNode.Charge> taskAndCharge : node.charges().entrySet()) {
-                WorkerNode.Charge charge = taskAndCharge.getValue();
+            for (WorkerNode.Charge charge : node.charges().values()) {
                 freeCapacity = freeCapacity.minus(charge.size());
                 result.usageByTeam.merge(charge.team(), charge.size(), Resources::plus);
-                result.taskCountsByStep
-                        .computeIfAbsent(taskAndCharge.getKey().stepKey(), k -> new HashMap<>())
-                        .merge(node.id(), 1, Integer::sum);
             }
             boolean isOpen = state.commitQueue().isOpenForStarts(node.id());
             if (isOpen && node.isUsable(state.now())) {
-                result.usableWorkers.add(node);
+                result.usableWorkers.put(node.id(), node);
                 result.freeByWorker.put(node.id(), freeCapacity);
                 result.maxFree = result.maxFree.max(freeCapacity);
                 String service = node.listing().service();
@@ -93,8 +102,7 @@
      * team is at its limit or no usable worker can ever run them.
      */
     void recordUnplaced(Candidate candidate) {
-        if (isWithinTeamLimit(candidate)
-                && usableWorkers.stream().anyMatch(n -> canRun(candidate, n))) {
+        if (isWithinTeamLimit(candidate) && !runnableWorkers(candidate).isEmpty()) {
             unplacedCandidates.add(candidate);
         }
     }
@@ -114,15 +122,17 @@
      * reserves the same workers.
      */
     void reserveWorkers(Candidate candidate) {
-        if (!candidate.rank().reservesCapacity() || !isWithinTeamLimit(candidate)) {
+        if (!candidate.rank().reservesCapacity()
+                || candidate.standing().slackMillis() > MAX_RESERVATION_SLACK_MILLIS
+                || !isWithinTeamLimit(candidate)) {
             return;
         }
         long maxReservations =
                 Math.round(usableWorkers.size() * MAX_RESERVED_FRACTION) - reservedWorkers.size();
         long remainingTasks = candidate.progress().tasks().size();
         List<WorkerNode> leastLoaded =
-                usableWorkers.stream()
-                        .filter(n -> !reservedWorkers.contains(n.id()) && canRun(candidate, n))
+                runnableWorkers(candidate).stream()
+                        .filter(n -> !reservedWorkers.contains(n.id()))
                         .sorted(
                                 Comparator.comparingLong(
                                         n -> -freeByWorker.get(n.id()).cpuMillis()))
@@ -165,7 +175,7 @@
      */
     List<WorkerNode> workersWithoutAdvice(Candidate candidate) {
         PSet<String> requested = candidate.progress().advice().requestedWorkers();
-        return usableWorkers.stream()
+        return usableWorkers.values().stream()
                 .filter(n -> isEligible(candidate, n) && !requested.contains(n.id()))
                 .toList();
     }
@@ -182,7 +192,7 @@
         }
         WorkerNode best = null;
         double bestScore = Double.MAX_VALUE;
-        for (WorkerNode node : usableWorkers) {
+        for (WorkerNode node : runnableWorkers(candidate)) {
             if (fits(candidate, node) && isInRack(node, allowedRacks)) {
                 double score = score(candidate, node);
                 if (score < bestScore) {
@@ -231,7 +241,7 @@
 
     private Set<String> racks() {
         Set<String> racks = new LinkedHashSet<>();
-        usableWorkers.forEach(n -> racks.add(rackOf(n)));
+        usableWorkers.values().forEach(n -> racks.add(rackOf(n)));
         return racks;
     }
 
@@ -269,19 +279,35 @@
                 maxPerWorker == 0 || taskCountOn(candidate, node) < maxPerWorker;
         return belowMaxPerWorker
                 && !reservedWorkers.contains(node.id())
-                && candidate.definition().chargedCapacity().fitsIn(freeByWorker.get(node.id()))
-                && canRun(candidate, node);
+                && candidate.definition().chargedCapacity().fitsIn(freeByWorker.get(node.id()));
     }
 
-    private static boolean canRun(Candidate candidate, WorkerNode node) {
-        boolean hasTicket =
-                candidate.queue().advice().isEmpty()
-                        || candidate.progress().advice().tickets().containsKey(node.id());
-        return hasTicket && isEligible(candidate, node);
+    /**
+     * Returns the usable workers that may run the step. If advice is needed, these are among the
+     * workers with a ticket, which are few.
+     */
+    private List<WorkerNode> runnableWorkers(Candidate candidate) {
+        if (runnableWorkersCandidate != candidate) {
+            Stream<WorkerNode> workers =
+                    candidate.queue().advice().isEmpty()
+                            ? usableWorkers.values().stream()
+                            : candidate.progress().advice().tickets().keySet().stream()
+                                    .map(usableWorkers::get)
+                                    .filter(Objects::nonNull);
+            runnableWorkers = workers.filter(n -> isEligible(candidate, n)).toList();
+            runnableWorkersCandidate = candidate;
+        }
+        return runnableWorkers;
     }
 
-    private int taskCountOn(Candidate candidate, WorkerNode node) {
-        return taskCountsByStep.getOrDefault(candidate.key(), Map.of()).getOrDefault(node.id(), 0);
+    /** Returns how many tasks of the step are charged to {@code node}, those of this pass too. */
+    private long taskCountOn(Candidate candidate, WorkerNode node) {
+        long charged =
+                node.charges().keySet().stream()
+                        .filter(t -> t.stepKey().equals(candidate.key()))
+                        .count();
+        return charged
+                + newTasksByStep.getOrDefault(candidate.key(), Map.of()).getOrDefault(node.id(), 0);
     }
 
     /**
@@ -301,7 +327,7 @@
         freeByWorker.merge(worker, size, Resources::minus);
         usageByTeam.merge(candidate.job().team(), size, Resources::plus);
         allocatedByService.merge(candidate.queue().service(), size, Resources::plus);
-        taskCountsByStep
+        newTasksByStep
                 .computeIfAbsent(candidate.key(), k -> new HashMap<>())
                 .merge(worker, sign, Integer::sum);
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -19,7 +19,11 @@
             StepDefinition definition,
             StepProgress progress,
             Queue queue,
-            Urgency.Rank rank) {
+            Urgency.Standing standing) {
+        Urgency.Rank rank() {
+            return standing.rank();
+        }
+
         /**
          * Returns the estimated CPU time of the waiting tasks, in millicores times milliseconds.
          */
@@ -30,6 +34,9 @@
         }
     }
 
+    /** Time after which a step that has asked about all workers looks for new ones. */
+    private static final long CHOICE_RETRY_MILLIS = 500;
+
     private Placement() {}
 
     static WorkflowTransition run(WorkflowState state) {
@@ -57,9 +64,9 @@
             for (int i = 0; i < steps.size(); i++) {
                 StepKey key = new StepKey(job.id(), occurrence, i);
                 if (steps.get(i).hasWaiting() && job.areDependenciesDone(key)) {
-                    Urgency.Rank rank = Urgency.rank(job, steps, queue, now);
+                    Urgency.Standing standing = Urgency.standing(job, steps, queue, now);
                     candidates.add(
-                            new Candidate(key, job, job.step(key), steps.get(i), queue, rank));
+                            new Candidate(key, job, job.step(key), steps.get(i), queue, standing));
                 }
             }
         }
@@ -101,7 +108,8 @@
     /** Asks the advice service about workers that it was not asked about yet, if there are any. */
     private static WorkflowState requestAdvice(
             WorkflowState state, Candidate candidate, PassCapacity capacity) {
-        if (candidate.progress().advice().choicePending()) {
+        StepProgress.AdviceState advice = candidate.progress().advice();
+        if (advice.choicePending() || state.now() < advice.nextChoiceAt()) {
             return state;
         }
         double yield = state.adviceRequests().yields().fraction(candidate.queue().name());
@@ -109,10 +117,21 @@
                 AdviceCandidates.select(
                         candidate, capacity.workersWithoutAdvice(candidate), capacity, yield);
         return workers.isEmpty()
-                ? state
+                ? withoutChoiceFor(state, candidate.key(), CHOICE_RETRY_MILLIS)
                 : AdviceDispatcher.requestAdvice(state, candidate, workers);
     }
 
+    /** Returns a copy in which the step asks for no further workers for {@code millis}. */
+    private static WorkflowState withoutChoiceFor(WorkflowState state, StepKey key, long millis) {
+        Job job = state.jobs().get(key.job());
+        StepProgress progress = job.progress(key);
+        return state.with(
+                job.with(
+                        key,
+                        progress.withAdvice(
+                                progress.advice().withNextChoiceAt(state.now() + millis))));
+    }
+
     private static WorkflowTransition placeTasks(
             WorkflowState state, Candidate candidate, PassCapacity capacity) {
         WorkflowState next = state;
--- a/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
@@ -33,6 +33,8 @@
      *
      * @param choicePending whether a request that names further workers is queued or in flight
      * @param renewalPending whether a request that renews tickets is queued or in flight
+     * @param nextChoiceAt the earliest time of the next request that names further workers, in
+     *     milliseconds of the monotonic clock
      * @param received whether at least one request has been answered
      * @param requestedWorkers the workers that were named in answered requests
      * @param tickets the newest ticket of each worker that may run the step
@@ -40,12 +42,13 @@
     public record AdviceState(
             boolean choicePending,
             boolean renewalPending,
+            long nextChoiceAt,
             boolean received,
             PSet<String> requestedWorkers,
             PMap<String, Ticket> tickets) {
         /** No advice has been requested yet. */
         public static final AdviceState NONE =
-                new AdviceState(false, false, false, HashTreePSet.empty(), HashTreePMap.empty());
+                new AdviceState(false, false, 0, false, HashTreePSet.empty(), HashTreePMap.empty());
 
         /** Returns a copy with a pending request. */
         public AdviceState withPendingRequest(Purpose purpose) {
@@ -57,11 +60,18 @@
             return new AdviceState(
                     isRenewal ? choicePending : pending,
                     isRenewal ? pending : renewalPending,
+                    nextChoiceAt,
                     received,
                     requestedWorkers,
                     tickets);
         }
 
+        /** Returns a copy that names no further workers before {@code at}. */
+        public AdviceState withNextChoiceAt(long at) {
+            return new AdviceState(
+                    choicePending, renewalPending, at, received, requestedWorkers, tickets);
+        }
+
         /** Returns a copy after a request failed. */
         public AdviceState withFailedRequest(Purpose purpose) {
             return withPending(purpose, false);
@@ -80,6 +90,7 @@
             return new AdviceState(
                     answered.choicePending,
                     answered.renewalPending,
+                    nextChoiceAt,
                     true,
                     requestedWorkers.plusAll(workers),
                     tickets.minusAll(workers).plusAll(newTickets));
@@ -96,6 +107,7 @@
                     : new AdviceState(
                             choicePending,
                             renewalPending,
+                            nextChoiceAt,
                             received,
                             requestedWorkers,
                             tickets.plus(worker, new Ticket(ticket.token(), 0)));
--- a/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
@@ -105,7 +105,16 @@
                 HashTreePSet.from(workers.keySet()),
                 silent.workers(),
                 unremovedJobs,
-                HashTreePSet.from(finished.values().stream().map(FinishedJob::bucket).toList()));
+                buckets(finished));
+    }
+
+    private static PMap<Long, PMap<String, FinishedJob>> buckets(
+            PMap<String, FinishedJob> finished) {
+        PMap<Long, PMap<String, FinishedJob>> buckets = HashTreePMap.empty();
+        for (FinishedJob job : finished.values()) {
+            buckets = CommitWriter.withFinishedJob(buckets, job);
+        }
+        return buckets;
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -73,19 +73,29 @@
     }
 
     /**
-     * Returns the rank of the occurrence of {@code job} whose steps have the progress {@code
+     * How urgent a step is.
+     *
+     * @param rank its rank
+     * @param slackMillis how long the step can wait without making its job late, negative if the
+     *     job is late already
+     */
+    record Standing(Rank rank, double slackMillis) {}
+
+    /**
+     * Returns the urgency of the occurrence of {@code job} whose steps have the progress {@code
      * steps}.
      */
-    static Rank rank(Job job, List<StepProgress> steps, Queue queue, long now) {
+    static Standing standing(Job job, List<StepProgress> steps, Queue queue, long now) {
         double objectiveMillis = objectiveMillis(job.definition(), queue);
         double completionMillis = now - job.acceptedAt() + remainingMillis(job, steps, queue, now);
+        double slackMillis = objectiveMillis - completionMillis;
         if (completionMillis > MAX_OBJECTIVE_FACTOR * objectiveMillis) {
-            return Rank.TOO_LATE;
+            return new Standing(Rank.TOO_LATE, slackMillis);
         }
         if (!job.acceptance().withinShare()) {
-            return Rank.OVER_SHARE;
+            return new Standing(Rank.OVER_SHARE, slackMillis);
         }
-        return completionMillis <= objectiveMillis ? Rank.ON_TIME : Rank.LATE;
+        return new Standing(slackMillis >= 0 ? Rank.ON_TIME : Rank.LATE, slackMillis);
     }
 
     /** Returns the shortest time in which the remaining steps can complete, in milliseconds. */
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -15,6 +15,9 @@
      */
     private static final long MAX_TICK_GAP_MILLIS = 700;
 
+    /** Minimum time between two checks of all workers. */
+    private static final long FLEET_CHECK_INTERVAL_MILLIS = 80;
+
     private WorkflowReducer() {}
 
     /** Returns the state after {@code event} and the effects to carry out. */
@@ -73,14 +76,28 @@
             return result;
         }
         return result.then(Schedules::makeOccurrencesDue)
-                .then(Fleet::checkExpiredLeases)
-                .then(SilentWorkers::updateRecord)
-                .then(WorkerCommands::retryStops)
+                .then(WorkflowReducer::checkFleetIfDue)
                 .then(CallHandler::rejectUnsent)
                 .then(CommitWriter::forgetOldJobs)
                 .then(WorkflowReducer::placeIfDue);
     }
 
+    /**
+     * Checks the leases and commands of all workers if that is due. Placement makes ticks frequent,
+     * and a check examines all runs.
+     */
+    private static WorkflowTransition checkFleetIfDue(WorkflowState state) {
+        if (state.now() - state.lastFleetCheckAt() < FLEET_CHECK_INTERVAL_MILLIS) {
+            return WorkflowTransition.of(state);
+        }
+        return WorkflowTransition.of(state.withFleetChecked())
+                .then(Fleet::checkExpiredLeases)
+                .then(SilentWorkers::updateRecord)
+                .then(WorkerCommands::retryStops)
+                .then(CommitWriter::acknowledgeAllIfIdle)
+                .then(Fleet::renewDueLeases);
+    }
+
     /**
      * Runs a placement pass if one is due. A pass examines all jobs, so passes run only in ticks,
      * whose rate the control loop limits.
@@ -134,7 +151,6 @@
                     CommitWriter.sendIfDue(state)
                             .then(s -> CommitWriter.acknowledgeIfIdle(s, e.worker()))
                             .then(s -> Fleet.renewLeaseIfDue(s, e.worker()));
-            case Tick e -> afterFleetEvent(state);
             case WorkflowEvent.CommitCompleted e -> afterFleetEvent(state);
             case WorkflowEvent.WorkersListed e -> afterFleetEvent(state);
             case WorkflowEvent.ClaimCompleted e -> afterFleetEvent(state);
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -27,6 +27,7 @@
  * @param placementDue whether a placement pass is due, because something on which placement depends
  *     has changed
  * @param lastPlacementAt when the last placement pass ran
+ * @param lastFleetCheckAt when the leases and commands of all workers were last checked
  */
 public record WorkflowState(
         long now,
@@ -44,7 +45,8 @@
         TeamTokenBuckets teamBuckets,
         ServiceBacklogs backlogs,
         boolean placementDue,
-        long lastPlacementAt) {
+        long lastPlacementAt,
+        long lastFleetCheckAt) {
     /** Returns the state of an entry that has just started. */
     public static WorkflowState initial(String entry, int processorMillicores) {
         return new WorkflowState(
@@ -63,6 +65,7 @@
                 TeamTokenBuckets.NONE,
                 ServiceBacklogs.NONE,
                 false,
+                0,
                 0);
     }
 
@@ -226,6 +229,13 @@
         return next.build();
     }
 
+    /** Returns a copy in which all workers were checked now. */
+    public WorkflowState withFleetChecked() {
+        Builder next = new Builder(this);
+        next.lastFleetCheckAt = now;
+        return next.build();
+    }
+
     /**
      * Returns a copy in which {@code job} is marked as changed, so that the next commit writes it.
      */
@@ -251,6 +261,7 @@
         private ServiceBacklogs backlogs;
         private boolean placementDue;
         private long lastPlacementAt;
+        private long lastFleetCheckAt;
 
         Builder(WorkflowState from) {
             this.now = from.now();
@@ -269,6 +280,7 @@
             this.backlogs = from.backlogs();
             this.placementDue = from.placementDue();
             this.lastPlacementAt = from.lastPlacementAt();
+            this.lastFleetCheckAt = from.lastFleetCheckAt();
         }
 
         WorkflowState build() {
@@ -288,7 +300,8 @@
                     teamBuckets,
                     backlogs,
                     placementDue,
-                    lastPlacementAt);
+                    lastPlacementAt,
+                    lastFleetCheckAt);
         }
     }
 }
