Give every effect an outcome, also after an unexpected error

Cause: a watch thread ended at the first unchecked exception, so an entry went on with an old configuration or worker list until its next start. An effect that threw had no outcome: the claim or the commit then stayed in flight for good, and a leader with a commit in flight refuses every job. Errors of linkage and stack overflows ended the control thread, and memory errors left a process without some of its threads.

--- a/entry/src/main/java/org/jujubefork/entry/control/ReducerLoop.java
+++ b/entry/src/main/java/org/jujubefork/entry/control/ReducerLoop.java
@@ -213,7 +213,7 @@
             ReducerResult<S, F> result = setup.reducer().apply(state, event);
             state = result.state();
             result.effects().forEach(this::execute);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | LinkageError | StackOverflowError e) {
             // The state remains unchanged; one event that cannot be applied must not stop the loop.
             log.errorf(e, "event=control-failure input=%s", event.getClass().getSimpleName());
         }
@@ -222,7 +222,7 @@
     private void execute(F effect) {
         try {
             effectExecutor.accept(effect);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | LinkageError | StackOverflowError e) {
             // The other effects are still executed, because the new state assumes all of them.
             log.errorf(e, "event=effect-failure effect=%s", effect.getClass().getSimpleName());
         }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -208,16 +208,13 @@
                     failing = false;
                     setup.logWriter().write(LogEvent.of("dependency-regained", dependency));
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
+                // An unexpected value from a dependency must not end the loop: without its watch
+                // an entry would go on with old data until it is restarted.
                 if (!failing) {
                     failing = true;
                     setup.logWriter()
-                            .write(
-                                    LogEvent.of(
-                                            "dependency-lost",
-                                            dependency,
-                                            "reason",
-                                            e.getMessage()));
+                            .write(LogEvent.of("dependency-lost", dependency, "reason", e));
                 }
                 pause(FAILURE_RETRY_DELAY);
             } catch (InterruptedException e) {
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
@@ -5,13 +5,18 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.jboss.logging.Logger;
 import org.jujubefork.config.settings.HostPort;
 import org.jujubefork.core.workflow.WorkflowEffect;
 import org.jujubefork.core.workflow.WorkflowEvent;
+import org.jujubefork.core.workflow.WorkflowEvent.CommandOutcome;
 import org.jujubefork.entry.control.Clock;
 
 /** Executes the effects of the reducer. Effects that block run on virtual threads. */
 final class WorkflowEffectExecutor implements Consumer<WorkflowEffect> {
+    private static final Logger log = Logger.getLogger(WorkflowEffectExecutor.class);
+
     /** Delay before a failed write is reported to the reducer, which then retries the write. */
     private static final Duration COMMIT_RETRY_DELAY = Duration.ofMillis(100);
 
@@ -60,12 +65,20 @@
                     runAsync(
                             () ->
                                     postCommandOutcome(
-                                            e.command(), e.fence(), context.workers().start(e)));
+                                            e.command(),
+                                            e.fence(),
+                                            resultOf(
+                                                    () -> context.workers().start(e),
+                                                    CommandOutcome.UNKNOWN)));
             case WorkflowEffect.Stop e ->
                     runAsync(
                             () ->
                                     postCommandOutcome(
-                                            e.command(), e.fence(), context.workers().stop(e)));
+                                            e.command(),
+                                            e.fence(),
+                                            resultOf(
+                                                    () -> context.workers().stop(e),
+                                                    CommandOutcome.UNKNOWN)));
             case WorkflowEffect.RequestAdvice e -> requestAdvice(e);
         }
     }
@@ -87,15 +100,37 @@
         leaderListener.accept(change);
     }
 
+    /**
+     * Returns the result of {@code call}, or {@code unknownResult} if it throws. The reducer waits
+     * for the outcome of each effect, so an unexpected error must have one as well.
+     */
+    private static <T> T resultOf(Supplier<T> call, T unknownResult) {
+        try {
+            return call.get();
+        } catch (RuntimeException e) {
+            log.errorf(e, "event=effect-error outcome=%s", unknownResult);
+            return unknownResult;
+        }
+    }
+
     private void claimLeadership(WorkflowEffect.Claim claim) {
         WorkflowEvent.ClaimResult result =
-                context.store()
-                        .claimLeadership(claim, context.entry(), context.address().toString());
+                resultOf(
+                        () ->
+                                context.store()
+                                        .claimLeadership(
+                                                claim,
+                                                context.entry(),
+                                                context.address().toString()),
+                        new WorkflowEvent.ClaimResult.NotWon());
         context.events().accept(new WorkflowEvent.ClaimCompleted(now(), result));
     }
 
     private void commit(WorkflowEffect.Commit commit) {
-        WorkflowEvent.CommitResult result = context.store().commit(commit);
+        WorkflowEvent.CommitResult result =
+                resultOf(
+                        () -> context.store().commit(commit),
+                        new WorkflowEvent.CommitResult.Retry());
         if (result instanceof WorkflowEvent.CommitResult.Retry) {
             try {
                 Thread.sleep(COMMIT_RETRY_DELAY);
@@ -111,7 +146,10 @@
 
     private void renewLease(WorkflowEffect.RenewLease renewal) {
         long sentAt = now();
-        WorkerApi.LeaseRenewalResult result = context.workers().renewLease(renewal);
+        WorkerApi.LeaseRenewalResult result =
+                resultOf(
+                        () -> context.workers().renewLease(renewal),
+                        new WorkerApi.LeaseRenewalResult(CommandOutcome.UNKNOWN, Optional.empty()));
         String worker = renewal.worker().id();
         context.events()
                 .accept(
@@ -127,7 +165,7 @@
     }
 
     private void postCommandOutcome(
-            WorkflowEvent.WorkerCommand command, long fence, WorkflowEvent.CommandOutcome outcome) {
+            WorkflowEvent.WorkerCommand command, long fence, CommandOutcome outcome) {
         context.events().accept(new WorkflowEvent.CommandCompleted(now(), fence, command, outcome));
     }
 
@@ -138,11 +176,15 @@
                     () ->
                             postAdvice(
                                     request,
-                                    context.adviceClient()
-                                            .requestTickets(
-                                                    request.step(),
-                                                    request.workers(),
-                                                    Duration.ofMillis(timeoutMillis))));
+                                    resultOf(
+                                            () ->
+                                                    context.adviceClient()
+                                                            .requestTickets(
+                                                                    request.step(),
+                                                                    request.workers(),
+                                                                    Duration.ofMillis(
+                                                                            timeoutMillis)),
+                                            Optional.empty())));
             return;
         }
         boolean wasSent = context.peerConnections().requestAdvice(request, timeoutMillis);
