Replace a leader without the store sooner, and refuse calls without a leader in time

Followers waited for their next answer, and six of them claimed within 8 ms when the end of the leader's lease answered all watches at once. A call without a leader was held for 1.8 s of its 3 s.

Change: the store counts as reachable for 2.4 s; a leader reports that it has lost the store after 1 s (1.2 s) and is replaced after 0.3 s (0.4 s). A call waits for a leader for at most 45% of its time limit; one that a lost leader may have taken gets its final answer after the same wait.

Tests: SuccessionTest.leaderWithoutStoreIsReplacedBetweenTwoContactsWithTheStore fails with the limit of 1.4 s. WorkflowDaemonTest.callIsRefusedInTimeWithoutLeader.

--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -23,13 +23,15 @@
      * How long the leader must report that it cannot reach the store before another entry replaces
      * it.
      */
-    private static final long LEADER_WITHOUT_STORE_TIMEOUT_MILLIS = 400;
+    private static final long LEADER_WITHOUT_STORE_TIMEOUT_MILLIS = 300;
 
     /**
      * Maximum time since this entry's last contact with the store at which it considers the store
+     * reachable. A watch call holds back its answer for a second, and the next contact counts from
+     * the time when that call was sent, so the age reaches two seconds while the store is
      * reachable.
      */
-    private static final long MAX_STORE_CONTACT_AGE_MILLIS = 1_400;
+    private static final long MAX_STORE_CONTACT_AGE_MILLIS = 2_400;
 
     /**
      * Minimum time between two claims of one entry; a jitter derived from the entry's name is
--- a/core/src/test/java/org/jujubefork/core/workflow/SuccessionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SuccessionTest.java
@@ -87,6 +87,26 @@
         assertTrue(delay >= 300 && delay <= 500, "claims after " + delay + " ms");
     }
 
+    /**
+     * Guards against followers that wait for their next contact with the store before they replace
+     * a leader that has lost it: the contact is up to two seconds old while the store answers all
+     * watch calls, and then all followers would claim at the same moment.
+     */
+    @Test
+    public void leaderWithoutStoreIsReplacedBetweenTwoContactsWithTheStore() {
+        follow(LARGE_MILLICORES, 0);
+        long lostAt = 2_500;
+        long now = lostAt;
+        while (!claimed && now < lostAt + 400) {
+            post(
+                    new WorkflowEvent.LeaderSignalReceived(
+                            now, LEADER, LeaderSignal.HEARTBEAT_WITHOUT_STORE));
+            post(new WorkflowEvent.Tick(now, now));
+            now += 50;
+        }
+        assertTrue(claimed, "no claim within 400 ms; the last contact is 1.9 s old");
+    }
+
     /** Guards against a position that an earlier leader has announced. */
     @Test
     public void positionEndsWithTheTermOfTheLeader() {
--- a/entry/src/main/java/org/jujubefork/entry/workflow/CallGateway.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/CallGateway.java
@@ -24,6 +24,12 @@
      */
     private static final long MAX_LEADER_WAIT_MILLIS = 1_800;
 
+    /**
+     * Part of a call's time limit that it may wait for a leader. A caller that is rejected before
+     * half of its time has passed can still be served at another attempt.
+     */
+    private static final double MAX_LEADER_WAIT_FRACTION = 0.45;
+
     /** Interval between attempts to send the call to a leader. */
     private static final long RETRY_INTERVAL_MILLIS = 25;
 
@@ -60,17 +66,23 @@
     }
 
     /**
-     * Sends {@code call} to the leader and waits for the answer.
+     * Sends {@code call} to the leader and waits for the answer. Gives up sooner if there is no
+     * leader.
      *
      * @param timeoutMillis how long to wait for the answer
      */
     public Outcome call(Call call, long timeoutMillis) throws InterruptedException {
         long startedAt = clock.millis();
+        long leaderWaitMillis =
+                Math.min(
+                        MAX_LEADER_WAIT_MILLIS,
+                        Math.round(MAX_LEADER_WAIT_FRACTION * timeoutMillis));
+        long withoutLeaderSince = startedAt;
         boolean mayHaveRun = false;
         while (true) {
-            long elapsedMillis = clock.millis() - startedAt;
-            if (elapsedMillis >= timeoutMillis
-                    || (!mayHaveRun && elapsedMillis >= MAX_LEADER_WAIT_MILLIS)) {
+            long now = clock.millis();
+            long elapsedMillis = now - startedAt;
+            if (elapsedMillis >= timeoutMillis || now - withoutLeaderSince >= leaderWaitMillis) {
                 return mayHaveRun ? new Outcome.Unknown() : new Outcome.NotRun();
             }
             Optional<CompletableFuture<Reply>> pendingReply = send(call);
@@ -83,7 +95,10 @@
                 return new Outcome.Answered(reply.get());
             }
             boolean wasDenied = reply.map(r -> r instanceof Reply.NotLeading).orElse(false);
-            mayHaveRun |= pendingReply.isPresent() && !wasDenied;
+            if (pendingReply.isPresent() && !wasDenied) {
+                mayHaveRun = true;
+                withoutLeaderSince = clock.millis();
+            }
             Thread.sleep(RETRY_INTERVAL_MILLIS);
         }
     }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
@@ -44,7 +44,7 @@
     private static final int RECONNECT_DELAY_MILLIS = 80;
 
     /** A leader whose last contact with the store is older counts as having lost the store. */
-    private static final long MAX_STORE_CONTACT_AGE_MILLIS = 1_200;
+    private static final long MAX_STORE_CONTACT_AGE_MILLIS = 1_000;
 
     /**
      * Delay before the connection to a replaced leader is closed, so that queued messages are sent.
--- a/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
@@ -65,7 +65,7 @@
     }
 
     /** A store in memory for one entry. */
-    private static final class Store implements WorkflowStore {
+    private static class Store implements WorkflowStore {
         private final FirstCallFails failures;
         private final AtomicLong revision = new AtomicLong(1);
         private volatile Optional<LeaderRecord> leader = Optional.empty();
@@ -233,6 +233,57 @@
         }
     }
 
+    private static WorkflowDaemon start(
+            WorkflowStore store, WorkerApi workers, AdviceClient advice, LogEventWriter logWriter)
+            throws IOException {
+        return WorkflowDaemon.start(
+                new WorkflowDaemon.Setup(
+                        "e",
+                        1_000,
+                        freeAddress(),
+                        Clock.SYSTEM,
+                        store,
+                        workers,
+                        advice,
+                        logWriter));
+    }
+
+    private static PrintStream noOutput() {
+        return new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Guards against a call that is held until its time limit although no leader can take it, so
+     * that its caller has no time for another attempt.
+     */
+    @Test
+    public void callIsRefusedInTimeWithoutLeader() throws Exception {
+        FirstCallFails failures = new FirstCallFails();
+        WorkflowStore store =
+                new Store(failures) {
+                    @Override
+                    public ClaimResult claimLeadership(
+                            WorkflowEffect.Claim claim, String entry, String address) {
+                        return new ClaimResult.NotWon();
+                    }
+                };
+        try (LogEventWriter logWriter = LogEventWriter.start(noOutput(), e -> {});
+                WorkflowDaemon daemon =
+                        start(
+                                store,
+                                new Worker(failures),
+                                (s, w, t) -> Optional.empty(),
+                                logWriter)) {
+            long timeLimitMillis = 2_000;
+            long startedAt = Clock.SYSTEM.millis();
+            CallGateway.Outcome outcome =
+                    daemon.gateway().call(new Call.Submit(QUEUE, "", JOB, job()), timeLimitMillis);
+            long heldMillis = Clock.SYSTEM.millis() - startedAt;
+            assertEquals(outcome, new CallGateway.Outcome.NotRun());
+            assertTrue(heldMillis < timeLimitMillis / 2, "held for " + heldMillis + " ms");
+        }
+    }
+
     @Test
     public void entryOutlivesUnexpectedErrors() throws Exception {
         FirstCallFails failures = new FirstCallFails();
@@ -242,20 +293,8 @@
                     failures.check("advice");
                     return Optional.of(Map.of("w", "ticket"));
                 };
-        PrintStream output =
-                new PrintStream(OutputStream.nullOutputStream(), false, StandardCharsets.UTF_8);
-        try (LogEventWriter logWriter = LogEventWriter.start(output, e -> {});
-                WorkflowDaemon daemon =
-                        WorkflowDaemon.start(
-                                new WorkflowDaemon.Setup(
-                                        "e",
-                                        1_000,
-                                        freeAddress(),
-                                        Clock.SYSTEM,
-                                        new Store(failures),
-                                        worker,
-                                        advice,
-                                        logWriter))) {
+        try (LogEventWriter logWriter = LogEventWriter.start(noOutput(), e -> {});
+                WorkflowDaemon daemon = start(new Store(failures), worker, advice, logWriter)) {
             long deadline = Clock.SYSTEM.millis() + START_TIMEOUT_MILLIS;
             CallGateway.Outcome outcome = new CallGateway.Outcome.NotRun();
             while (outcome instanceof CallGateway.Outcome.NotRun
