--- a/standins/src/test/java/org/jujubefork/standins/platform/PlatformCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/platform/PlatformCell.java
@@ -96,7 +96,8 @@
         Files.writeString(
                 settings,
                 """
-                {"name": "%s", "zone": "z", "callers": "127.0.0.1:%d", "readiness": "127.0.0.1:%d",
+                {"name": "%s", "zone": "z", "cores": 1, "coreShare": 0.75,
+                 "callers": "127.0.0.1:%d", "readiness": "127.0.0.1:%d",
                  "peers": "127.0.0.1:%d", "store": "%s", "advice": "%s",
                  "leaderLeaseMillis": 1000, "graceSeconds": 4, "revocationMillis": 5000}
                 """
