--- a/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
@@ -8,9 +8,10 @@
 /**
  * The workers that have stopped answering the leader, with all runs that may be active on them.
  *
- * <p>The leader keeps this record in the store and starts nothing on a recorded worker until a
- * commit has removed it. A new leader therefore knows the runs of these workers without reaching
- * them, and work that does not run there need not wait until their leases expire.
+ * <p>The leader keeps this record in the store and assigns nothing to a recorded worker until a
+ * commit has removed it; tasks that were assigned before are in the record. A new leader therefore
+ * knows the runs of these workers without reaching them, and work that does not run there need not
+ * wait until their leases expire.
  *
  * @param term the term of the leader that wrote the record; a record of any other than the previous
  *     term may be incomplete
