Make the stand-ins of the review stricter and run the cases again

Cause: a cut worker closed its open calls instead of staying silent, and the configuration without the queue had no route at all; an entry whose port was taken made a case unable to run.

--- a/review/standins/src/review/Platform.java
+++ b/review/standins/src/review/Platform.java
@@ -21,7 +21,7 @@
 final class Platform implements AutoCloseable {
     static final String KEY = "key-of-the-tenant";
 
-    private static final long HEARTBEAT_MILLIS = 1_500;
+    private static final int START_ATTEMPTS = 4;
 
     /** One start of a task on a worker. */
     record Start(long atMillis, String worker, String task, long run) {}
@@ -73,35 +73,58 @@
             entries.add(
                     EntryProcess.start(i, directory, store.address(), advice.addressFor(i)));
         }
-        for (EntryProcess entry : entries) {
-            await("readiness of entry " + entry.number, 30_000, () -> isReady(entry));
+        for (int i = 0; i < entryCount; i++) {
+            awaitReady(i);
         }
         await("a leader", 20_000, () -> leader() != null);
         // The leader reaches the workers, and writes them to the store.
         Thread.sleep(2_000);
     }
 
-    /** Returns a configuration with the queue of the jobs. */
+    /** Waits for an entry, and starts it again if another process has taken one of its ports. */
+    private void awaitReady(int index) throws Exception {
+        for (int attempt = 0; attempt < START_ATTEMPTS; attempt++) {
+            EntryProcess entry = entries.get(index);
+            await("start of entry " + index, 30_000, () -> isReady(entry) || !entry.isAlive());
+            if (entry.isAlive()) {
+                return;
+            }
+            record.add("entry %d has ended before it was ready", index);
+            entries.set(
+                    index,
+                    EntryProcess.start(
+                            index, directory, store.address(), advice.addressFor(index)));
+        }
+        throw new CannotRun("entry " + index + " does not start");
+    }
+
+    /** Returns a configuration with the queue of the jobs and another one. */
     String configuration(long version) {
-        return String.format(
-                        "{\"version\":%d,\"routes\":[{\"name\":\"r-q\",\"host\":\"127.0.0.1\","
-                            + "\"prefix\":\"/q/\",\"route_type\":\"unsafe\",\"timeout_ms\":3000,"
-                            + "\"target_latency_ms\":3000,\"priority\":1,\"service\":\"svc\","
-                            + "\"attempts\":3,\"stretch\":4.0,%s\"public\":false}],"
-                            + "\"services\":[{\"name\":\"svc\",\"enforces_capacity\":false}],"
-                            + "\"limits\":{\"max_body_bytes\":262144},\"tenants\":[{\"name\":\"t\","
-                            + "\"api_keys\":[\"%s\"],\"priority\":1,\"weight\":100,"
-                            + "\"cap\":{\"cpu\":%d,\"mem_mb\":0,\"gpu\":0}}]}",
-                        version,
-                        adviceField(timing),
-                        KEY,
-                        capMillicores);
+        return configuration(version, route("r-q", "/q/") + "," + route("r-other", "/other/"));
     }
 
     /** Returns a configuration in which the queue of the jobs is missing. */
     String configurationWithoutQueue(long version) {
-        String full = configuration(version);
-        return full.replaceFirst("\"routes\":\\[.*\\],\"services\"", "\"routes\":[],\"services\"");
+        return configuration(version, route("r-other", "/other/"));
+    }
+
+    private String configuration(long version, String routes) {
+        return String.format(
+                "{\"version\":%d,\"routes\":[%s],"
+                        + "\"services\":[{\"name\":\"svc\",\"enforces_capacity\":false}],"
+                        + "\"limits\":{\"max_body_bytes\":262144},\"tenants\":[{\"name\":\"t\","
+                        + "\"api_keys\":[\"%s\"],\"priority\":1,\"weight\":100,"
+                        + "\"cap\":{\"cpu\":%d,\"mem_mb\":0,\"gpu\":0}}]}",
+                version, routes, KEY, capMillicores);
+    }
+
+    private String route(String name, String prefix) {
+        return String.format(
+                "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"prefix\":\"%s\","
+                        + "\"route_type\":\"unsafe\",\"timeout_ms\":3000,"
+                        + "\"target_latency_ms\":3000,\"priority\":1,\"service\":\"svc\","
+                        + "\"attempts\":3,\"stretch\":4.0,%s\"public\":false}",
+                name, prefix, adviceField(timing));
     }
 
     private static String adviceField(AdviceStandin.Timing timing) {
@@ -239,20 +262,6 @@
                 count, millicores, estimateMillis);
     }
 
-    /** A worker is gone: the store drops its entry after three heartbeat intervals of silence. */
-    void dropEntryLater(WorkerStandin worker) {
-        Thread.ofVirtual()
-                .start(
-                        () -> {
-                            try {
-                                Thread.sleep(3 * HEARTBEAT_MILLIS);
-                                store.remove("servers/" + worker.id);
-                            } catch (InterruptedException e) {
-                                Thread.currentThread().interrupt();
-                            }
-                        });
-    }
-
     /** Returns how many tasks of {@code job} are at work. */
     long runningOf(String job) {
         return running.keySet().stream().filter(t -> t.startsWith(job)).count();
--- a/review/standins/src/review/WorkerStandin.java
+++ b/review/standins/src/review/WorkerStandin.java
@@ -13,8 +13,7 @@
 
 /**
  * A worker that doesn't guard its room. The spec of a task names the milliseconds that it runs; a
- * negative number means that it then fails, 0 that it runs until it is stopped, and a Unix time
- * when it ends.
+ * negative number means that it then fails, and a Unix time when it ends.
  */
 final class WorkerStandin implements AutoCloseable {
     static final long HOLD_MAX_MILLIS = 10_000;
@@ -88,18 +87,6 @@
         unhealthy = isUnhealthy;
     }
 
-    /** The worker is lost for good: all that runs is gone, and its port refuses connections. */
-    void crash() {
-        synchronized (this) {
-            closedDown = true;
-            for (String task : List.copyOf(runs.keySet())) {
-                listener.ended(this, task, runs.remove(task).run(), "lost with its worker");
-            }
-            notifyAll();
-        }
-        server.close();
-    }
-
     private void watchRuns() {
         try {
             while (true) {
@@ -158,11 +145,11 @@
                     case "/api/run-stop" -> stop(body);
                     default -> Answer.of(404);
                 };
+        boolean isLost = cut;
         while (cut && !closedDown) {
             wait(100);
-            return Answer.of(0);
         }
-        return closedDown ? Answer.of(0) : answer;
+        return isLost || closedDown ? Answer.of(0) : answer;
     }
 
     private Answer answer(int status) {
@@ -235,8 +222,6 @@
         long endsAt = clock() + Math.abs(millis);
         if (millis > born) {
             endsAt = millis - born;
-        } else if (millis == 0) {
-            endsAt = Long.MAX_VALUE;
         }
         runs.put(task, new Run(run, endsAt, millis < 0 ? "failed" : "done"));
         listener.started(this, task, run);
