Start assigned tasks that could not start when their ticket arrived

Cause: Placement.startAssigned does nothing when the queue is missing or the leadership is not confirmed, and is called only at an assignment and at an answer of the advice service; a step without waiting tasks is no candidate of a later pass. Ruled out: a lost answer of the advice service, and a configuration that was not in force. Change: StepProgress counts its assigned tasks, and each placement pass starts those that may start. A step without a queue, and a gang that lacks a member, give their capacity back; the latter started in part before, and its members ran alone. All tests of core pass.

--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -40,8 +40,17 @@
     private Placement() {}
 
     static WorkflowTransition run(WorkflowState state) {
+        WorkflowTransition result = startAllAssigned(state);
+        List<Candidate> candidates = candidates(result.state());
+        PassCapacity capacity = PassCapacity.of(result.state());
+        for (Candidate candidate : candidates) {
+            result = result.then(s -> place(s, candidate, capacity));
+        }
+        return result.withState(result.state().with(capacity.backlogs()));
+    }
+
+    private static List<Candidate> candidates(WorkflowState state) {
         boolean recovered = Fleet.isRecovered(state);
-        WorkflowTransition result = WorkflowTransition.of(state);
         List<Candidate> candidates = new ArrayList<>();
         for (Job job : state.jobs().values()) {
             boolean runsKnown = job.term() == state.term() || recovered;
@@ -51,11 +60,28 @@
             }
         }
         candidates.sort(Urgency.byUrgency());
-        PassCapacity capacity = PassCapacity.of(state);
-        for (Candidate candidate : candidates) {
-            result = result.then(s -> place(s, candidate, capacity));
+        return candidates;
+    }
+
+    /**
+     * Starts the assigned tasks of all steps that could not start when they were assigned or when
+     * their tickets were renewed. Nothing else considers such a step again, because it has no
+     * waiting tasks.
+     */
+    private static WorkflowTransition startAllAssigned(WorkflowState state) {
+        WorkflowTransition result = WorkflowTransition.of(state);
+        for (Job job : state.jobs().values()) {
+            for (int occurrence : job.occurrences().keySet()) {
+                List<StepProgress> steps = job.occurrences().get(occurrence);
+                for (int i = 0; i < steps.size(); i++) {
+                    if (steps.get(i).hasAssigned()) {
+                        StepKey key = new StepKey(job.id(), occurrence, i);
+                        result = result.then(s -> startAssigned(s, key));
+                    }
+                }
+            }
         }
-        return result.withState(result.state().with(capacity.backlogs()));
+        return result;
     }
 
     private static void addCandidates(Job job, Queue queue, long now, List<Candidate> candidates) {
@@ -162,7 +188,7 @@
             WorkflowState state, Candidate candidate, PassCapacity capacity) {
         List<Task> tasks = candidate.progress().tasks();
         if (candidate.progress().waitingCount() < tasks.size()) {
-            return releasePartial(state, candidate);
+            return WorkflowTransition.of(state);
         }
         Optional<List<String>> workers = capacity.allocateAll(candidate, tasks.size());
         if (workers.isEmpty()) {
@@ -179,20 +205,6 @@
         return startAssigned(next, candidate.key());
     }
 
-    /**
-     * Releases the allocated capacity of a gang that can no longer start, because one of its
-     * members has lost its capacity.
-     */
-    private static WorkflowTransition releasePartial(WorkflowState state, Candidate candidate) {
-        WorkflowTransition result = WorkflowTransition.of(state);
-        for (Task task : candidate.progress().tasks()) {
-            if (task.phase() == Task.Phase.ASSIGNED) {
-                return WorkerCommands.abortGang(state, candidate.key(), task.runNumber());
-            }
-        }
-        return result;
-    }
-
     /**
      * Returns the number of the next run. For a job that an earlier leader accepted, it is higher
      * than any number that an earlier leader may have used.
@@ -225,15 +237,21 @@
 
     /**
      * Starts the assigned tasks of {@code key} that have valid tickets or need none, and renews the
-     * tickets of the others. A gang starts only if all of its tickets are valid.
+     * tickets of the others. A gang starts only if all of its tickets are valid. If the step can no
+     * longer start as assigned, because its queue was removed or because a member of the gang has
+     * lost its capacity, its tasks are placed again.
      */
     static WorkflowTransition startAssigned(WorkflowState state, StepKey key) {
         Job job = state.jobs().get(key.job());
-        Optional<Queue> queue = job == null ? Optional.empty() : state.queueOf(job);
-        if (queue.isEmpty() || !job.isActive() || !state.hasConfirmedLeadership()) {
+        if (job == null || !job.isActive() || !state.hasConfirmedLeadership()) {
             return WorkflowTransition.of(state);
         }
+        Optional<Queue> queue = state.queueOf(job);
         StepProgress progress = job.progress(key);
+        boolean isPartialGang = job.step(key).gang() && progress.hasWaiting();
+        if (queue.isEmpty() || isPartialGang) {
+            return unassign(state, key);
+        }
         List<Integer> startableIndexes = new ArrayList<>();
         Set<String> workersToRenew = new HashSet<>();
         for (int i = 0; i < progress.tasks().size(); i++) {
--- a/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
@@ -15,6 +15,7 @@
  *
  * @param tasks its tasks, by index
  * @param waitingCount the number of tasks that wait to be placed
+ * @param assignedCount the number of tasks that have capacity allocated and are not started yet
  * @param doneCount the number of tasks that have completed successfully
  * @param gangFailedRuns the runs of the gang that have failed
  * @param readyAt when the step was first considered for placement with all of its dependencies
@@ -24,6 +25,7 @@
 public record StepProgress(
         PVector<Task> tasks,
         int waitingCount,
+        int assignedCount,
         int doneCount,
         FailedRuns gangFailedRuns,
         long readyAt,
@@ -129,7 +131,7 @@
             tasks = tasks.plus(Task.NEW);
         }
         return new StepProgress(
-                tasks, definition.taskCount(), 0, FailedRuns.NONE, -1, AdviceState.NONE);
+                tasks, definition.taskCount(), 0, 0, FailedRuns.NONE, -1, AdviceState.NONE);
     }
 
     /** Returns whether all tasks have completed successfully. */
@@ -142,12 +144,18 @@
         return waitingCount > 0;
     }
 
+    /** Returns whether at least one task has capacity allocated and is not started yet. */
+    public boolean hasAssigned() {
+        return assignedCount > 0;
+    }
+
     /** Returns a copy with {@code task} at {@code index}. */
     public StepProgress withTask(int index, Task task) {
         Task.Phase previous = tasks.get(index).phase();
         return new StepProgress(
                 tasks.with(index, task),
                 waitingCount + change(previous, task.phase(), Task.Phase.WAITING),
+                assignedCount + change(previous, task.phase(), Task.Phase.ASSIGNED),
                 doneCount + change(previous, task.phase(), Task.Phase.DONE),
                 gangFailedRuns,
                 readyAt,
@@ -161,18 +169,21 @@
 
     /** Returns a copy with {@code other} as the failed runs of the gang. */
     public StepProgress withGangFailedRuns(FailedRuns other) {
-        return new StepProgress(tasks, waitingCount, doneCount, other, readyAt, advice);
+        return new StepProgress(
+                tasks, waitingCount, assignedCount, doneCount, other, readyAt, advice);
     }
 
     /**
      * Returns a copy with {@code at} as {@code readyAt}, in milliseconds of the monotonic clock.
      */
     public StepProgress withReadyAt(long at) {
-        return new StepProgress(tasks, waitingCount, doneCount, gangFailedRuns, at, advice);
+        return new StepProgress(
+                tasks, waitingCount, assignedCount, doneCount, gangFailedRuns, at, advice);
     }
 
     /** Returns a copy with {@code other} as the state of the advice requests. */
     public StepProgress withAdvice(AdviceState other) {
-        return new StepProgress(tasks, waitingCount, doneCount, gangFailedRuns, readyAt, other);
+        return new StepProgress(
+                tasks, waitingCount, assignedCount, doneCount, gangFailedRuns, readyAt, other);
     }
 }
--- a/core/src/test/java/org/jujubefork/core/workflow/AdviceRequestTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdviceRequestTest.java
@@ -105,10 +105,7 @@
     }
 
     private List<WorkflowEffect.RequestAdvice> requests() {
-        return leader.effects.stream()
-                .filter(WorkflowEffect.RequestAdvice.class::isInstance)
-                .map(WorkflowEffect.RequestAdvice.class::cast)
-                .toList();
+        return leader.adviceRequests();
     }
 
     private WorkflowEffect.RequestAdvice lastRequest() {
@@ -228,18 +225,7 @@
         WorkflowEffect.RequestAdvice further = test.lastRequest();
         assertEquals(test.requests().size(), 2);
         // The run is rejected because its ticket has expired, while the further request is open.
-        WorkflowEffect.Start start =
-                test.leader.effects.stream()
-                        .filter(WorkflowEffect.Start.class::isInstance)
-                        .map(WorkflowEffect.Start.class::cast)
-                        .findFirst()
-                        .orElseThrow();
-        test.leader.post(
-                new WorkflowEvent.CommandCompleted(
-                        test.leader.now(),
-                        start.fence(),
-                        start.command(),
-                        CommandOutcome.NO_TICKET));
+        test.leader.completeStart(test.leader.starts().get(0), CommandOutcome.NO_TICKET);
         test.leader.advance(200);
         WorkflowEffect.RequestAdvice renewal = test.lastRequest();
         assertEquals(renewal.workers(), List.of(granted[0]));
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -128,6 +128,12 @@
         }
     }
 
+    /** Advances the time by {@code millis} without an event, as when the process is paused. */
+    void pause(long millis) {
+        now += millis;
+        tick();
+    }
+
     /**
      * Returns when each granted lease expires. The workers' clocks show the same time as the
      * leader's clock.
@@ -251,22 +257,41 @@
                 .toList();
     }
 
+    /** Returns the start commands that were sent. */
+    List<WorkflowEffect.Start> starts() {
+        return effectsOf(WorkflowEffect.Start.class);
+    }
+
+    /** Returns the advice requests that were sent. */
+    List<WorkflowEffect.RequestAdvice> adviceRequests() {
+        return effectsOf(WorkflowEffect.RequestAdvice.class);
+    }
+
+    private <T extends WorkflowEffect> List<T> effectsOf(Class<T> type) {
+        return effects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    /** Answers {@code request} with tickets for all workers that it names. */
+    void grantAdvice(WorkflowEffect.RequestAdvice request) {
+        Map<String, String> tickets = new HashMap<>();
+        request.workers().forEach(w -> tickets.put(w, "ticket-" + w));
+        post(
+                new WorkflowEvent.AdviceCompleted(
+                        now, request.fence(), request.number(), Optional.of(tickets)));
+    }
+
+    /** Reports that the worker has answered {@code start} with {@code outcome}. */
+    void completeStart(WorkflowEffect.Start start, CommandOutcome outcome) {
+        post(new WorkflowEvent.CommandCompleted(now, start.fence(), start.command(), outcome));
+    }
+
     /** Confirms all start commands. */
     void confirmStarts() {
-        for (WorkflowEffect effect : List.copyOf(effects)) {
-            if (effect instanceof WorkflowEffect.Start start) {
-                post(
-                        new WorkflowEvent.CommandCompleted(
-                                now, start.fence(), start.command(), CommandOutcome.OK));
-            }
-        }
+        starts().forEach(s -> completeStart(s, CommandOutcome.OK));
     }
 
     /** Returns the worker of each start command that was sent. */
     List<String> startedWorkers() {
-        return effects.stream()
-                .filter(WorkflowEffect.Start.class::isInstance)
-                .map(e -> ((WorkflowEffect.Start) e).worker().id())
-                .toList();
+        return starts().stream().map(s -> s.worker().id()).toList();
     }
 }
