Count what may run on unreached workers against the limits of teams

Cause: a new leader sums the usage of a team over the charges that it knows, and it knows none of a worker that has not answered yet and is not recorded as silent. A recorded run of a cancelled job was not charged either. Ruled out: late orders of the old leader, and a configuration of another version. Change: the capacity of a worker whose runs are not known, less its known charges, counts as usage of every team until the worker answers or its leases have expired. A recorded run without a job is charged and stopped. The charge of a run whose job is not known names no team, and counts for every team. The simulation of faults now checks the limit.

--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -48,6 +48,9 @@
     private final Map<String, Resources> allocatedByService = new HashMap<>();
     private Resources maxFree = Resources.ZERO;
 
+    /** Upper bound of the usage of each team by runs that this leader does not know. */
+    private Resources maxUnknownUsage = Resources.ZERO;
+
     /** The candidate that {@link #runnableWorkers} belongs to; steps are placed one by one. */
     private Candidate runnableWorkersCandidate;
 
@@ -63,8 +66,11 @@
             Resources freeCapacity = node.listing().capacity();
             for (WorkerNode.Charge charge : node.charges().values()) {
                 freeCapacity = freeCapacity.minus(charge.size());
-                result.usageByTeam.merge(charge.team(), charge.size(), Resources::plus);
+                charge.team()
+                        .ifPresent(
+                                t -> result.usageByTeam.merge(t, charge.size(), Resources::plus));
             }
+            result.maxUnknownUsage = result.maxUnknownUsage.plus(node.maxUnknownUsage(state.now()));
             boolean isOpen = state.commitQueue().isOpenForStarts(node.id());
             if (isOpen && node.isUsable(state.now())) {
                 result.usableWorkers.put(node.id(), node);
@@ -253,6 +259,10 @@
         return allowedRacks.isEmpty() || allowedRacks.contains(rackOf(node));
     }
 
+    /**
+     * Returns whether one more task of {@code candidate} keeps its team within its limit. All usage
+     * that is not known counts, because it may be the team's.
+     */
     private boolean isWithinTeamLimit(Candidate candidate) {
         String team = candidate.job().team();
         Resources limit =
@@ -263,6 +273,7 @@
         Resources usage =
                 usageByTeam
                         .getOrDefault(team, Resources.ZERO)
+                        .plus(maxUnknownUsage)
                         .plus(candidate.definition().chargedCapacity());
         return withinLimit(usage.cpuMillis(), limit.cpuMillis())
                 && withinLimit(usage.memoryMb(), limit.memoryMb())
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -227,7 +227,7 @@
                 new WorkerNode.Charge(
                         runNumber,
                         candidate.definition().chargedCapacity(),
-                        job.team(),
+                        Optional.of(job.team()),
                         -1,
                         false,
                         -1);
--- a/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
@@ -1,5 +1,6 @@
 package org.jujubefork.core.workflow;
 
+import java.util.Optional;
 import org.jujubefork.core.workflow.WorkflowEvent.ClaimResult;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
@@ -136,18 +137,19 @@
             WorkflowState state, String worker, TaskKey key, long runNumber) {
         WorkerNode node = state.workers().get(worker);
         Job job = state.jobs().get(key.job());
-        if (node == null || job == null || !job.hasTask(key)) {
+        if (node == null) {
             return state;
         }
-        Task task = job.task(key);
-        if (task.phase() == Task.Phase.DONE) {
-            return state;
+        boolean isKnownTask = job != null && job.hasTask(key);
+        if (!isKnownTask || job.task(key).phase() == Task.Phase.DONE) {
+            return state.with(node.withCharge(key, chargeToStop(state, node, key, runNumber)));
         }
+        Task task = job.task(key);
         WorkerNode.Charge charge =
                 new WorkerNode.Charge(
                         runNumber,
                         job.step(key.stepKey()).chargedCapacity(),
-                        job.team(),
+                        Optional.of(job.team()),
                         state.now(),
                         false,
                         state.now());
@@ -156,4 +158,21 @@
                 ? next.with(job.with(key, task.asRunning(worker, runNumber)))
                 : next;
     }
+
+    /**
+     * Returns the charge of a recorded run that is of no use any more, for example because its job
+     * was cancelled. It occupies its worker and counts against limits until it is stopped.
+     */
+    private static WorkerNode.Charge chargeToStop(
+            WorkflowState state, WorkerNode node, TaskKey key, long runNumber) {
+        Job job = state.jobs().get(key.job());
+        boolean isKnownTask = job != null && job.hasTask(key);
+        return new WorkerNode.Charge(
+                runNumber,
+                isKnownTask ? job.step(key.stepKey()).chargedCapacity() : node.listing().capacity(),
+                isKnownTask ? Optional.of(job.team()) : Optional.empty(),
+                -1,
+                true,
+                state.now());
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.workflow;
 
 import java.util.List;
+import java.util.Optional;
 import org.jujubefork.core.model.Resources;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -208,7 +209,8 @@
      *
      * @param runNumber the number of the run
      * @param size the charged capacity
-     * @param team the team whose limit the capacity counts against, empty for none
+     * @param team the team whose limit the capacity counts against, "" for none; not present if the
+     *     job of the run is not known, so that the run may belong to any team
      * @param confirmedAt when the worker confirmed the newest command, -1 if it has not confirmed
      *     that command
      * @param stopping whether a stop command was sent
@@ -217,7 +219,7 @@
     public record Charge(
             long runNumber,
             Resources size,
-            String team,
+            Optional<String> team,
             long confirmedAt,
             boolean stopping,
             long sentAt) {
@@ -268,6 +270,26 @@
         return listing.capacity().minus(used);
     }
 
+    /**
+     * Returns an upper bound of the capacity that runs of unknown jobs may occupy at {@code now}.
+     * Until the worker has answered a new leader or its leases have expired, any job may have runs
+     * on it.
+     */
+    public Resources maxUnknownUsage(long now) {
+        boolean areRunsUnknown = !contact.areRunsKnown() && contact.runsUntil() >= now;
+        Resources knownUsage = Resources.ZERO;
+        for (Charge charge : charges.values()) {
+            if (charge.team().isPresent()) {
+                knownUsage = knownUsage.plus(charge.size());
+            } else {
+                areRunsUnknown = true;
+            }
+        }
+        return areRunsUnknown
+                ? listing.capacity().minus(knownUsage).max(Resources.ZERO)
+                : Resources.ZERO;
+    }
+
     /** Returns whether the worker may get new tasks at {@code now}. */
     public boolean isUsable(long now) {
         return listed
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.WorkflowEvent.EndedRun;
 import org.jujubefork.core.workflow.WorkflowEvent.RunningRun;
@@ -170,7 +171,7 @@
         WorkerNode node = state.workers().get(worker);
         Resources size =
                 isKnownTask ? job.step(key.stepKey()).chargedCapacity() : node.listing().capacity();
-        String team = isKnownTask ? job.team() : "";
+        Optional<String> team = isKnownTask ? Optional.of(job.team()) : Optional.empty();
         WorkerNode.Charge charge =
                 new WorkerNode.Charge(
                         runningRun.runNumber(), size, team, state.now(), false, state.now());
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -46,6 +46,11 @@
     }
 
     static CellConfiguration configuration(double weight) {
+        return configuration(weight, Resources.ZERO);
+    }
+
+    /** Returns a configuration whose team has {@code weight} and {@code limit}. */
+    static CellConfiguration configuration(double weight, Resources limit) {
         CellConfiguration.Queue queue =
                 new CellConfiguration.Queue(
                         QUEUE, "h", "/q/", SERVICE, 0, 3, 3_000, 2, 400, true, Optional.empty());
@@ -53,7 +58,7 @@
                 1,
                 List.of(queue),
                 List.of(new CellConfiguration.Service(SERVICE, false)),
-                List.of(new CellConfiguration.Team(TEAM, List.of(), weight, Resources.ZERO)),
+                List.of(new CellConfiguration.Team(TEAM, List.of(), weight, limit)),
                 100_000);
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
@@ -111,6 +111,16 @@
         }
     }
 
+    /** Returns the resources of all active runs; all jobs belong to one team. */
+    private Resources teamUsage() {
+        Resources usage = Resources.ZERO;
+        for (SimulatedWorker worker : simulation.workers.values()) {
+            worker.advance();
+            usage = usage.plus(worker.used());
+        }
+        return usage;
+    }
+
     /** Checks the invariants for a run that starts. */
     void checkStart(SimulatedWorker worker, TaskKey task, Resources size) {
         for (SimulatedWorker other : simulation.workers.values()) {
@@ -130,6 +140,12 @@
         if (!worker.used().plus(size).fitsIn(worker.listing.capacity())) {
             violations.add("not enough free capacity for " + task + " on " + worker.listing.id());
         }
+        Resources teamUsage = teamUsage().plus(size);
+        long limit = simulation.config.teams().get(0).limit().cpuMillis();
+        if (limit > 0 && teamUsage.cpuMillis() > limit) {
+            violations.add(
+                    task + " brings its team to " + teamUsage + ", over its limit of " + limit);
+        }
         StepDefinition step =
                 simulation.submittedDefinitions.get(task.job()).steps().get(task.step());
         for (int dependency : step.dependencies()) {
--- a/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
@@ -34,7 +34,7 @@
     private record Timer(long at, long sequence, Runnable action) {}
 
     final SplittableRandom random;
-    private final CellConfiguration config;
+    final CellConfiguration config;
     private final PriorityQueue<Timer> timers =
             new PriorityQueue<>(
                     Comparator.comparingLong(Timer::at).thenComparingLong(Timer::sequence));
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -199,7 +199,7 @@
         for (WorkerNode worker : state.workers().values()) {
             for (WorkerNode.Charge charge : worker.charges().values()) {
                 Resources size = charge.size();
-                used.merge(charge.team(), (double) size.cpuMillis(), Double::sum);
+                used.merge(charge.team().orElse(""), (double) size.cpuMillis(), Double::sum);
             }
         }
         return used;
