Replace a leader that has resigned even if its heartbeats go on

Cause: a follower that does not claim at once keeps the resignation as a lost connection, and the next heartbeat of the resigned leader clears that. The first successor may itself be shutting down, so that nobody claims until the process of the leader has ended. A follower that connects after the announcement never gets it. Change: a resignation holds until there is another leader, and takes the place of the leader's heartbeats. Evidence: SuccessionTest.heartbeatDoesNotRevokeResignation and WorkflowDaemonTest.followerThatConnectsLaterLearnsOfResignation fail without the change and pass with it.

--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -120,6 +120,9 @@
             return Optional.of(
                     new ClaimReason("leader-process-gone", leadership.connectionRefusedAt()));
         }
+        if (leadership.leaderResignedAt() >= 0) {
+            return Optional.of(new ClaimReason("leader-resigned", leadership.leaderResignedAt()));
+        }
         long silentAt = leadership.leaderSeenAt() + WorkflowLimits.LEADER_CONTACT_TIMEOUT_MILLIS;
         if (state.now() > silentAt && !leader.leaseValid()) {
             return Optional.of(new ClaimReason("leader-silent", silentAt));
@@ -208,8 +211,9 @@
                     case LeaderSignal.HEARTBEAT -> leadership.withHeartbeat(event.at(), true);
                     case LeaderSignal.HEARTBEAT_WITHOUT_STORE ->
                             leadership.withHeartbeat(event.at(), false);
-                    case LeaderSignal.CONNECTION_REFUSED, LeaderSignal.RESIGNED ->
+                    case LeaderSignal.CONNECTION_REFUSED ->
                             leadership.withConnectionRefused(event.at());
+                    case LeaderSignal.RESIGNED -> leadership.withLeaderResigned(event.at());
                 };
         WorkflowTransition result = WorkflowTransition.of(state.with(next));
         return event.signal() == LeaderSignal.CONNECTION_REFUSED
@@ -274,22 +278,24 @@
             return WorkflowTransition.of(state.with(state.leadership().withClaim(false, 0)));
         }
         WorkflowState next = Takeover.lead(state, won);
-        return WorkflowTransition.of(next)
-                .with(new WorkflowEffect.LeaderChanged(won.leader(), true))
-                .with(
-                        WorkflowEffect.LogEvent.of(
-                                "lead",
-                                won.leader().term(),
-                                "fence",
-                                won.leader().revision(),
-                                "jobs",
-                                next.jobs().size(),
-                                "finished",
-                                next.finished().size(),
-                                "workers",
-                                next.workers().size(),
-                                "silent",
-                                next.commitQueue().storedSilentWorkers().size()));
+        WorkflowTransition result =
+                WorkflowTransition.of(next)
+                        .with(new WorkflowEffect.LeaderChanged(won.leader(), true))
+                        .with(
+                                WorkflowEffect.LogEvent.of(
+                                        "lead",
+                                        won.leader().term(),
+                                        "fence",
+                                        won.leader().revision(),
+                                        "jobs",
+                                        next.jobs().size(),
+                                        "finished",
+                                        next.finished().size(),
+                                        "workers",
+                                        next.workers().size(),
+                                        "silent",
+                                        next.commitQueue().storedSilentWorkers().size()));
+        return result;
     }
 
     /** Stops leading and drops the jobs, which the next leader reads from the store. */
--- a/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
@@ -13,6 +13,8 @@
  * @param leaderSeenAt when the leader last sent a heartbeat
  * @param connectionRefusedAt when the connection to the leader was first reset or refused since the
  *     last heartbeat, -1 if neither has happened
+ * @param leaderResignedAt when the leader first announced that it gives up leadership, -1 if it has
+ *     not; its later heartbeats don't revoke that
  * @param leaderWithoutStoreSince since when the leader has reported that it cannot reach the store,
  *     -1 if it can
  * @param claimInFlight whether an attempt to become the leader is in flight
@@ -29,6 +31,7 @@
         long confirmedAt,
         long leaderSeenAt,
         long connectionRefusedAt,
+        long leaderResignedAt,
         long leaderWithoutStoreSince,
         boolean claimInFlight,
         long nextClaimAt,
@@ -37,7 +40,8 @@
         long confirmableSince) {
     /** Leadership as known to an entry that has not read the store yet. */
     public static final Leadership NONE =
-            new Leadership(false, Optional.empty(), -1, -1, -1, -1, -1, false, 0, false, -1, -1);
+            new Leadership(
+                    false, Optional.empty(), -1, -1, -1, -1, -1, -1, false, 0, false, -1, -1);
 
     /**
      * Returns a copy after the store returned {@code leader} for a read that was sent at {@code
@@ -70,6 +74,7 @@
         next.storeFirstReadAt = storeFirstReadAt < 0 ? at : storeFirstReadAt;
         next.leaderSeenAt = at;
         next.connectionRefusedAt = -1;
+        next.leaderResignedAt = -1;
         next.leaderWithoutStoreSince = -1;
         next.successionPosition = -1;
         return next.build();
@@ -87,6 +92,7 @@
         next.confirmedAt = Math.max(confirmedAt, at);
         next.leaderSeenAt = at;
         next.connectionRefusedAt = -1;
+        next.leaderResignedAt = -1;
         next.leaderWithoutStoreSince = -1;
         next.successionPosition = -1;
         next.claimInFlight = false;
@@ -120,6 +126,13 @@
         return next.build();
     }
 
+    /** Returns a copy after the leader has announced at {@code at} that it gives up leadership. */
+    public Leadership withLeaderResigned(long at) {
+        Builder next = new Builder(this);
+        next.leaderResignedAt = leaderResignedAt < 0 ? at : leaderResignedAt;
+        return next.build();
+    }
+
     /**
      * Returns a copy with {@code inFlight} as whether a claim is in flight, and {@code notBefore}
      * as the earliest time of the next claim.
@@ -153,6 +166,7 @@
         private long confirmedAt;
         private long leaderSeenAt;
         private long connectionRefusedAt;
+        private long leaderResignedAt;
         private long leaderWithoutStoreSince;
         private boolean claimInFlight;
         private long nextClaimAt;
@@ -167,6 +181,7 @@
             this.confirmedAt = from.confirmedAt();
             this.leaderSeenAt = from.leaderSeenAt();
             this.connectionRefusedAt = from.connectionRefusedAt();
+            this.leaderResignedAt = from.leaderResignedAt();
             this.leaderWithoutStoreSince = from.leaderWithoutStoreSince();
             this.claimInFlight = from.claimInFlight();
             this.nextClaimAt = from.nextClaimAt();
@@ -183,6 +198,7 @@
                     confirmedAt,
                     leaderSeenAt,
                     connectionRefusedAt,
+                    leaderResignedAt,
                     leaderWithoutStoreSince,
                     claimInFlight,
                     nextClaimAt,
--- a/core/src/test/java/org/jujubefork/core/workflow/SuccessionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SuccessionTest.java
@@ -171,4 +171,19 @@
                         new WorkflowEffect.Reply.NotLeading(),
                         new WorkflowEffect.Reply.OutcomeUnknown()));
     }
+
+    /**
+     * Guards against a cell without a leader until the process of a resigned leader has ended: the
+     * leader's next heartbeat came before a later successor's turn, and revoked the resignation.
+     */
+    @Test
+    public void heartbeatDoesNotRevokeResignation() {
+        follow(LARGE_MILLICORES, 1);
+        post(new WorkflowEvent.LeaderSignalReceived(1_500, LEADER, LeaderSignal.RESIGNED));
+        for (long now = 1_510; !claimed && now < 2_000; now += 10) {
+            post(new WorkflowEvent.LeaderSignalReceived(now, LEADER, LeaderSignal.HEARTBEAT));
+            post(new WorkflowEvent.Tick(now, now));
+        }
+        assertTrue(claimed, "no claim within 500 ms after the leader has resigned");
+    }
 }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
@@ -80,6 +80,7 @@
     private volatile Optional<LeaderRecord> currentLeader = Optional.empty();
     private volatile Optional<Link> leaderLink = Optional.empty();
     private volatile boolean leading;
+    private volatile boolean resigned;
     private volatile List<String> successors = List.of();
     private volatile boolean open = true;
 
@@ -155,8 +156,12 @@
         link.close();
     }
 
-    /** Tells all followers that this entry gives up leadership. */
+    /**
+     * Tells all followers that this entry gives up leadership. From now on the announcement takes
+     * the place of the heartbeats, so that followers that connect later get it, too.
+     */
     void announceResignation() {
+        resigned = true;
         followers.values().forEach(f -> f.link().send(new LinkMessage.LeaderResigned()));
     }
 
@@ -256,6 +261,9 @@
                 Follower follower = new Follower(link, hello.processorMillicores());
                 if (!follower.equals(followers.put(hello.entry(), follower)) && leading) {
                     postFollowers();
+                    if (resigned) {
+                        link.send(new LinkMessage.LeaderResigned());
+                    }
                 }
                 return hello.entry();
             }
@@ -307,12 +315,14 @@
             positions.put(successor, positions.size());
         }
         followers.forEach(
-                (name, follower) ->
-                        follower.link()
-                                .send(
-                                        new LinkMessage.Heartbeat(
-                                                storeAgeMillis,
-                                                positions.getOrDefault(name, UNDECIDED_POSITION))));
+                (name, follower) -> {
+                    int position = positions.getOrDefault(name, UNDECIDED_POSITION);
+                    follower.link()
+                            .send(
+                                    resigned
+                                            ? new LinkMessage.LeaderResigned()
+                                            : new LinkMessage.Heartbeat(storeAgeMillis, position));
+                });
     }
 
     private LinkMessage.Hello hello() {
--- a/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
@@ -3,12 +3,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -236,16 +240,19 @@
     private static WorkflowDaemon start(
             WorkflowStore store, WorkerApi workers, AdviceClient advice, LogEventWriter logWriter)
             throws IOException {
+        return start(freeAddress(), store, workers, advice, logWriter);
+    }
+
+    private static WorkflowDaemon start(
+            HostPort address,
+            WorkflowStore store,
+            WorkerApi workers,
+            AdviceClient advice,
+            LogEventWriter logWriter)
+            throws IOException {
         return WorkflowDaemon.start(
                 new WorkflowDaemon.Setup(
-                        "e",
-                        1_000,
-                        freeAddress(),
-                        Clock.SYSTEM,
-                        store,
-                        workers,
-                        advice,
-                        logWriter));
+                        "e", 1_000, address, Clock.SYSTEM, store, workers, advice, logWriter));
     }
 
     private static PrintStream noOutput() {
@@ -284,6 +291,51 @@
         }
     }
 
+    private static void awaitLeadership(WorkflowDaemon daemon) throws InterruptedException {
+        long deadline = Clock.SYSTEM.millis() + START_TIMEOUT_MILLIS;
+        while (!daemon.state().leadership().leads() && Clock.SYSTEM.millis() < deadline) {
+            Thread.sleep(10);
+        }
+        assertTrue(daemon.state().leadership().leads(), "the entry does not lead");
+    }
+
+    /**
+     * Guards against an entry that follows a resigned leader until the leader's process has ended,
+     * because it has connected after the announcement.
+     */
+    @Test
+    public void followerThatConnectsLaterLearnsOfResignation() throws Exception {
+        FirstCallFails failures = new FirstCallFails();
+        HostPort address = freeAddress();
+        try (LogEventWriter logWriter = LogEventWriter.start(noOutput(), e -> {});
+                WorkflowDaemon daemon =
+                        start(
+                                address,
+                                new Store(failures),
+                                new Worker(failures),
+                                (s, w, t) -> Optional.empty(),
+                                logWriter)) {
+            awaitLeadership(daemon);
+            daemon.resign();
+            while (!daemon.state().leadership().resigning()) {
+                Thread.sleep(10);
+            }
+            try (Socket socket = new Socket(address.host(), address.port())) {
+                socket.setSoTimeout(2_000);
+                new LinkMessage.Hello("f", 1_000)
+                        .writeTo(new DataOutputStream(socket.getOutputStream()));
+                DataInputStream input = new DataInputStream(socket.getInputStream());
+                List<LinkMessage> received = new ArrayList<>();
+                for (int i = 0; i < 4; i++) {
+                    received.add(LinkMessage.readFrom(input));
+                }
+                assertTrue(
+                        received.contains(new LinkMessage.LeaderResigned()),
+                        "received " + received);
+            }
+        }
+    }
+
     @Test
     public void entryOutlivesUnexpectedErrors() throws Exception {
         FirstCallFails failures = new FirstCallFails();
