Resign when a claim succeeds after the shutdown has begun

Cause: two VMs get SIGTERM at 48.00 s. The leader resigns, the other one claims at 48.015 s and handles its own SIGTERM in the same millisecond. Its claim succeeds at 48.49 s; it then leads, and because it is shutting down it denies every new job. It has announced no resignation, so nobody replaces it until its process ends at 51.76 s. Ruled out: a slow store (the acceptances around that time have stored_ms of 67 to 86) and a slow start of the successor. Change: an entry that wins a claim while it shuts down resigns at once. Evidence: SuccessionTest.entryThatShutsDownDuringItsClaimResigns fails without the change and passes with it.

--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -295,7 +295,8 @@
                                         next.workers().size(),
                                         "silent",
                                         next.commitQueue().storedSilentWorkers().size()));
-        return result;
+        // The shutdown may have begun while the claim was in flight.
+        return next.leadership().resigning() ? result.then(Election::resign) : result;
     }
 
     /** Stops leading and drops the jobs, which the next leader reads from the store. */
--- a/core/src/test/java/org/jujubefork/core/workflow/SuccessionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SuccessionTest.java
@@ -186,4 +186,32 @@
         }
         assertTrue(claimed, "no claim within 500 ms after the leader has resigned");
     }
+
+    /**
+     * Guards against an entry that begins to shut down while its claim is in flight, and then leads
+     * and denies all calls until its process has ended.
+     */
+    @Test
+    public void entryThatShutsDownDuringItsClaimResigns() {
+        follow(LARGE_MILLICORES, 0);
+        claimDelayMillis();
+        long now = state.now();
+        post(new WorkflowEvent.ResignRequested(now));
+        LeaderRecord record = new LeaderRecord("e1", "e1", 4, 21, true);
+        WorkflowTransition won =
+                WorkflowReducer.reduce(
+                        state,
+                        new WorkflowEvent.ClaimCompleted(
+                                now,
+                                new WorkflowEvent.ClaimResult.Won(
+                                        record,
+                                        new WorkflowEvent.Snapshot(
+                                                List.of(),
+                                                List.of(),
+                                                List.of(),
+                                                SilentWorkers.NONE))));
+        assertTrue(
+                won.effects().stream().anyMatch(WorkflowEffect.Resign.class::isInstance),
+                "no resignation");
+    }
 }
