Answer the waiting calls before the process ends

Cause: callers go on sending requests on open connections while a VM shuts down. Its process waits until all have their answers, at most until 0.8 s before the end of the grace period, and then closes all connections. A call may wait longer than that for a leader or for its commit: up to its own time limit, or 1.3 s without a leader. Ruled out: requests that were not read (they are counted as open), and a crash of the process (it logs `stopped`). Evidence: WorkflowDaemonTest.closedGatewayEndsAllCalls and PlatformPathTest.stoppingEntryAnswersWaitingCall fail without the change and pass with it.

--- a/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
+++ b/entry/src/main/java/org/jujubefork/entry/http/HttpFrontEnd.java
@@ -110,20 +110,28 @@
     }
 
     /**
-     * Stops accepting connections, waits at most {@code timeout} until the responses to all
-     * requests are sent, and closes all connections.
+     * Stops accepting connections, and waits at most {@code timeout} until the responses to all
+     * requests are sent.
+     *
+     * @return false if {@code timeout} elapsed first
      */
-    public void close(Duration timeout) {
+    public boolean drain(Duration timeout) {
         // Grizzly's graceful shutdown would also wait for requests whose connection was aborted,
         // because it never removes them from its count.
         closeConnectionsAfterResponse();
         server.getListeners().forEach(listener -> listener.getTransport().unbindAll());
         try {
-            if (!openRequests.awaitZero(timeout)) {
-                log.warnf("event=http-stop-incomplete open_requests=%d", openRequests.count());
-            }
+            return openRequests.awaitZero(timeout);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Drains the server as {@link #drain(Duration)} does, and closes all connections. */
+    public void close(Duration timeout) {
+        if (!drain(timeout)) {
+            log.warnf("event=http-stop-incomplete open_requests=%d", openRequests.count());
         }
         server.shutdownNow();
         executor.shutdownNow();
--- a/entry/src/main/java/org/jujubefork/entry/workflow/CallGateway.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/CallGateway.java
@@ -1,7 +1,10 @@
 package org.jujubefork.entry.workflow;
 
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -16,7 +19,7 @@
  * because they carry the identifier of their job, so if an answer is lost the call is sent again,
  * to the same leader or to its successor.
  */
-public final class CallGateway {
+public final class CallGateway implements AutoCloseable {
     /**
      * How long a call waits for a leader when there is none. A change of leader takes less time
      * than this, and a rejected call would be delayed further, because its caller retries only
@@ -53,6 +56,8 @@
     private final PendingCalls pendingCalls;
     private final Clock clock;
     private final Consumer<WorkflowEvent> events;
+    private final Set<CompletableFuture<Reply>> awaitedReplies = ConcurrentHashMap.newKeySet();
+    private volatile boolean open = true;
 
     CallGateway(
             PeerConnections peerConnections,
@@ -67,7 +72,7 @@
 
     /**
      * Sends {@code call} to the leader and waits for the answer. Gives up sooner if there is no
-     * leader.
+     * leader or this gateway is closed.
      *
      * @param timeoutMillis how long to wait for the answer
      */
@@ -82,7 +87,9 @@
         while (true) {
             long now = clock.millis();
             long elapsedMillis = now - startedAt;
-            if (elapsedMillis >= timeoutMillis || now - withoutLeaderSince >= leaderWaitMillis) {
+            boolean isOver =
+                    elapsedMillis >= timeoutMillis || now - withoutLeaderSince >= leaderWaitMillis;
+            if (isOver || !open) {
                 return mayHaveRun ? new Outcome.Unknown() : new Outcome.NotRun();
             }
             Optional<CompletableFuture<Reply>> pendingReply = send(call);
@@ -118,12 +125,27 @@
         return Optional.of(pendingReply);
     }
 
-    private static Optional<Reply> await(CompletableFuture<Reply> pendingReply, long timeoutMillis)
+    /**
+     * Ends all calls, and each later one, with what is known of their outcome. Called before the
+     * process ends, so that no caller loses its connection without an answer.
+     */
+    @Override
+    public void close() {
+        open = false;
+        awaitedReplies.forEach(r -> r.cancel(false));
+    }
+
+    private Optional<Reply> await(CompletableFuture<Reply> pendingReply, long timeoutMillis)
             throws InterruptedException {
+        awaitedReplies.add(pendingReply);
         try {
-            return Optional.of(pendingReply.get(timeoutMillis, TimeUnit.MILLISECONDS));
-        } catch (ExecutionException | TimeoutException e) {
+            return open
+                    ? Optional.of(pendingReply.get(timeoutMillis, TimeUnit.MILLISECONDS))
+                    : Optional.empty();
+        } catch (CancellationException | ExecutionException | TimeoutException e) {
             return Optional.empty();
+        } finally {
+            awaitedReplies.remove(pendingReply);
         }
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -290,6 +290,7 @@
     @Override
     public void close() throws IOException {
         open = false;
+        gateway.close();
         loop.close();
         peerConnections.close();
         executor.shutdownNow();
--- a/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
@@ -17,8 +17,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jujubefork.config.settings.HostPort;
 import org.jujubefork.core.model.Resources;
@@ -336,6 +338,51 @@
         }
     }
 
+    /**
+     * Guards against a caller whose connection ends without an answer, because its call is still
+     * waiting when the process ends.
+     */
+    @Test
+    public void closedGatewayEndsAllCalls() throws Exception {
+        FirstCallFails failures = new FirstCallFails();
+        WorkflowStore store =
+                new Store(failures) {
+                    @Override
+                    public CommitResult commit(WorkflowEffect.Commit commit) {
+                        return new CommitResult.Retry();
+                    }
+                };
+        try (LogEventWriter logWriter = LogEventWriter.start(noOutput(), e -> {});
+                WorkflowDaemon daemon =
+                        start(
+                                store,
+                                new Worker(failures),
+                                (s, w, t) -> Optional.empty(),
+                                logWriter)) {
+            awaitLeadership(daemon);
+            CompletableFuture<CallGateway.Outcome> waiting = new CompletableFuture<>();
+            Call call = new Call.Submit(QUEUE, "", JOB, job());
+            Thread.ofVirtual()
+                    .start(
+                            () -> {
+                                try {
+                                    waiting.complete(daemon.gateway().call(call, 60_000));
+                                } catch (InterruptedException e) {
+                                    waiting.completeExceptionally(e);
+                                }
+                            });
+            while (daemon.state().commitQueue().inFlight().isEmpty()) {
+                Thread.sleep(10);
+            }
+            daemon.gateway().close();
+            assertEquals(
+                    waiting.get(1, TimeUnit.SECONDS),
+                    new CallGateway.Outcome.Unknown(),
+                    "a call that the store may have carried out");
+            assertEquals(daemon.gateway().call(call, 60_000), new CallGateway.Outcome.NotRun());
+        }
+    }
+
     @Test
     public void entryOutlivesUnexpectedErrors() throws Exception {
         FirstCallFails failures = new FirstCallFails();
--- a/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
@@ -4,8 +4,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.stream.Collectors;
 import org.jujubefork.standins.Await;
 import org.testng.annotations.Test;
@@ -108,6 +111,42 @@
         }
     }
 
+    /**
+     * Guards against an entry that stops and closes connections on which it has read a request but
+     * sent no answer. The leader is suspended, so the request is still waiting when the process has
+     * to end.
+     */
+    @Test
+    public void stoppingEntryAnswersWaitingCall() throws Exception {
+        try (PlatformCell cell = new PlatformCell(2, 1)) {
+            PlatformCell.EntryVm leader = leader(cell);
+            PlatformCell.EntryVm stopping =
+                    cell.entries.stream().filter(e -> e != leader).findFirst().orElseThrow();
+            assertEquals(
+                    cell.call(stopping, "POST", "/q/" + id(1), JOB.formatted(100)).statusCode(),
+                    200);
+            leader.process.pause();
+            CompletableFuture<Integer> exitCode =
+                    CompletableFuture.supplyAsync(() -> terminate(stopping));
+            // The connection of the first call is still open. The call may wait for 5.9 s, and the
+            // process ends 3.2 s after the signal.
+            Thread.sleep(1_500);
+            int status =
+                    cell.call(stopping, "POST", "/q/" + id(2), JOB.formatted(100)).statusCode();
+            assertTrue(status == 503 || status == 504, "status " + status);
+            assertEquals(exitCode.get().intValue(), 0);
+            leader.process.resume();
+        }
+    }
+
+    private static int terminate(PlatformCell.EntryVm entry) {
+        try {
+            return entry.process.terminate(Duration.ofSeconds(10));
+        } catch (InterruptedException | TimeoutException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Guards against state that only the processes knew. */
     @Test
     public void allAreKilled() throws Exception {
