Check worker and limit again when a task starts that waited for its ticket

So it started tasks on workers that drain, and beyond a limit that was lowered. Change: a task whose worker gets no new tasks any more is placed again, and with it its whole gang. A configuration that changes the service of a job or the limit of its team releases its tasks that have not started. Evidence: AssignedTaskTest.taskDoesNotStartOnWorkerThatDrains and taskDoesNotStartBeyondLoweredLimit fail without the change and pass with it, and all tests of core pass.

--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -71,8 +71,7 @@
                                 t -> result.usageByTeam.merge(t, charge.size(), Resources::plus));
             }
             result.maxUnknownUsage = result.maxUnknownUsage.plus(node.maxUnknownUsage(state.now()));
-            boolean isOpen = state.commitQueue().isOpenForStarts(node.id());
-            if (isOpen && node.isUsable(state.now())) {
+            if (state.isOpenForStarts(node)) {
                 result.usableWorkers.put(node.id(), node);
                 result.freeByWorker.put(node.id(), freeCapacity);
                 result.maxFree = result.maxFree.max(freeCapacity);
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.StepProgress.Ticket;
 import org.pcollections.PVector;
@@ -71,19 +72,27 @@
     private static WorkflowTransition startAllAssigned(WorkflowState state) {
         WorkflowTransition result = WorkflowTransition.of(state);
         for (Job job : state.jobs().values()) {
-            for (int occurrence : job.occurrences().keySet()) {
-                List<StepProgress> steps = job.occurrences().get(occurrence);
-                for (int i = 0; i < steps.size(); i++) {
-                    if (steps.get(i).hasAssigned()) {
-                        StepKey key = new StepKey(job.id(), occurrence, i);
-                        result = result.then(s -> startAssigned(s, key));
-                    }
-                }
+            for (StepKey key : assignedSteps(job)) {
+                result = result.then(s -> startAssigned(s, key));
             }
         }
         return result;
     }
 
+    /** Returns the steps of {@code job} with tasks that have capacity and are not started yet. */
+    private static List<StepKey> assignedSteps(Job job) {
+        List<StepKey> assignedSteps = new ArrayList<>();
+        for (int occurrence : job.occurrences().keySet()) {
+            List<StepProgress> steps = job.occurrences().get(occurrence);
+            for (int i = 0; i < steps.size(); i++) {
+                if (steps.get(i).hasAssigned()) {
+                    assignedSteps.add(new StepKey(job.id(), occurrence, i));
+                }
+            }
+        }
+        return assignedSteps;
+    }
+
     private static void addCandidates(Job job, Queue queue, long now, List<Candidate> candidates) {
         for (int occurrence : job.occurrences().keySet()) {
             List<StepProgress> steps = job.occurrences().get(occurrence);
@@ -237,9 +246,10 @@
 
     /**
      * Starts the assigned tasks of {@code key} that have valid tickets or need none, and renews the
-     * tickets of the others. A gang starts only if all of its tickets are valid. If the step can no
-     * longer start as assigned, because its queue was removed or because a member of the gang has
-     * lost its capacity, its tasks are placed again.
+     * tickets of the others. A gang starts only if all of its tickets are valid. Tasks that can no
+     * longer start as assigned are placed again, because the wait for a ticket may take seconds:
+     * their queue may have been removed, their worker may be draining, or a member of the gang may
+     * have lost its capacity.
      */
     static WorkflowTransition startAssigned(WorkflowState state, StepKey key) {
         Job job = state.jobs().get(key.job());
@@ -248,10 +258,35 @@
         }
         Optional<Queue> queue = state.queueOf(job);
         StepProgress progress = job.progress(key);
-        boolean isPartialGang = job.step(key).gang() && progress.hasWaiting();
+        Set<String> closedWorkers = closedWorkers(state, progress);
+        boolean isPartialGang =
+                job.step(key).gang() && (progress.hasWaiting() || !closedWorkers.isEmpty());
         if (queue.isEmpty() || isPartialGang) {
             return unassign(state, key);
         }
+        WorkflowTransition result =
+                closedWorkers.isEmpty()
+                        ? WorkflowTransition.of(state)
+                        : unassign(state, key, closedWorkers::contains);
+        return result.then(s -> startWithValidTickets(s, key, queue.get()));
+    }
+
+    /** Returns the workers of assigned tasks that get no starts any more. */
+    private static Set<String> closedWorkers(WorkflowState state, StepProgress progress) {
+        Set<String> closedWorkers = new HashSet<>();
+        for (Task task : progress.tasks()) {
+            if (task.phase() == Task.Phase.ASSIGNED
+                    && !state.isOpenForStarts(state.workers().get(task.worker()))) {
+                closedWorkers.add(task.worker());
+            }
+        }
+        return closedWorkers;
+    }
+
+    private static WorkflowTransition startWithValidTickets(
+            WorkflowState state, StepKey key, Queue queue) {
+        Job job = state.jobs().get(key.job());
+        StepProgress progress = job.progress(key);
         List<Integer> startableIndexes = new ArrayList<>();
         Set<String> workersToRenew = new HashSet<>();
         for (int i = 0; i < progress.tasks().size(); i++) {
@@ -261,7 +296,7 @@
             }
             Ticket ticket = progress.advice().tickets().get(task.worker());
             boolean hasValidTicket = ticket != null && ticket.validUntil() > state.now();
-            if (queue.get().advice().isEmpty() || hasValidTicket) {
+            if (queue.advice().isEmpty() || hasValidTicket) {
                 startableIndexes.add(i);
             } else {
                 workersToRenew.add(task.worker());
@@ -280,6 +315,35 @@
                 : result.then(s -> renewTickets(s, key, workersToRenew));
     }
 
+    /**
+     * Releases the capacity of all tasks that have not been started and whose service or team limit
+     * has changed since the configuration {@code previous}, so that they are placed under the
+     * configuration in force.
+     */
+    static WorkflowTransition releaseChanged(
+            WorkflowState state, Optional<CellConfiguration> previous) {
+        WorkflowTransition result = WorkflowTransition.of(state);
+        for (Job job : state.jobs().values()) {
+            boolean isUnchanged =
+                    service(previous, job).equals(service(state.configuration(), job))
+                            && limit(previous, job).equals(limit(state.configuration(), job));
+            if (!isUnchanged) {
+                for (StepKey key : assignedSteps(job)) {
+                    result = result.then(s -> unassign(s, key));
+                }
+            }
+        }
+        return result;
+    }
+
+    private static Optional<String> service(Optional<CellConfiguration> configuration, Job job) {
+        return configuration.flatMap(c -> c.queue(job.queue())).map(Queue::service);
+    }
+
+    private static Optional<Resources> limit(Optional<CellConfiguration> configuration, Job job) {
+        return configuration.flatMap(c -> c.team(job.team())).map(CellConfiguration.Team::limit);
+    }
+
     /**
      * Releases the capacity of all tasks of {@code key} that have not been started, so that they
      * are placed again.
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -124,17 +124,17 @@
         WorkflowState next =
                 state.withConfiguration(
                         isNewer ? event.configuration() : state.configuration(), event.sentAt());
-        WorkflowTransition result = WorkflowTransition.of(next);
         return isNewer
-                ? result.with(
-                        WorkflowEffect.LogEvent.of(
-                                "configuration-in-force",
-                                event.configuration().get().version(),
-                                "queues",
-                                event.configuration().get().queues().size(),
-                                "age_ms",
-                                event.at() - event.sentAt()))
-                : result;
+                ? Placement.releaseChanged(next, state.configuration())
+                        .with(
+                                WorkflowEffect.LogEvent.of(
+                                        "configuration-in-force",
+                                        event.configuration().get().version(),
+                                        "queues",
+                                        event.configuration().get().queues().size(),
+                                        "age_ms",
+                                        event.at() - event.sentAt()))
+                : WorkflowTransition.of(next);
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -75,6 +75,14 @@
                 && now - leadership.confirmedAt() < WorkflowLimits.MAX_CONFIRMATION_AGE_MILLIS;
     }
 
+    /**
+     * Returns whether new tasks may start on {@code worker}: it can take them, and the store
+     * records it as a worker in use.
+     */
+    boolean isOpenForStarts(WorkerNode worker) {
+        return commitQueue.isOpenForStarts(worker.id()) && worker.isUsable(now);
+    }
+
     /**
      * Returns when the next tick is needed. A leader has to check its leases and commits often; a
      * follower needs only the regular ticks of the control loop and one for its next claim.
--- a/core/src/test/java/org/jujubefork/core/workflow/AssignedTaskTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AssignedTaskTest.java
@@ -23,6 +23,11 @@
     private static final String JOB = "j";
 
     private static CellConfiguration configuration(long version, boolean withQueue) {
+        return configuration(version, withQueue, Resources.ZERO);
+    }
+
+    private static CellConfiguration configuration(
+            long version, boolean withQueue, Resources limit) {
         Queue queue =
                 new Queue(
                         LeaderFixture.QUEUE,
@@ -40,9 +45,7 @@
                 version,
                 withQueue ? List.of(queue) : List.of(),
                 List.of(new CellConfiguration.Service(LeaderFixture.SERVICE, false)),
-                List.of(
-                        new CellConfiguration.Team(
-                                LeaderFixture.TEAM, List.of(), 50, Resources.ZERO)),
+                List.of(new CellConfiguration.Team(LeaderFixture.TEAM, List.of(), 50, limit)),
                 100_000);
     }
 
@@ -125,4 +128,29 @@
         leader.grantAdvice(renewal(leader));
         assertEquals(leader.startedWorkers(), List.of(), "only a part of the gang has started");
     }
+
+    /** Guards against a start on a worker that began to drain during the wait for the ticket. */
+    @Test
+    public void taskDoesNotStartOnWorkerThatDrains() {
+        LeaderFixture leader = awaitingRenewal(1, false);
+        String assigned = leader.state().jobs().get(JOB).task(new TaskKey(JOB, 0, 0, 0)).worker();
+        leader.listDraining(assigned, "a", "b");
+        leader.grantAdvice(renewal(leader));
+        assertEquals(leader.startedWorkers(), List.of(), "started on a worker that drains");
+        advance(leader, START_MILLIS);
+        leader.grantAdvice(renewal(leader));
+        advance(leader, START_MILLIS);
+        assertEquals(leader.startedWorkers(), List.of(assigned.equals("a") ? "b" : "a"));
+    }
+
+    /** Guards against a start beyond a limit that was lowered during the wait for the ticket. */
+    @Test
+    public void taskDoesNotStartBeyondLoweredLimit() {
+        LeaderFixture leader = awaitingRenewal(2, false);
+        configure(leader, configuration(2, true, Resources.of(16_000, 0, 0)));
+        advance(leader, START_MILLIS);
+        leader.grantAdvice(renewal(leader));
+        advance(leader, START_MILLIS);
+        assertEquals(leader.startedWorkers().size(), 1, "tasks of 16 cores with a limit of 16");
+    }
 }
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -63,8 +63,19 @@
     }
 
     static WorkerNode.Listing worker(String id) {
+        return worker(id, false);
+    }
+
+    private static WorkerNode.Listing worker(String id, boolean draining) {
         return new WorkerNode.Listing(
-                id, SERVICE, id + ":1", "z", false, Resources.of(16_000, 64_000, 0), List.of(), "");
+                id,
+                SERVICE,
+                id + ":1",
+                "z",
+                draining,
+                Resources.of(16_000, 64_000, 0),
+                List.of(),
+                "");
     }
 
     /** Returns a job of one task of {@code cores} cores with an estimate of one second. */
@@ -161,9 +172,14 @@
 
     /** Reports a worker list that contains {@code ids}. */
     void listWorkers(String... ids) {
+        listDraining("", ids);
+    }
+
+    /** Reports a worker list that contains {@code ids}, of which {@code draining} drains. */
+    void listDraining(String draining, String... ids) {
         PMap<String, WorkerNode.Listing> listings = HashTreePMap.empty();
         for (String id : ids) {
-            listings = listings.plus(id, worker(id));
+            listings = listings.plus(id, worker(id, id.equals(draining)));
         }
         post(new WorkflowEvent.WorkersListed(now, listings));
     }
