Keep a completed gang member done when the answer to its start was lost

One member of its gang waits, the others are done. Cause: the end of one member completes the gang. When the answer to the start of another member is found to be lost after that, the leader stops its run, and markStopping set the member from DONE to STOPPING; its end set it to WAITING. Change: a stop leaves a task that is done as it is.

--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
@@ -83,10 +83,13 @@
 
     private static WorkflowState markStopping(WorkflowState state, TaskKey key, long runNumber) {
         Job job = state.jobs().get(key.job());
-        if (job == null || !job.hasTask(key) || job.task(key).runNumber() != runNumber) {
+        if (job == null || !job.hasTask(key)) {
             return state;
         }
-        return state.with(job.with(key, job.task(key).inPhase(Task.Phase.STOPPING)));
+        Task task = job.task(key);
+        // The member of a gang that has completed is done before its worker reports its end.
+        boolean isNewestRun = task.runNumber() == runNumber && task.phase() != Task.Phase.DONE;
+        return isNewestRun ? state.with(job.with(key, task.inPhase(Task.Phase.STOPPING))) : state;
     }
 
     private static WorkflowTransition sendStop(WorkflowState state, String worker, TaskKey key) {
--- a/core/src/test/java/org/jujubefork/core/workflow/GangCompletionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/GangCompletionTest.java
@@ -5,6 +5,8 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.WorkflowEvent.CommandOutcome;
 import org.jujubefork.core.workflow.WorkflowEvent.EndedRun;
 import org.jujubefork.core.workflow.WorkflowEvent.RunOutcome;
 import org.jujubefork.core.workflow.WorkflowEvent.RunningRun;
@@ -65,4 +67,55 @@
                 "capacity is not released");
         assertFalse(wasStopSent(leader), "a member that has ended was stopped");
     }
+
+    /**
+     * Guards against a job that never ends: the gang has completed, and then the answer to the
+     * start of a member is lost. The stop of that member must not set it back to waiting, because
+     * the other members are done and a gang starts only as a whole.
+     */
+    @Test
+    public void lostAnswerToStartDoesNotUndoCompletion() {
+        LeaderFixture leader =
+                LeaderFixture.leading(
+                        LeaderFixture.configuration(50),
+                        new WorkflowEvent.Snapshot(
+                                List.of(), List.of(), List.of(), SilentWorkers.NONE));
+        leader.listWorkers("a", "b");
+        leader.advance(40);
+        leader.answerLeaseRenewal("a");
+        leader.answerLeaseRenewal("b");
+        leader.advance(40);
+        leader.storeAll();
+        leader.submit("g", gangAndNextStep());
+        leader.advance(40);
+        leader.storeAll();
+        leader.advance(40);
+        WorkflowEffect.Start first = leader.starts().get(0);
+        WorkflowEffect.Start second = leader.starts().get(1);
+        leader.completeStart(first, CommandOutcome.OK);
+        leader.answerLeaseRenewal(
+                first.worker().id(),
+                List.of(),
+                List.of(new EndedRun(1, first.command().task(), 1, RunOutcome.DONE, "")));
+        leader.completeStart(second, CommandOutcome.UNKNOWN);
+        TaskKey member = second.command().task();
+        assertEquals(leader.state().jobs().get("g").task(member).phase(), Task.Phase.DONE);
+        leader.answerLeaseRenewal(
+                second.worker().id(),
+                List.of(),
+                List.of(new EndedRun(1, member, 1, RunOutcome.BROKEN, "")));
+        assertEquals(leader.state().jobs().get("g").task(member).phase(), Task.Phase.DONE);
+    }
+
+    private static WorkflowDefinition gangAndNextStep() {
+        Resources size = Resources.of(10_000, 1_000, 0);
+        return new WorkflowDefinition(
+                "p",
+                List.of(
+                        TestSteps.step(2, size, 1_000, List.of(), true),
+                        TestSteps.step(1, size, 1_000, List.of(0), false)),
+                0,
+                0,
+                0);
+    }
 }
