Give each test of the HTTP front end its own queue of events

Cause: the tests share one queue. The handler of a broken-off response posts RequestCancelled after the connection has ended, which may be after the end of its test and after the queue was cleared for the next one. Evidence: a trial that runs truncatedAnswerOfKnownLengthDoesNotLookComplete and then this test 400 times found the event RequestCancelled of request e1-1-1 once; the truncated request has no identifier and no RequestArrived. Change: each test has its own queue. The check is the same.

--- a/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/http/HttpFrontEndTest.java
@@ -47,14 +47,16 @@
     private static final String PATH = "/v1/queues/q/requests";
 
     private final RequestRegistry registry = new RequestRegistry();
-    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private volatile Consumer<AnswerChannel> producer = channel -> {};
     private HttpFrontEnd server;
     private int port;
 
     @BeforeMethod
     public void start() throws IOException {
-        events.clear();
+        // A handler of the previous test may post its last event after the end of that test.
+        BlockingQueue<Event> ownEvents = new LinkedBlockingQueue<>();
+        events = ownEvents;
         try (ServerSocket freeSocket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             port = freeSocket.getLocalPort();
         }
@@ -68,7 +70,7 @@
                         registry,
                         () -> state,
                         () -> 0,
-                        this::post,
+                        event -> post(ownEvents, event),
                         new Random(7),
                         MAX_BODY_BYTES,
                         MAX_ANSWER_BYTES);
@@ -86,8 +88,8 @@
     }
 
     /** Replaces the control thread: runs the producer for the channel of each request. */
-    private void post(Event event) {
-        events.add(event);
+    private void post(BlockingQueue<Event> ownEvents, Event event) {
+        ownEvents.add(event);
         if (event instanceof RequestEvent.RequestArrived arrived) {
             AnswerChannel channel = registry.channel(arrived.request()).orElseThrow();
             Thread.startVirtualThread(() -> producer.accept(channel));
