Tell in the log why steps wait

The placement pass records a reason for each step that has tasks to start, and the state keeps the result of the newest pass. At most once a second the line steps-waiting gives the counts and the figures of the step that has waited longest. Further lines: tickets-withdrawn, recovered and followers; advice-failed gets the purpose and the time since the request was sent. Decisions do not change.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -8,6 +8,7 @@
 import org.jujubefork.core.workflow.AdviceRequests.AdviceRequest;
 import org.jujubefork.core.workflow.AdviceRequests.InFlightRequest;
 import org.jujubefork.core.workflow.AdviceRequests.Purpose;
+import org.jujubefork.core.workflow.StepProgress.AdviceState;
 import org.jujubefork.core.workflow.StepProgress.Ticket;
 
 /** Asks the advice service which workers may run a step, and renews tickets. */
@@ -61,7 +62,8 @@
                         rank,
                         queue.get().priority(),
                         purpose,
-                        Math.round(queue.get().advice().get().costMillis(candidates.size())));
+                        Math.round(queue.get().advice().get().costMillis(candidates.size())),
+                        state.now());
         return state.with(
                         job.with(
                                 key,
@@ -119,7 +121,8 @@
     private static WorkflowTransition send(
             WorkflowState state, AdviceRequest request, String advisor) {
         AdviceRequests requests = state.adviceRequests();
-        return WorkflowTransition.of(state.with(requests.withInFlight(request, advisor)))
+        return WorkflowTransition.of(
+                        state.with(requests.withInFlight(request, advisor, state.now())))
                 .with(
                         new WorkflowEffect.RequestAdvice(
                                 requests.nextNumber(),
@@ -172,7 +175,11 @@
                             "advisor",
                             inFlight.advisor(),
                             "workers",
-                            request.workers().size()));
+                            request.workers().size(),
+                            "purpose",
+                            request.purpose(),
+                            "sent_ms_ago",
+                            state.now() - inFlight.sentAt()));
         }
         long validMillis =
                 state.queueOf(job).flatMap(q -> q.advice()).map(a -> a.validMillis()).orElse(0L);
@@ -183,10 +190,39 @@
                 progress.withAdvice(
                         progress.advice()
                                 .withTickets(request.workers(), tickets, request.purpose()));
-        return Placement.startAssigned(
-                withYield(state, job, request, tickets.size())
-                        .with(job.with(step, updatedProgress)),
-                step);
+        return withdrawalLogged(
+                Placement.startAssigned(
+                        withYield(state, job, request, tickets.size())
+                                .with(job.with(step, updatedProgress)),
+                        step),
+                request,
+                progress.advice(),
+                updatedProgress.advice());
+    }
+
+    /** Logs which workers of {@code request} had a ticket before the answer and have none now. */
+    private static WorkflowTransition withdrawalLogged(
+            WorkflowTransition result,
+            AdviceRequest request,
+            AdviceState before,
+            AdviceState after) {
+        List<String> withdrawn =
+                request.workers().stream()
+                        .filter(w -> before.tickets().containsKey(w))
+                        .filter(w -> !after.tickets().containsKey(w))
+                        .toList();
+        return withdrawn.isEmpty()
+                ? result
+                : result.with(
+                        WorkflowEffect.LogEvent.of(
+                                "tickets-withdrawn",
+                                request.step(),
+                                "workers",
+                                String.join(",", withdrawn),
+                                "purpose",
+                                request.purpose(),
+                                "left",
+                                after.tickets().size()));
     }
 
     private static WorkflowState withYield(
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
@@ -55,6 +55,7 @@
      * @param priority the priority of its queue, 0 is the most urgent
      * @param purpose why the tickets are requested
      * @param costMillis the time that the service needs to process the request
+     * @param queuedAt when the request was queued, in milliseconds of the monotonic clock
      */
     public record AdviceRequest(
             StepKey step,
@@ -62,7 +63,8 @@
             Urgency.Rank rank,
             int priority,
             Purpose purpose,
-            long costMillis) {
+            long costMillis,
+            long queuedAt) {
         /** Copies the candidates. */
         public AdviceRequest {
             workers = List.copyOf(workers);
@@ -78,8 +80,9 @@
      *
      * @param advisor the entry that sends it
      * @param request the request
+     * @param sentAt when it was sent, in milliseconds of the monotonic clock
      */
-    public record InFlightRequest(String advisor, AdviceRequest request) {}
+    public record InFlightRequest(String advisor, AdviceRequest request, long sentAt) {}
 
     /** Returns an instance without requests, with {@code entry} as the only advisor. */
     public static AdviceRequests of(String entry) {
@@ -112,12 +115,15 @@
         return new AdviceRequests(advisors, pending.minus(request), inFlight, nextNumber, yields);
     }
 
-    /** Returns a copy with {@code request} in flight at {@code advisor} instead of pending. */
-    public AdviceRequests withInFlight(AdviceRequest request, String advisor) {
+    /**
+     * Returns a copy with {@code request} in flight at {@code advisor} instead of pending, sent at
+     * {@code at}.
+     */
+    public AdviceRequests withInFlight(AdviceRequest request, String advisor, long at) {
         return new AdviceRequests(
                 advisors,
                 pending.minus(request),
-                inFlight.plus(nextNumber, new InFlightRequest(advisor, request)),
+                inFlight.plus(nextNumber, new InFlightRequest(advisor, request, at)),
                 nextNumber + 1,
                 yields);
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -245,6 +245,9 @@
         WorkflowTransition result = AdviceDispatcher.dispatch(next);
         return state.leadership().leads()
                 ? result.with(new WorkflowEffect.AnnounceSuccession(successors(followers)))
+                        .with(
+                                WorkflowEffect.LogEvent.of(
+                                        "followers", state.term(), "count", followers.size()))
                 : result;
     }
 
@@ -325,7 +328,9 @@
                         .withFinished(HashTreePMap.empty())
                         .withWorkers(HashTreePMap.empty())
                         .with(CommitQueue.NONE)
-                        .with(state.adviceRequests().cleared()));
+                        .with(state.adviceRequests().cleared())
+                        .with(WaitingSteps.NONE)
+                        .with(Recovery.NONE));
     }
 
     static WorkflowTransition resign(WorkflowState state) {
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -49,6 +49,29 @@
                 .allMatch(w -> w.contact().areRunsKnown() || w.contact().runsUntil() < state.now());
     }
 
+    /** Logs that all runs of earlier terms are known, once in a term. */
+    static WorkflowTransition noteRecovery(WorkflowState state) {
+        if (state.recovery().complete() || !isRecovered(state)) {
+            return WorkflowTransition.of(state);
+        }
+        return WorkflowTransition.of(state.with(state.recovery().asComplete()))
+                .with(
+                        WorkflowEffect.LogEvent.of(
+                                "recovered",
+                                state.term(),
+                                "leads_ms",
+                                state.now() - state.recovery().leadsSince(),
+                                "workers",
+                                state.workers().size(),
+                                "unreached",
+                                unreachedCount(state)));
+    }
+
+    /** Returns the number of workers that have not answered in this term. */
+    static long unreachedCount(WorkflowState state) {
+        return state.workers().values().stream().filter(w -> !w.contact().reached()).count();
+    }
+
     static WorkflowTransition leaseRenewalFailed(
             WorkflowState state, WorkflowEvent.LeaseRenewalFailed event) {
         WorkerNode node = state.workers().get(event.worker());
--- a/core/src/main/java/org/jujubefork/core/workflow/Job.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Job.java
@@ -1,5 +1,7 @@
 package org.jujubefork.core.workflow;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
@@ -160,6 +162,35 @@
         return step(key).dependencies().stream().allMatch(s -> steps.get(s).isDone());
     }
 
+    /** Returns the steps with waiting tasks whose turn has come. */
+    List<StepKey> readySteps() {
+        List<StepKey> readySteps = new ArrayList<>();
+        for (int occurrence : occurrences.keySet()) {
+            PVector<StepProgress> steps = occurrences.get(occurrence);
+            for (int i = 0; i < steps.size(); i++) {
+                StepKey key = new StepKey(id, occurrence, i);
+                if (steps.get(i).hasWaiting() && areDependenciesDone(key)) {
+                    readySteps.add(key);
+                }
+            }
+        }
+        return readySteps;
+    }
+
+    /** Returns the steps with tasks that have capacity and are not started yet. */
+    List<StepKey> assignedSteps() {
+        List<StepKey> assignedSteps = new ArrayList<>();
+        for (int occurrence : occurrences.keySet()) {
+            PVector<StepProgress> steps = occurrences.get(occurrence);
+            for (int i = 0; i < steps.size(); i++) {
+                if (steps.get(i).hasAssigned()) {
+                    assignedSteps.add(new StepKey(id, occurrence, i));
+                }
+            }
+        }
+        return assignedSteps;
+    }
+
     /** Returns whether all occurrences have become due and are done. */
     public boolean isComplete() {
         return occurrences.size() == definition.occurrenceCount()
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -1,6 +1,8 @@
 package org.jujubefork.core.workflow;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -84,7 +86,8 @@
         return result;
     }
 
-    private static boolean isEligible(Candidate candidate, WorkerNode node) {
+    /** Returns whether the step could run on {@code node} if it had a ticket and room there. */
+    static boolean isEligible(Candidate candidate, WorkerNode node) {
         String label = candidate.definition().requiredLabel();
         return node.listing().service().equals(candidate.queue().service())
                 && (label.isEmpty() || node.listing().labels().contains(label))
@@ -104,12 +107,55 @@
 
     /**
      * Records that tasks of {@code candidate} were not placed for lack of free capacity, unless its
-     * team is at its limit or no usable worker can ever run them.
+     * team is at its limit or no usable worker can ever run them. Returns why they were not placed.
      */
-    void recordUnplaced(Candidate candidate) {
-        if (isWithinTeamLimit(candidate) && !runnableWorkers(candidate).isEmpty()) {
-            unplacedCandidates.add(candidate);
+    WaitReason recordUnplaced(Candidate candidate) {
+        int count = candidate.definition().gang() ? candidate.progress().tasks().size() : 1;
+        if (!isWithinTeamLimit(candidate)) {
+            return teamLimitReason(candidate, count);
         }
+        if (runnableWorkers(candidate).isEmpty()) {
+            return hasEligibleWorker(candidate) ? WaitReason.NO_TICKET : WaitReason.NO_WORKER;
+        }
+        unplacedCandidates.add(candidate);
+        if (count > 1 && !isWithinTeamLimit(candidate, count, maxUnknownUsage)) {
+            return teamLimitReason(candidate, count);
+        }
+        return hasRoomOnReservedWorkers(candidate, count)
+                ? WaitReason.WORKERS_RESERVED
+                : WaitReason.NO_ROOM;
+    }
+
+    private WaitReason teamLimitReason(Candidate candidate, int count) {
+        return !maxUnknownUsage.isZero() && isWithinTeamLimit(candidate, count, Resources.ZERO)
+                ? WaitReason.TEAM_LIMIT_UNKNOWN_USAGE
+                : WaitReason.TEAM_LIMIT;
+    }
+
+    /** Returns whether {@code count} tasks would fit if no workers were reserved. */
+    private boolean hasRoomOnReservedWorkers(Candidate candidate, int count) {
+        if (reservedWorkers.isEmpty()) {
+            return false;
+        }
+        long reservedPlaces = 0;
+        long otherPlaces = 0;
+        for (WorkerNode node : runnableWorkers(candidate)) {
+            reservedPlaces += reservedPlaces(candidate, node);
+            otherPlaces += freePlaces(candidate, node);
+        }
+        // A single task did not fit on the other workers, whose places may be beyond the maximum
+        // number of tasks per worker.
+        return reservedPlaces > 0 && (count == 1 || reservedPlaces + otherPlaces >= count);
+    }
+
+    /** Returns whether a usable worker could run the step, with or without a ticket. */
+    boolean hasEligibleWorker(Candidate candidate) {
+        for (WorkerNode node : usableWorkers.values()) {
+            if (isEligible(candidate, node)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns the backlogs of the steps that were not placed in this pass. */
@@ -162,6 +208,28 @@
                 : placesIn(candidate, freeByWorker.get(node.id()));
     }
 
+    /** Returns how many tasks of the step would fit on {@code node} if it were not reserved. */
+    long reservedPlaces(Candidate candidate, WorkerNode node) {
+        return reservedWorkers.contains(node.id())
+                ? placesIn(candidate, freeByWorker.get(node.id()))
+                : 0;
+    }
+
+    /** Returns the number of workers that are reserved for gangs. */
+    int reservedWorkerCount() {
+        return reservedWorkers.size();
+    }
+
+    /** Returns the workers that may get new tasks. */
+    Collection<WorkerNode> usableWorkers() {
+        return Collections.unmodifiableCollection(usableWorkers.values());
+    }
+
+    /** Returns an upper bound of the usage by runs that this leader does not know. */
+    Resources maxUnknownUsage() {
+        return maxUnknownUsage;
+    }
+
     /** Returns how many tasks of the step fit on {@code node} when nothing runs there. */
     static long totalPlaces(Candidate candidate, WorkerNode node) {
         return placesIn(candidate, node.listing().capacity());
@@ -263,6 +331,10 @@
      * that is not known counts, because it may be the team's.
      */
     private boolean isWithinTeamLimit(Candidate candidate) {
+        return isWithinTeamLimit(candidate, 1, maxUnknownUsage);
+    }
+
+    private boolean isWithinTeamLimit(Candidate candidate, int count, Resources unknownUsage) {
         String team = candidate.job().team();
         Resources limit =
                 state.configuration()
@@ -272,8 +344,8 @@
         Resources usage =
                 usageByTeam
                         .getOrDefault(team, Resources.ZERO)
-                        .plus(maxUnknownUsage)
-                        .plus(candidate.definition().chargedCapacity());
+                        .plus(unknownUsage)
+                        .plus(candidate.definition().chargedCapacity().times(count));
         return withinLimit(usage.cpuMillis(), limit.cpuMillis())
                 && withinLimit(usage.memoryMb(), limit.memoryMb())
                 && withinLimit(usage.accelerators(), limit.accelerators());
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -41,23 +41,37 @@
     private Placement() {}
 
     static WorkflowTransition run(WorkflowState state) {
-        WorkflowTransition result = startAllAssigned(state);
-        List<Candidate> candidates = candidates(result.state());
+        PassWaits waits = PassWaits.of(state);
+        WorkflowTransition result = Fleet.noteRecovery(state).then(s -> startAllAssigned(s, waits));
+        List<Candidate> candidates = candidates(result.state(), waits);
         PassCapacity capacity = PassCapacity.of(result.state());
         for (Candidate candidate : candidates) {
-            result = result.then(s -> place(s, candidate, capacity));
+            result = result.then(s -> place(s, candidate, capacity, waits));
         }
-        return result.withState(result.state().with(capacity.backlogs()));
+        WorkflowState placed =
+                result.state()
+                        .with(capacity.backlogs())
+                        .with(waits.build(capacity.reservedWorkerCount()));
+        return result.withState(placed).then(s -> WaitingStepsLog.writeIfDue(s, capacity));
     }
 
-    private static List<Candidate> candidates(WorkflowState state) {
+    private static List<Candidate> candidates(WorkflowState state, PassWaits waits) {
         boolean recovered = Fleet.isRecovered(state);
         List<Candidate> candidates = new ArrayList<>();
         for (Job job : state.jobs().values()) {
             boolean runsKnown = job.term() == state.term() || recovered;
             Optional<Queue> queue = state.queueOf(job);
-            if (job.isActive() && queue.isPresent() && runsKnown) {
+            if (!job.isActive()) {
+                continue;
+            }
+            if (queue.isPresent() && runsKnown) {
                 addCandidates(job, queue.get(), state.now(), candidates);
+            } else {
+                WaitReason reason =
+                        queue.isEmpty() ? WaitReason.QUEUE_MISSING : WaitReason.RUNS_UNKNOWN;
+                for (StepKey key : job.readySteps()) {
+                    waits.add(key, job.progress(key), reason);
+                }
             }
         }
         candidates.sort(Urgency.byUrgency());
@@ -69,73 +83,91 @@
      * their tickets were renewed. Nothing else considers such a step again, because it has no
      * waiting tasks.
      */
-    private static WorkflowTransition startAllAssigned(WorkflowState state) {
+    private static WorkflowTransition startAllAssigned(WorkflowState state, PassWaits waits) {
         WorkflowTransition result = WorkflowTransition.of(state);
         for (Job job : state.jobs().values()) {
-            for (StepKey key : assignedSteps(job)) {
+            for (StepKey key : job.assignedSteps()) {
                 result = result.then(s -> startAssigned(s, key));
+                addIfAssigned(result.state(), key, waits);
             }
         }
         return result;
     }
 
-    /** Returns the steps of {@code job} with tasks that have capacity and are not started yet. */
-    private static List<StepKey> assignedSteps(Job job) {
-        List<StepKey> assignedSteps = new ArrayList<>();
-        for (int occurrence : job.occurrences().keySet()) {
-            List<StepProgress> steps = job.occurrences().get(occurrence);
-            for (int i = 0; i < steps.size(); i++) {
-                if (steps.get(i).hasAssigned()) {
-                    assignedSteps.add(new StepKey(job.id(), occurrence, i));
-                }
-            }
+    private static void addIfAssigned(WorkflowState state, StepKey key, PassWaits waits) {
+        Job job = state.jobs().get(key.job());
+        if (job != null && job.isActive() && job.progress(key).hasAssigned()) {
+            waits.add(key, job.progress(key), WaitReason.TICKET_RENEWAL);
         }
-        return assignedSteps;
     }
 
     private static void addCandidates(Job job, Queue queue, long now, List<Candidate> candidates) {
-        for (int occurrence : job.occurrences().keySet()) {
-            List<StepProgress> steps = job.occurrences().get(occurrence);
-            for (int i = 0; i < steps.size(); i++) {
-                StepKey key = new StepKey(job.id(), occurrence, i);
-                if (steps.get(i).hasWaiting() && job.areDependenciesDone(key)) {
-                    Urgency.Standing standing = Urgency.standing(job, steps, queue, now);
-                    candidates.add(
-                            new Candidate(key, job, job.step(key), steps.get(i), queue, standing));
-                }
-            }
+        for (StepKey key : job.readySteps()) {
+            candidates.add(candidate(job, key, queue, now));
         }
     }
 
+    static Candidate candidate(Job job, StepKey key, Queue queue, long now) {
+        List<StepProgress> steps = job.occurrences().get(key.occurrence());
+        Urgency.Standing standing = Urgency.standing(job, steps, queue, now);
+        return new Candidate(key, job, job.step(key), steps.get(key.step()), queue, standing);
+    }
+
     private static WorkflowTransition place(
-            WorkflowState state, Candidate candidate, PassCapacity capacity) {
-        WorkflowState next = state;
-        if (candidate.progress().readyAt() < 0) {
-            Job job = state.jobs().get(candidate.job().id());
-            next =
-                    state.with(
-                            job.with(
-                                    candidate.key(),
-                                    candidate.progress().withReadyAt(state.now())));
-        }
+            WorkflowState state, Candidate candidate, PassCapacity capacity, PassWaits waits) {
+        WorkflowState next = withReadyAt(state, candidate);
+        StepKey key = candidate.key();
         boolean needsAdvice = candidate.queue().advice().isPresent();
         if (needsAdvice && !candidate.progress().advice().received()) {
-            return WorkflowTransition.of(requestAdvice(next, candidate, capacity));
+            WorkflowState requested = requestAdvice(next, candidate, capacity);
+            waits.add(
+                    key,
+                    candidate.progress(),
+                    firstAdviceReason(requested, candidate, capacity, waits));
+            return WorkflowTransition.of(requested);
+        }
+        if (!candidate.job().stored()) {
+            waits.add(key, candidate.progress(), WaitReason.NOT_STORED);
+            return WorkflowTransition.of(next);
         }
-        if (!candidate.job().stored()
-                || !capacity.hasRequiredFreeCapacity(
-                        candidate.queue().service(), candidate.rank())) {
+        if (!capacity.hasRequiredFreeCapacity(candidate.queue().service(), candidate.rank())) {
+            waits.add(key, candidate.progress(), WaitReason.MIN_FREE_CAPACITY);
             return WorkflowTransition.of(next);
         }
         WorkflowTransition placed =
                 candidate.definition().gang()
-                        ? placeGang(next, candidate, capacity)
-                        : placeTasks(next, candidate, capacity);
-        return needsAdvice && hasWaiting(placed.state(), candidate.key())
+                        ? placeGang(next, candidate, capacity, waits)
+                        : placeTasks(next, candidate, capacity, waits);
+        if (needsAdvice && !waits.contains(key)) {
+            addIfAssigned(placed.state(), key, waits);
+        }
+        return needsAdvice && hasWaiting(placed.state(), key)
                 ? placed.withState(requestAdvice(placed.state(), candidate, capacity))
                 : placed;
     }
 
+    private static WorkflowState withReadyAt(WorkflowState state, Candidate candidate) {
+        if (candidate.progress().readyAt() >= 0) {
+            return state;
+        }
+        Job job = state.jobs().get(candidate.job().id());
+        return state.with(job.with(candidate.key(), candidate.progress().withReadyAt(state.now())));
+    }
+
+    /** Returns why the step has no answer of the advice service yet. */
+    private static WaitReason firstAdviceReason(
+            WorkflowState state, Candidate candidate, PassCapacity capacity, PassWaits waits) {
+        StepKey key = candidate.key();
+        if (state.jobs().get(key.job()).progress(key).advice().choicePending()) {
+            return waits.isRequestInFlight(key)
+                    ? WaitReason.ADVICE_IN_FLIGHT
+                    : WaitReason.ADVICE_QUEUED;
+        }
+        return capacity.hasEligibleWorker(candidate)
+                ? WaitReason.ADVICE_NOT_REQUESTED
+                : WaitReason.NO_WORKER;
+    }
+
     private static boolean hasWaiting(WorkflowState state, StepKey key) {
         return state.jobs().get(key.job()).progress(key).hasWaiting();
     }
@@ -168,7 +200,7 @@
     }
 
     private static WorkflowTransition placeTasks(
-            WorkflowState state, Candidate candidate, PassCapacity capacity) {
+            WorkflowState state, Candidate candidate, PassCapacity capacity, PassWaits waits) {
         WorkflowState next = state;
         boolean anyAssigned = false;
         for (int i = 0; i < candidate.definition().taskCount(); i++) {
@@ -178,7 +210,8 @@
             }
             Optional<String> worker = capacity.allocate(candidate, Set.of());
             if (worker.isEmpty()) {
-                capacity.recordUnplaced(candidate);
+                WaitReason reason = capacity.recordUnplaced(candidate);
+                waits.add(candidate.key(), candidate.progress(), reason);
                 break;
             }
             next =
@@ -194,14 +227,16 @@
     }
 
     private static WorkflowTransition placeGang(
-            WorkflowState state, Candidate candidate, PassCapacity capacity) {
+            WorkflowState state, Candidate candidate, PassCapacity capacity, PassWaits waits) {
         List<Task> tasks = candidate.progress().tasks();
         if (candidate.progress().waitingCount() < tasks.size()) {
+            waits.add(candidate.key(), candidate.progress(), WaitReason.GANG_ACTIVE);
             return WorkflowTransition.of(state);
         }
         Optional<List<String>> workers = capacity.allocateAll(candidate, tasks.size());
         if (workers.isEmpty()) {
-            capacity.recordUnplaced(candidate);
+            WaitReason reason = capacity.recordUnplaced(candidate);
+            waits.add(candidate.key(), candidate.progress(), reason);
             capacity.reserveWorkers(candidate);
             return WorkflowTransition.of(state);
         }
@@ -328,7 +363,7 @@
                     service(previous, job).equals(service(state.configuration(), job))
                             && limit(previous, job).equals(limit(state.configuration(), job));
             if (!isUnchanged) {
-                for (StepKey key : assignedSteps(job)) {
+                for (StepKey key : job.assignedSteps()) {
                     result = result.then(s -> unassign(s, key));
                 }
             }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -24,6 +24,8 @@
  * @param adviceRequests the requests to the advice service
  * @param teamBuckets the token buckets that measure the teams against their shares
  * @param backlogs the work that waits for free capacity
+ * @param waitingSteps the steps that waited after the last placement pass
+ * @param recovery whether this term has learned of all runs of earlier terms
  * @param placementDue whether a placement pass is due, because something on which placement depends
  *     has changed
  * @param lastPlacementAt when the last placement pass ran
@@ -44,6 +46,8 @@
         AdviceRequests adviceRequests,
         TeamTokenBuckets teamBuckets,
         ServiceBacklogs backlogs,
+        WaitingSteps waitingSteps,
+        Recovery recovery,
         boolean placementDue,
         long lastPlacementAt,
         long lastFleetCheckAt) {
@@ -64,6 +68,8 @@
                 AdviceRequests.of(entry),
                 TeamTokenBuckets.NONE,
                 ServiceBacklogs.NONE,
+                WaitingSteps.NONE,
+                Recovery.NONE,
                 false,
                 0,
                 0);
@@ -222,6 +228,20 @@
         return next.build();
     }
 
+    /** Returns a copy with {@code other} as the waiting steps. */
+    public WorkflowState with(WaitingSteps other) {
+        Builder next = new Builder(this);
+        next.waitingSteps = other;
+        return next.build();
+    }
+
+    /** Returns a copy with {@code other} as the recovery. */
+    public WorkflowState with(Recovery other) {
+        Builder next = new Builder(this);
+        next.recovery = other;
+        return next.build();
+    }
+
     /** Returns a copy with {@code due} as whether a placement pass is due. */
     public WorkflowState withPlacementDue(boolean due) {
         Builder next = new Builder(this);
@@ -267,6 +287,8 @@
         private AdviceRequests adviceRequests;
         private TeamTokenBuckets teamBuckets;
         private ServiceBacklogs backlogs;
+        private WaitingSteps waitingSteps;
+        private Recovery recovery;
         private boolean placementDue;
         private long lastPlacementAt;
         private long lastFleetCheckAt;
@@ -286,6 +308,8 @@
             this.adviceRequests = from.adviceRequests();
             this.teamBuckets = from.teamBuckets();
             this.backlogs = from.backlogs();
+            this.waitingSteps = from.waitingSteps();
+            this.recovery = from.recovery();
             this.placementDue = from.placementDue();
             this.lastPlacementAt = from.lastPlacementAt();
             this.lastFleetCheckAt = from.lastFleetCheckAt();
@@ -307,6 +331,8 @@
                     adviceRequests,
                     teamBuckets,
                     backlogs,
+                    waitingSteps,
+                    recovery,
                     placementDue,
                     lastPlacementAt,
                     lastFleetCheckAt);
