--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -13,6 +13,8 @@
 import java.util.function.ToDoubleFunction;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.Job;
+import org.jujubefork.core.workflow.WaitReason;
+import org.jujubefork.core.workflow.WaitingSteps;
 import org.jujubefork.core.workflow.WorkerNode;
 import org.jujubefork.core.workflow.WorkflowEffect.LogEvent;
 import org.jujubefork.core.workflow.WorkflowState;
@@ -170,6 +172,43 @@
                 "team",
                 state,
                 WorkflowMetrics::cpuByTeam);
+        registerWaitingGauges(state, now);
+    }
+
+    private void registerWaitingGauges(Supplier<WorkflowState> state, LongSupplier now) {
+        labelledGauge(
+                "jujube_waiting_steps",
+                "Steps whose turn has come and that have tasks to start, by reason.",
+                "reason",
+                state,
+                s -> byReason(s, total -> total.count()));
+        labelledGauge(
+                "jujube_longest_wait_seconds",
+                "Longest time that a step has waited without a start, by reason.",
+                "reason",
+                state,
+                s -> byReason(s, total -> (now.getAsLong() - total.since()) / MILLIS_PER_SECOND));
+        gauge(
+                "jujube_unreached_workers",
+                "Workers that have not answered in this term.",
+                state,
+                s -> s.workers().values().stream().filter(w -> !w.contact().reached()).count());
+        gauge(
+                "jujube_reserved_workers",
+                "Workers that are reserved for gangs.",
+                state,
+                s -> s.waitingSteps().reservedWorkers());
+    }
+
+    /** Returns a value of each reason; it is 0 if no step waits for the reason. */
+    private static Map<String, Double> byReason(
+            WorkflowState state, ToDoubleFunction<WaitingSteps.Total> value) {
+        Map<String, Double> values = new HashMap<>();
+        for (WaitReason reason : WaitReason.values()) {
+            WaitingSteps.Total total = state.waitingSteps().byReason().get(reason);
+            values.put(reason.label(), total == null ? 0 : value.applyAsDouble(total));
+        }
+        return values;
     }
 
     private static boolean leads(WorkflowState state) {
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -6,6 +6,13 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.WaitReason;
+import org.jujubefork.core.workflow.WaitingSteps;
+import org.jujubefork.core.workflow.WorkerNode;
 import org.jujubefork.core.workflow.WorkflowEffect.LogEvent;
 import org.jujubefork.core.workflow.WorkflowState;
 import org.testng.annotations.Test;
@@ -56,4 +63,32 @@
         assertLine(page, "jujube_leads 0.0");
         assertLine(page, "jujube_configuration_age_seconds 5.0");
     }
+
+    @Test
+    public void waitingStepsAreShownByReason() throws IOException {
+        WorkflowMetrics metrics = WorkflowMetrics.create();
+        WorkerNode.Listing worker =
+                new WorkerNode.Listing(
+                        "w", "s", "w:1", "z", false, Resources.of(1, 1, 0), List.of(), "");
+        WorkflowState state =
+                WorkflowState.initial("e", 1_000)
+                        .with(WorkerNode.of(worker, 0))
+                        .with(
+                                new WaitingSteps(
+                                        Map.of(),
+                                        Map.of(
+                                                WaitReason.NO_TICKET,
+                                                new WaitingSteps.Total(2, 1_500)),
+                                        Optional.empty(),
+                                        3,
+                                        0));
+        metrics.registerStateGauges(() -> state, () -> 4_000);
+        String page = metricsPage(metrics);
+        assertLine(page, "jujube_waiting_steps{reason=\"no-ticket\"} 2.0");
+        assertLine(page, "jujube_waiting_steps{reason=\"no-room\"} 0.0");
+        assertLine(page, "jujube_longest_wait_seconds{reason=\"no-ticket\"} 2.5");
+        assertLine(page, "jujube_longest_wait_seconds{reason=\"no-room\"} 0.0");
+        assertLine(page, "jujube_unreached_workers 1.0");
+        assertLine(page, "jujube_reserved_workers 3.0");
+    }
 }
