--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdviceRefusalTest.java
@@ -0,0 +1,118 @@
+package org.jujubefork.core.workflow;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
+import org.jujubefork.core.workflow.CellConfiguration.Queue;
+import org.jujubefork.core.workflow.WorkflowEvent.CommandOutcome;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against an accepted job that never starts because the advice service once gave no ticket
+ * for a worker that was down or restarting at that moment.
+ */
+public final class AdviceRefusalTest {
+    /** Time within which a step that can run has to start, as the platform's rules demand. */
+    private static final long MAX_START_MILLIS = 3_000;
+
+    private static final String JOB = "j";
+
+    private final LeaderFixture leader =
+            LeaderFixture.leading(
+                    configuration(),
+                    new WorkflowEvent.Snapshot(
+                            List.of(), List.of(), List.of(), SilentWorkers.NONE));
+
+    private static CellConfiguration configuration() {
+        Queue queue =
+                new Queue(
+                        LeaderFixture.QUEUE,
+                        "h",
+                        "/q/",
+                        LeaderFixture.SERVICE,
+                        0,
+                        3,
+                        3_000,
+                        2,
+                        400,
+                        true,
+                        Optional.of(new AdviceSettings(10, 1, 2_000)));
+        return new CellConfiguration(
+                1,
+                List.of(queue),
+                List.of(new CellConfiguration.Service(LeaderFixture.SERVICE, false)),
+                List.of(
+                        new CellConfiguration.Team(
+                                LeaderFixture.TEAM, List.of(), 50, Resources.ZERO)),
+                100_000);
+    }
+
+    /** Advances the time while the workers, the store and the advice service answer. */
+    private static void advance(LeaderFixture leader, long millis, Set<String> permitted) {
+        for (long end = leader.now() + millis; leader.now() < end; ) {
+            leader.advance(100);
+            leader.answerLeaseRenewal("a");
+            leader.answerLeaseRenewal("b");
+            leader.storeAll();
+            leader.takeAdviceRequests().forEach(r -> grant(leader, r, permitted));
+        }
+    }
+
+    private static void grant(
+            LeaderFixture leader, WorkflowEffect.RequestAdvice request, Set<String> permitted) {
+        Map<String, String> tickets = new HashMap<>();
+        request.workers().stream()
+                .filter(permitted::contains)
+                .forEach(w -> tickets.put(w, "ticket-" + w));
+        leader.post(
+                new WorkflowEvent.AdviceCompleted(
+                        leader.now(), request.fence(), request.number(), Optional.of(tickets)));
+    }
+
+    private static LeaderFixture withWorkers() {
+        LeaderFixture leader = new AdviceRefusalTest().leader;
+        leader.listWorkers("a", "b");
+        advance(leader, 300, Set.of());
+        return leader;
+    }
+
+    @Test(groups = "known-red")
+    public void gangStartsAfterWorkerThatGotNoTicketIsBack() {
+        LeaderFixture leader = withWorkers();
+        leader.submit(JOB, LeaderFixture.job(2, 16, true));
+        advance(leader, 1_000, Set.of("a"));
+        assertEquals(leader.startedWorkers(), List.of(), "started without a ticket");
+        advance(leader, MAX_START_MILLIS, Set.of("a", "b"));
+        assertEquals(Set.copyOf(leader.startedWorkers()), Set.of("a", "b"));
+    }
+
+    @Test(groups = "known-red")
+    public void taskStartsAfterRenewalLeftItsWorkerOut() {
+        LeaderFixture leader = withWorkers();
+        leader.submit(JOB, LeaderFixture.job(1, 16, false));
+        advance(leader, 300, Set.of("a"));
+        assertEquals(leader.startedWorkers(), List.of("a"));
+        // The worker restarts: it knows no ticket of before, and is left out of the renewal.
+        leader.completeStart(leader.starts().get(0), CommandOutcome.NO_TICKET);
+        advance(leader, 1_000, Set.of());
+        advance(leader, MAX_START_MILLIS, Set.of("a"));
+        assertEquals(leader.startedWorkers(), List.of("a", "a"));
+    }
+
+    /** Guards against requests without end for a step that no worker may run. */
+    @Test
+    public void refusedWorkersAreNamedAtMostEveryOtherSecond() {
+        LeaderFixture leader = withWorkers();
+        leader.submit(JOB, LeaderFixture.job(1, 16, false));
+        advance(leader, 10_000, Set.of());
+        int requestCount = leader.adviceRequests().size();
+        assertTrue(requestCount <= 6, requestCount + " requests in 10 s");
+    }
+}
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -26,6 +26,7 @@
     private long now = 100_000;
     private long revision = 10;
     private long nextRequestId = 1;
+    private int takenAdviceRequestCount;
 
     private LeaderFixture(CellConfiguration configuration) {
         post(new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
@@ -288,6 +289,15 @@
         return effectsOf(WorkflowEffect.RequestAdvice.class);
     }
 
+    /** Returns the advice requests that were sent since the last call of this method. */
+    List<WorkflowEffect.RequestAdvice> takeAdviceRequests() {
+        List<WorkflowEffect.RequestAdvice> all = adviceRequests();
+        List<WorkflowEffect.RequestAdvice> taken =
+                List.copyOf(all.subList(takenAdviceRequestCount, all.size()));
+        takenAdviceRequestCount = all.size();
+        return taken;
+    }
+
     private <T extends WorkflowEffect> List<T> effectsOf(Class<T> type) {
         return effects.stream().filter(type::isInstance).map(type::cast).toList();
     }
