Reserve no workers for a gang that cannot start

Callers see a job that could run on idle workers and does not (LOST), and new jobs rejected for want of room that is free. Cause: a gang that does not fit reserves up to half of all usable workers in each placement pass until it is three times too late. Only one of its tasks was checked against the team's limit, nobody asked whether the whole gang fits on its workers when they are idle, and the half was counted over the workers of all services, so that a small service could be reserved as a whole.

Now a gang reserves workers only if all of its tasks fit within the team's limit and on its idle workers, only of its own service, and only while 0.4 of the service is allocated. The same check decides what counts as backlog.

--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -29,19 +29,27 @@
     private static final double REMOTE_DATA_PENALTY = 10;
 
     /**
-     * Maximum fraction of the usable workers that may be reserved for gangs that do not fit yet.
+     * Maximum fraction of the usable workers of a service that may be reserved for gangs that do
+     * not fit yet.
      */
     private static final double MAX_RESERVED_FRACTION = 0.5;
 
+    /**
+     * Fraction of the capacity of a service that must be allocated for a reservation. With more
+     * capacity free, small tasks do not keep a gang from starting, and a reservation would only
+     * keep them waiting on idle workers. Reservations leave half of the workers to other work, so
+     * the value is below one half: a reservation must not end itself.
+     */
+    private static final double MIN_ALLOCATED_FRACTION_FOR_RESERVATION = 0.4;
+
     /**
      * A gang gets a reservation when it can wait no longer than this without becoming late. Before
      * that, the capacity that a reservation keeps idle serves other work.
      */
     private static final double MAX_RESERVATION_SLACK_MILLIS = 5_000;
 
-    private final WorkflowState state;
+    private final TeamUsage teamUsage;
     private final Map<String, Resources> freeByWorker = new HashMap<>();
-    private final Map<String, Resources> usageByTeam = new HashMap<>();
     private final Map<StepKey, Map<String, Integer>> newTasksByStep = new HashMap<>();
     private final Map<String, WorkerNode> usableWorkers = new HashMap<>();
     private final Set<String> reservedWorkers = new HashSet<>();
@@ -50,16 +58,13 @@
     private final Map<String, Resources> allocatedByService = new HashMap<>();
     private Resources maxFree = Resources.ZERO;
 
-    /** Upper bound of the usage of each team by runs that this leader does not know. */
-    private Resources maxUnknownUsage = Resources.ZERO;
-
     /** The candidate that {@link #runnableWorkers} belongs to; steps are placed one by one. */
     private Candidate runnableWorkersCandidate;
 
     private List<WorkerNode> runnableWorkers = List.of();
 
     private PassCapacity(WorkflowState state) {
-        this.state = state;
+        this.teamUsage = TeamUsage.of(state);
     }
 
     static PassCapacity of(WorkflowState state) {
@@ -68,11 +73,7 @@
             Resources freeCapacity = node.listing().capacity();
             for (WorkerNode.Charge charge : node.charges().values()) {
                 freeCapacity = freeCapacity.minus(charge.size());
-                charge.team()
-                        .ifPresent(
-                                t -> result.usageByTeam.merge(t, charge.size(), Resources::plus));
             }
-            result.maxUnknownUsage = result.maxUnknownUsage.plus(node.maxUnknownUsage(state.now()));
             if (state.isOpenForStarts(node)) {
                 result.usableWorkers.put(node.id(), node);
                 result.freeByWorker.put(node.id(), freeCapacity);
@@ -99,39 +100,54 @@
      * requires.
      */
     boolean hasRequiredFreeCapacity(String service, Urgency.Rank rank) {
+        return rank.minFreeFraction() == 0
+                || allocatedFraction(service) <= 1 - rank.minFreeFraction();
+    }
+
+    private double allocatedFraction(String service) {
         Resources capacity = capacityByService.getOrDefault(service, Resources.ZERO);
         Resources allocated = allocatedByService.getOrDefault(service, Resources.ZERO);
-        return rank.minFreeFraction() == 0
-                || allocated.dominantShareOf(capacity) <= 1 - rank.minFreeFraction();
+        return allocated.dominantShareOf(capacity);
     }
 
     /**
      * Records that tasks of {@code candidate} were not placed for lack of free capacity, unless its
-     * team is at its limit or no usable worker can ever run them. Returns why they were not placed.
+     * team is at its limit or the usable workers can never run them. Returns why they were not
+     * placed.
      */
     WaitReason recordUnplaced(Candidate candidate) {
-        int count = candidate.definition().gang() ? candidate.progress().tasks().size() : 1;
-        if (!isWithinTeamLimit(candidate)) {
+        int count = concurrentTasks(candidate);
+        if (!isWithinTeamLimit(candidate, count)) {
             return teamLimitReason(candidate, count);
         }
         if (runnableWorkers(candidate).isEmpty()) {
             return hasEligibleWorker(candidate) ? WaitReason.NO_TICKET : WaitReason.NO_WORKER;
         }
-        unplacedCandidates.add(candidate);
-        if (count > 1 && !isWithinTeamLimit(candidate, count, maxUnknownUsage)) {
-            return teamLimitReason(candidate, count);
+        if (!fitsWhenIdle(candidate)) {
+            return WaitReason.TOO_FEW_WORKERS;
         }
+        unplacedCandidates.add(candidate);
         return hasRoomOnReservedWorkers(candidate, count)
                 ? WaitReason.WORKERS_RESERVED
                 : WaitReason.NO_ROOM;
     }
 
     private WaitReason teamLimitReason(Candidate candidate, int count) {
-        return !maxUnknownUsage.isZero() && isWithinTeamLimit(candidate, count, Resources.ZERO)
+        return teamUsage.isLimitedByUnknownUsage(
+                        candidate.job().team(), capacityOf(candidate, count))
                 ? WaitReason.TEAM_LIMIT_UNKNOWN_USAGE
                 : WaitReason.TEAM_LIMIT;
     }
 
+    private static Resources capacityOf(Candidate candidate, int taskCount) {
+        return candidate.definition().chargedCapacity().times(taskCount);
+    }
+
+    /** Returns whether {@code taskCount} more tasks keep the team within its limit. */
+    private boolean isWithinTeamLimit(Candidate candidate, int taskCount) {
+        return teamUsage.isWithinLimit(candidate.job().team(), capacityOf(candidate, taskCount));
+    }
+
     /** Returns whether {@code count} tasks would fit if no workers were reserved. */
     private boolean hasRoomOnReservedWorkers(Candidate candidate, int count) {
         if (reservedWorkers.isEmpty()) {
@@ -150,8 +166,20 @@
 
     /** Returns whether a usable worker could run the step, with or without a ticket. */
     boolean hasEligibleWorker(Candidate candidate) {
-        for (WorkerNode node : usableWorkers.values()) {
-            if (isEligible(candidate, node)) {
+        return usableWorkers.values().stream().anyMatch(n -> isEligible(candidate, n));
+    }
+
+    /** Returns how many tasks of the step have to start at the same time. */
+    private static int concurrentTasks(Candidate candidate) {
+        return candidate.definition().gang() ? candidate.definition().taskCount() : 1;
+    }
+
+    /** Returns whether the workers that may run the step could run it if nothing else ran there. */
+    private boolean fitsWhenIdle(Candidate candidate) {
+        long missingPlaces = concurrentTasks(candidate);
+        for (WorkerNode node : runnableWorkers(candidate)) {
+            missingPlaces -= totalPlaces(candidate, node);
+            if (missingPlaces <= 0) {
                 return true;
             }
         }
@@ -171,15 +199,20 @@
      * becomes free, and the gang might never start. The workers with the most free CPU are
      * reserved. As no other task starts on them, they keep the most free CPU, so the next pass
      * reserves the same workers.
+     *
+     * <p>A gang that its team's limit or the number of its workers keeps from starting gets no
+     * reservation, because no end of another run would let it start.
      */
     void reserveWorkers(Candidate candidate) {
         if (!candidate.rank().reservesCapacity()
                 || candidate.standing().slackMillis() > MAX_RESERVATION_SLACK_MILLIS
-                || !isWithinTeamLimit(candidate)) {
+                || allocatedFraction(candidate.queue().service())
+                        < MIN_ALLOCATED_FRACTION_FOR_RESERVATION
+                || !isWithinTeamLimit(candidate, concurrentTasks(candidate))
+                || !fitsWhenIdle(candidate)) {
             return;
         }
-        long maxReservations =
-                Math.round(usableWorkers.size() * MAX_RESERVED_FRACTION) - reservedWorkers.size();
+        long maxReservations = maxReservations(candidate.queue().service());
         long remainingTasks = candidate.progress().tasks().size();
         List<WorkerNode> leastLoaded =
                 runnableWorkers(candidate).stream()
@@ -198,6 +231,19 @@
         }
     }
 
+    /** Returns how many workers of {@code service} may be reserved beside those that are. */
+    private long maxReservations(String service) {
+        long workerCount = 0;
+        long reservedCount = 0;
+        for (WorkerNode node : usableWorkers.values()) {
+            if (node.listing().service().equals(service)) {
+                workerCount++;
+                reservedCount += reservedWorkers.contains(node.id()) ? 1 : 0;
+            }
+        }
+        return Math.round(workerCount * MAX_RESERVED_FRACTION) - reservedCount;
+    }
+
     /**
      * Returns how many tasks of the step fit on {@code node} now; 0 if the worker is reserved for a
      * gang.
@@ -227,7 +273,7 @@
 
     /** Returns an upper bound of the usage by runs that this leader does not know. */
     Resources maxUnknownUsage() {
-        return maxUnknownUsage;
+        return teamUsage.maxUnknown();
     }
 
     /** Returns how many tasks of the step fit on {@code node} when nothing runs there. */
@@ -274,7 +320,7 @@
     Optional<String> allocate(Candidate candidate, Set<String> allowedRacks) {
         // No run ends during a pass, so the initial maximum of free capacity stays an upper bound.
         if (!candidate.definition().chargedCapacity().fitsIn(maxFree)
-                || !isWithinTeamLimit(candidate)) {
+                || !isWithinTeamLimit(candidate, 1)) {
             return Optional.empty();
         }
         WorkerNode best = null;
@@ -340,35 +386,6 @@
         return allowedRacks.isEmpty() || allowedRacks.contains(rackOf(node));
     }
 
-    /**
-     * Returns whether one more task of {@code candidate} keeps its team within its limit. All usage
-     * that is not known counts, because it may be the team's.
-     */
-    private boolean isWithinTeamLimit(Candidate candidate) {
-        return isWithinTeamLimit(candidate, 1, maxUnknownUsage);
-    }
-
-    private boolean isWithinTeamLimit(Candidate candidate, int count, Resources unknownUsage) {
-        String team = candidate.job().team();
-        Resources limit =
-                state.configuration()
-                        .flatMap(c -> c.team(team))
-                        .map(CellConfiguration.Team::limit)
-                        .orElse(Resources.ZERO);
-        Resources usage =
-                usageByTeam
-                        .getOrDefault(team, Resources.ZERO)
-                        .plus(unknownUsage)
-                        .plus(candidate.definition().chargedCapacity().times(count));
-        return withinLimit(usage.cpuMillis(), limit.cpuMillis())
-                && withinLimit(usage.memoryMb(), limit.memoryMb())
-                && withinLimit(usage.accelerators(), limit.accelerators());
-    }
-
-    private static boolean withinLimit(long total, long limit) {
-        return limit == 0 || total <= limit;
-    }
-
     private boolean fits(Candidate candidate, WorkerNode node) {
         int maxPerWorker = candidate.definition().maxPerWorker();
         boolean belowMaxPerWorker =
@@ -421,7 +438,7 @@
     private void charge(Candidate candidate, String worker, int sign) {
         Resources size = candidate.definition().chargedCapacity().times(sign);
         freeByWorker.merge(worker, size, Resources::minus);
-        usageByTeam.merge(candidate.job().team(), size, Resources::plus);
+        teamUsage.add(candidate.job().team(), size);
         allocatedByService.merge(candidate.queue().service(), size, Resources::plus);
         newTasksByStep
                 .computeIfAbsent(candidate.key(), k -> new HashMap<>())
--- a/core/src/main/java/org/jujubefork/core/workflow/WaitReason.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WaitReason.java
@@ -29,6 +29,8 @@
     NO_WORKER,
     /** Usable workers could run the step, but it has a ticket for none of them. */
     NO_TICKET,
+    /** The workers that may run the gang cannot hold all of its tasks even when they are idle. */
+    TOO_FEW_WORKERS,
     /** The workers that may run the step have too little free capacity. */
     NO_ROOM,
     /** There would be room if no workers were reserved for another gang. */
