Avoid entries whose requests to the advice service fail

What callers see: a step waits for tickets although another entry can get them. While one entry fails its requests at once, for example because the service refuses its machine, nearly all requests go there.

Cause: AdvisorLoads.assign takes the least loaded entry, and an entry that fails at once is never loaded. A request in flight at an entry that has left also blocks its step until its timeout, 1.2 s after twice its cost.

Change: AdviceRequests keeps the failures of each entry since its last answered request. An entry that has failed is used only if no other can accept the request: not at all for 0.5 s, doubled with each failure up to 8 s, then with one request at a time until one is answered. If all entries are avoided, all are used, the one whose time ends first before the others. The limit of long requests counts only entries that have not failed. Failures are forgotten when an entry leaves or a term begins. When FollowersChanged no longer names an entry, its requests are pending again, before the others; the log tells this as advice-moved.

Found by reading.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -9,6 +9,7 @@
 import org.jujubefork.core.workflow.AdviceRequests.InFlightRequest;
 import org.jujubefork.core.workflow.AdviceRequests.Purpose;
 import org.jujubefork.core.workflow.StepProgress.Ticket;
+import org.pcollections.PSet;
 
 /** Asks the advice service which workers may run a step, and renews tickets. */
 final class AdviceDispatcher {
@@ -74,7 +75,7 @@
         if (state.adviceRequests().pending().isEmpty() || !state.hasConfirmedLeadership()) {
             return WorkflowTransition.of(state);
         }
-        AdvisorLoads loads = AdvisorLoads.of(state.adviceRequests());
+        AdvisorLoads loads = AdvisorLoads.of(state.adviceRequests(), state.now());
         WorkflowTransition result = WorkflowTransition.of(state);
         for (AdviceRequest request :
                 state.adviceRequests().pending().stream().sorted(DISPATCH_ORDER).toList()) {
@@ -130,13 +131,38 @@
                                 state.fence()));
     }
 
+    /**
+     * Sends requests through {@code advisors} from now on, also those that are in flight at an
+     * entry that is not among them.
+     */
+    static WorkflowTransition advisorsChanged(WorkflowState state, PSet<String> advisors) {
+        AdviceRequests requests = state.adviceRequests();
+        AdviceRequests next = requests.withAdvisors(advisors);
+        int moved = requests.inFlight().size() - next.inFlight().size();
+        WorkflowTransition result = WorkflowTransition.of(state.with(next));
+        return (moved == 0
+                        ? result
+                        : result.with(
+                                WorkflowEffect.LogEvent.of(
+                                        "advice-moved",
+                                        requests.advisors().minusAll(advisors),
+                                        "requests",
+                                        moved)))
+                .then(AdviceDispatcher::dispatch);
+    }
+
     static WorkflowTransition completed(WorkflowState state, WorkflowEvent.AdviceCompleted event) {
         InFlightRequest inFlight = state.adviceRequests().inFlight().get(event.number());
         if (inFlight == null) {
             return WorkflowTransition.of(state);
         }
         WorkflowState next =
-                state.with(state.adviceRequests().withoutInFlight(event.number()))
+                state.with(
+                                state.adviceRequests()
+                                        .withCompleted(
+                                                event.number(),
+                                                event.tickets().isPresent(),
+                                                state.now()))
                         .withPlacementDue(true);
         Job job = next.jobs().get(inFlight.request().step().job());
         if (job == null) {
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
@@ -17,13 +17,15 @@
  * @param inFlight the requests that were sent and have not been answered yet, by number
  * @param nextNumber the number of the next request that is sent
  * @param yields how many of the named workers may run the steps of each queue
+ * @param failures the entries whose newest request has failed
  */
 public record AdviceRequests(
         PSet<String> advisors,
         PVector<AdviceRequest> pending,
         PMap<Long, InFlightRequest> inFlight,
         long nextNumber,
-        AdviceYields yields) {
+        AdviceYields yields,
+        AdvisorFailures failures) {
     /**
      * Requests that cost more than this are long. A long request blocks its entry, so urgent
      * requests are sent through other entries.
@@ -88,28 +90,49 @@
                 TreePVector.empty(),
                 HashTreePMap.empty(),
                 1,
-                AdviceYields.NONE);
+                AdviceYields.NONE,
+                AdvisorFailures.NONE);
     }
 
-    /** Returns a copy with {@code other} as the advisors. */
+    /**
+     * Returns a copy with {@code other} as the advisors. The requests in flight at an entry that is
+     * not among them are pending again, before the others, because their answers cannot arrive any
+     * more.
+     */
     public AdviceRequests withAdvisors(PSet<String> other) {
-        return new AdviceRequests(other, pending, inFlight, nextNumber, yields);
+        PVector<AdviceRequest> newPending = pending;
+        PMap<Long, InFlightRequest> newInFlight = inFlight;
+        for (long number : inFlight.keySet()) {
+            if (!other.contains(inFlight.get(number).advisor())) {
+                newPending = newPending.plus(0, inFlight.get(number).request());
+                newInFlight = newInFlight.minus(number);
+            }
+        }
+        return new AdviceRequests(
+                other, newPending, newInFlight, nextNumber, yields, failures.retaining(other));
     }
 
-    /** Returns a copy without pending and in-flight requests. */
+    /** Returns a copy without pending and in-flight requests, and without failures. */
     public AdviceRequests cleared() {
         return new AdviceRequests(
-                advisors, TreePVector.empty(), HashTreePMap.empty(), nextNumber, yields);
+                advisors,
+                TreePVector.empty(),
+                HashTreePMap.empty(),
+                nextNumber,
+                yields,
+                AdvisorFailures.NONE);
     }
 
     /** Returns a copy with {@code request} pending. */
     public AdviceRequests withPending(AdviceRequest request) {
-        return new AdviceRequests(advisors, pending.plus(request), inFlight, nextNumber, yields);
+        return new AdviceRequests(
+                advisors, pending.plus(request), inFlight, nextNumber, yields, failures);
     }
 
     /** Returns a copy in which {@code request} is not pending. */
     public AdviceRequests withoutPending(AdviceRequest request) {
-        return new AdviceRequests(advisors, pending.minus(request), inFlight, nextNumber, yields);
+        return new AdviceRequests(
+                advisors, pending.minus(request), inFlight, nextNumber, yields, failures);
     }
 
     /** Returns a copy with {@code request} in flight at {@code advisor} instead of pending. */
@@ -119,16 +142,29 @@
                 pending.minus(request),
                 inFlight.plus(nextNumber, new InFlightRequest(advisor, request)),
                 nextNumber + 1,
-                yields);
+                yields,
+                failures);
     }
 
     /** Returns a copy with {@code other} as the learned yields. */
     public AdviceRequests withYields(AdviceYields other) {
-        return new AdviceRequests(advisors, pending, inFlight, nextNumber, other);
+        return new AdviceRequests(advisors, pending, inFlight, nextNumber, other, failures);
     }
 
-    /** Returns a copy in which the request {@code number} is not in flight. */
-    public AdviceRequests withoutInFlight(long number) {
-        return new AdviceRequests(advisors, pending, inFlight.minus(number), nextNumber, yields);
+    /**
+     * Returns a copy in which the request {@code number}, which is in flight, has completed.
+     *
+     * @param answered whether the advice service has answered it
+     * @param now when it has completed
+     */
+    public AdviceRequests withCompleted(long number, boolean answered, long now) {
+        String advisor = inFlight.get(number).advisor();
+        return new AdviceRequests(
+                advisors,
+                pending,
+                inFlight.minus(number),
+                nextNumber,
+                yields,
+                answered ? failures.withSuccess(advisor) : failures.withFailure(advisor, now));
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
@@ -3,7 +3,9 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.jujubefork.core.workflow.AdviceRequests.AdviceRequest;
 import org.jujubefork.core.workflow.AdviceRequests.InFlightRequest;
 
@@ -18,48 +20,86 @@
     /** Part of the entries that is kept free of long requests in a large cell. */
     private static final int SHORT_REQUEST_SHARE_DENOMINATOR = 4;
 
-    /** The requests that one entry has in flight. */
-    private record Load(int requestCount, boolean hasLongRequest, long totalMillis) {
-        static final Load NONE = new Load(0, false, 0);
+    /**
+     * Number of requests in flight at an entry whose newest request has failed. One is enough to
+     * find out whether the entry works again.
+     */
+    private static final int MAX_REQUESTS_AFTER_FAILURE = 1;
+
+    /** The requests that one entry has in flight, and how many it may have. */
+    private record Load(
+            int requestCount, boolean hasLongRequest, long totalMillis, int maxRequestCount) {
+        static Load none(int maxRequestCount) {
+            return new Load(0, false, 0, maxRequestCount);
+        }
 
         Load plus(AdviceRequest request) {
             return new Load(
                     requestCount + 1,
                     hasLongRequest || request.isLong(),
-                    totalMillis + request.costMillis());
+                    totalMillis + request.costMillis(),
+                    maxRequestCount);
+        }
+
+        boolean isFull() {
+            return hasLongRequest || requestCount >= maxRequestCount;
         }
 
         boolean canAccept(AdviceRequest request) {
-            return request.isLong()
-                    ? requestCount == 0
-                    : !hasLongRequest
-                            && requestCount < AdviceRequests.MAX_SHORT_REQUESTS_PER_ADVISOR;
+            return !isFull() && (!request.isLong() || requestCount == 0);
         }
     }
 
     private final Map<String, Load> loads = new TreeMap<>();
+    private final AdvisorFailures failures;
+
+    /** The entries that have not failed; all entries if each of them has failed. */
+    private final Set<String> reliableAdvisors;
+
     private int longRequestCount;
 
-    private AdvisorLoads() {}
+    private AdvisorLoads(AdviceRequests requests) {
+        this.failures = requests.failures();
+        Set<String> withoutFailure =
+                requests.advisors().stream()
+                        .filter(a -> !failures.hasFailed(a))
+                        .collect(Collectors.toSet());
+        this.reliableAdvisors = withoutFailure.isEmpty() ? requests.advisors() : withoutFailure;
+    }
 
-    static AdvisorLoads of(AdviceRequests requests) {
-        AdvisorLoads result = new AdvisorLoads();
-        requests.advisors().forEach(a -> result.loads.put(a, Load.NONE));
+    /** Returns the loads of the entries at {@code now}. */
+    static AdvisorLoads of(AdviceRequests requests, long now) {
+        AdvisorLoads result = new AdvisorLoads(requests);
+        boolean areAllAvoided =
+                requests.advisors().stream().allMatch(a -> result.isAvoided(a, now));
+        for (String advisor : requests.advisors()) {
+            boolean isClosed = result.isAvoided(advisor, now) && !areAllAvoided;
+            result.loads.put(advisor, Load.none(isClosed ? 0 : result.maxRequestCount(advisor)));
+        }
         for (InFlightRequest inFlight : requests.inFlight().values()) {
-            result.longRequestCount += inFlight.request().isLong() ? 1 : 0;
-            result.loads.computeIfPresent(inFlight.advisor(), (a, l) -> l.plus(inFlight.request()));
+            result.add(inFlight.advisor(), inFlight.request());
         }
         return result;
     }
 
+    private boolean isAvoided(String advisor, long now) {
+        return failures.avoidedUntil(advisor) > now;
+    }
+
+    private int maxRequestCount(String advisor) {
+        return failures.hasFailed(advisor)
+                ? MAX_REQUESTS_AFTER_FAILURE
+                : AdviceRequests.MAX_SHORT_REQUESTS_PER_ADVISOR;
+    }
+
+    private void add(String advisor, AdviceRequest request) {
+        loads.computeIfPresent(advisor, (a, l) -> l.plus(request));
+        longRequestCount += request.isLong() && reliableAdvisors.contains(advisor) ? 1 : 0;
+    }
+
     /** Returns whether every entry is fully loaded, so that none can accept a request. */
     boolean isFull() {
-        return loads.values().stream()
-                .allMatch(
-                        l ->
-                                l.hasLongRequest()
-                                        || l.requestCount()
-                                                >= AdviceRequests.MAX_SHORT_REQUESTS_PER_ADVISOR);
+        return loads.values().stream().allMatch(Load::isFull);
     }
 
     /**
@@ -75,22 +115,24 @@
     }
 
     /**
-     * Assigns {@code request} to the least loaded entry that can accept it. Returns the name of
-     * that entry, or empty if no entry can accept the request.
+     * Assigns {@code request} to the least loaded entry that can accept it; to an entry whose
+     * newest request has failed only if no other entry can. Returns the name of that entry, or
+     * empty if no entry can accept the request.
      */
     Optional<String> assign(AdviceRequest request) {
-        if (request.isLong() && longRequestCount >= maxLongRequestCount(loads.size())) {
-            return Optional.empty();
-        }
+        boolean isWithinLimit =
+                !request.isLong()
+                        || longRequestCount < maxLongRequestCount(reliableAdvisors.size());
+        // The limit keeps reliable entries free. It does not hold for the others, or an entry that
+        // works again would get no request where all requests are long.
         Optional<String> advisor =
                 loads.keySet().stream()
+                        .filter(a -> isWithinLimit || !reliableAdvisors.contains(a))
                         .filter(a -> loads.get(a).canAccept(request))
-                        .min(Comparator.comparingLong(a -> loads.get(a).totalMillis()));
-        advisor.ifPresent(
-                a -> {
-                    loads.compute(a, (name, l) -> l.plus(request));
-                    longRequestCount += request.isLong() ? 1 : 0;
-                });
+                        .min(
+                                Comparator.comparingLong(failures::avoidedUntil)
+                                        .thenComparingLong(a -> loads.get(a).totalMillis()));
+        advisor.ifPresent(a -> add(a, request));
         return advisor;
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -237,12 +237,9 @@
     static WorkflowTransition followersChanged(
             WorkflowState state, WorkflowEvent.FollowersChanged event) {
         PMap<String, Integer> followers = event.followers();
-        WorkflowState next =
-                state.with(
-                        state.adviceRequests()
-                                .withAdvisors(
-                                        HashTreePSet.from(followers.keySet()).plus(state.entry())));
-        WorkflowTransition result = AdviceDispatcher.dispatch(next);
+        WorkflowTransition result =
+                AdviceDispatcher.advisorsChanged(
+                        state, HashTreePSet.from(followers.keySet()).plus(state.entry()));
         return state.leadership().leads()
                 ? result.with(new WorkflowEffect.AnnounceSuccession(successors(followers)))
                 : result;
