Keep a job that cannot be placed from stopping the placement of all others

What callers would see: no job starts any more, while calls are answered and leases renewed.

Cause: ReducerLoop keeps the old state when the reducer throws, so a pass that throws at one job throws in each pass. An assigned task whose worker is not known is one such case (NullPointerException in isOpenForStarts). No sequence of events that leads to it was found by reading: a worker is removed only without charges, and a task is assigned together with a charge. Takeovers read only waiting and done tasks.

Change: the pass handles each job and each step on its own. A step that throws leaves the state as it was and is logged as placement-failure with its key. A task whose worker is not known waits again and is placed elsewhere.

Found by reading.

--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -42,25 +42,41 @@
 
     static WorkflowTransition run(WorkflowState state) {
         WorkflowTransition result = startAllAssigned(state);
-        List<Candidate> candidates = candidates(result.state());
+        List<Candidate> candidates = new ArrayList<>();
+        boolean recovered = Fleet.isRecovered(result.state());
+        for (Job job : result.state().jobs().values()) {
+            result =
+                    result.then(
+                            s ->
+                                    FailureIsolation.isolate(
+                                            s,
+                                            job.id(),
+                                            () -> {
+                                                candidates.addAll(candidates(s, job, recovered));
+                                                return WorkflowTransition.of(s);
+                                            }));
+        }
+        candidates.sort(Urgency.byUrgency());
         PassCapacity capacity = PassCapacity.of(result.state());
         for (Candidate candidate : candidates) {
-            result = result.then(s -> place(s, candidate, capacity));
+            result =
+                    result.then(
+                            s ->
+                                    FailureIsolation.isolate(
+                                            s,
+                                            candidate.key(),
+                                            () -> place(s, candidate, capacity)));
         }
         return result.withState(result.state().with(capacity.backlogs()));
     }
 
-    private static List<Candidate> candidates(WorkflowState state) {
-        boolean recovered = Fleet.isRecovered(state);
+    private static List<Candidate> candidates(WorkflowState state, Job job, boolean recovered) {
         List<Candidate> candidates = new ArrayList<>();
-        for (Job job : state.jobs().values()) {
-            boolean runsKnown = job.term() == state.term() || recovered;
-            Optional<Queue> queue = state.queueOf(job);
-            if (job.isActive() && queue.isPresent() && runsKnown) {
-                addCandidates(job, queue.get(), state.now(), candidates);
-            }
+        boolean runsKnown = job.term() == state.term() || recovered;
+        Optional<Queue> queue = state.queueOf(job);
+        if (job.isActive() && queue.isPresent() && runsKnown) {
+            addCandidates(job, queue.get(), state.now(), candidates);
         }
-        candidates.sort(Urgency.byUrgency());
         return candidates;
     }
 
@@ -73,7 +89,9 @@
         WorkflowTransition result = WorkflowTransition.of(state);
         for (Job job : state.jobs().values()) {
             for (StepKey key : assignedSteps(job)) {
-                result = result.then(s -> startAssigned(s, key));
+                result =
+                        result.then(
+                                s -> FailureIsolation.isolate(s, key, () -> startAssigned(s, key)));
             }
         }
         return result;
@@ -275,8 +293,9 @@
     private static Set<String> closedWorkers(WorkflowState state, StepProgress progress) {
         Set<String> closedWorkers = new HashSet<>();
         for (Task task : progress.tasks()) {
+            WorkerNode node = state.workers().get(task.worker());
             if (task.phase() == Task.Phase.ASSIGNED
-                    && !state.isOpenForStarts(state.workers().get(task.worker()))) {
+                    && (node == null || !state.isOpenForStarts(node))) {
                 closedWorkers.add(task.worker());
             }
         }
@@ -364,12 +383,22 @@
             TaskKey member = key.task(i);
             Task task = tasks.get(i);
             if (task.phase() == Task.Phase.ASSIGNED && workers.test(task.worker())) {
-                result = result.then(s -> WorkerCommands.stop(s, task.worker(), member));
+                result =
+                        result.then(
+                                s ->
+                                        s.workers().containsKey(task.worker())
+                                                ? WorkerCommands.stop(s, task.worker(), member)
+                                                : withoutWorker(s, member, task));
             }
         }
         return result;
     }
 
+    /** Returns a transition in which {@code task}, whose worker is gone, waits again. */
+    private static WorkflowTransition withoutWorker(WorkflowState state, TaskKey key, Task task) {
+        return WorkflowTransition.of(RunCompletions.runLost(state, key, task.runNumber()));
+    }
+
     private static String ticketOf(WorkflowState state, StepKey key, int index) {
         StepProgress progress = state.jobs().get(key.job()).progress(key);
         Ticket ticket = progress.advice().tickets().get(progress.tasks().get(index).worker());
