Post the sets of followers in the order in which they were read

What callers would see: after two entries connect or leave at the same time, the leader sends advice requests to an entry that has left, which fail, or uses an entry less, until the next change of the followers.

Cause: each thread that serves a follower built the set and posted it without an order, so an older set could arrive after a newer one.

Change: the followers and their events move from PeerConnections to the new class Followers, which reads and posts the set under one lock.

With the lock the newer set cannot be posted in between, so it comes last.

Found by reading.

--- a/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
@@ -24,8 +24,6 @@
 import org.jujubefork.core.workflow.WorkflowEvent;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
 import org.jujubefork.entry.control.Clock;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
 
 /**
  * The connections between the entries. Each follower keeps one connection to the leader, which
@@ -68,12 +66,9 @@
             PendingCalls pendingCalls,
             AdviceClient adviceClient) {}
 
-    /** A connected follower. */
-    private record Follower(Link link, int processorMillicores) {}
-
     private final Context context;
     private final ServerSocket serverSocket;
-    private final ConcurrentMap<String, Follower> followers = new ConcurrentHashMap<>();
+    private final Followers followers;
     private final ConcurrentMap<Long, CompletableFuture<Reply>> pendingForwards =
             new ConcurrentHashMap<>();
     private final AtomicLong nextForwardId = new AtomicLong(1);
@@ -90,6 +85,7 @@
     private PeerConnections(Context context, ServerSocket server) {
         this.context = context;
         this.serverSocket = server;
+        this.followers = new Followers(this::isLeading, context.clock(), context.events());
     }
 
     /**
@@ -121,7 +117,7 @@
         currentLeader = Optional.of(leader);
         leading = true;
         leavePreviousLeader(leader);
-        postFollowers();
+        followers.post();
     }
 
     /** Sets the order in which the followers replace this leader; heartbeats announce it. */
@@ -162,7 +158,7 @@
      */
     void announceResignation() {
         resigned = true;
-        followers.values().forEach(f -> f.link().send(new LinkMessage.LeaderResigned()));
+        followers.forEach((name, link) -> link.send(new LinkMessage.LeaderResigned()));
     }
 
     /** Returns whether this entry is the leader. */
@@ -201,26 +197,14 @@
      * @return whether the request was queued; false if that entry is not connected
      */
     boolean requestAdvice(WorkflowEffect.RequestAdvice request, long timeoutMillis) {
-        Follower follower = followers.get(request.advisor());
-        return follower != null
-                && follower.link()
-                        .send(
-                                new LinkMessage.AdviceRequest(
-                                        request.fence(),
-                                        request.step(),
-                                        request.workers(),
-                                        timeoutMillis,
-                                        request.number()));
-    }
-
-    private void postFollowers() {
-        PMap<String, Integer> capacities = HashTreePMap.empty();
-        for (Map.Entry<String, Follower> follower : followers.entrySet()) {
-            capacities =
-                    capacities.plus(follower.getKey(), follower.getValue().processorMillicores());
-        }
-        context.events()
-                .accept(new WorkflowEvent.FollowersChanged(context.clock().millis(), capacities));
+        LinkMessage message =
+                new LinkMessage.AdviceRequest(
+                        request.fence(),
+                        request.step(),
+                        request.workers(),
+                        timeoutMillis,
+                        request.number());
+        return followers.link(request.advisor()).map(l -> l.send(message)).orElse(false);
     }
 
     private void acceptConnections() {
@@ -247,10 +231,7 @@
             log.debugf(
                     "event=follower-lost entry=%s reason=\"%s\"", followerName[0], e.getMessage());
         } finally {
-            followers.computeIfPresent(followerName[0], (n, f) -> f.link().isOpen() ? f : null);
-            if (leading) {
-                postFollowers();
-            }
+            followers.removeIfClosed(followerName[0]);
         }
     }
 
@@ -258,12 +239,9 @@
     private String handleFollowerMessage(Link link, String followerName, LinkMessage message) {
         switch (message) {
             case LinkMessage.Hello hello -> {
-                Follower follower = new Follower(link, hello.processorMillicores());
-                if (!follower.equals(followers.put(hello.entry(), follower)) && leading) {
-                    postFollowers();
-                    if (resigned) {
-                        link.send(new LinkMessage.LeaderResigned());
-                    }
+                boolean isChanged = followers.add(hello.entry(), link, hello.processorMillicores());
+                if (isChanged && leading && resigned) {
+                    link.send(new LinkMessage.LeaderResigned());
                 }
                 return hello.entry();
             }
@@ -315,13 +293,12 @@
             positions.put(successor, positions.size());
         }
         followers.forEach(
-                (name, follower) -> {
+                (name, link) -> {
                     int position = positions.getOrDefault(name, UNDECIDED_POSITION);
-                    follower.link()
-                            .send(
-                                    resigned
-                                            ? new LinkMessage.LeaderResigned()
-                                            : new LinkMessage.Heartbeat(storeAgeMillis, position));
+                    link.send(
+                            resigned
+                                    ? new LinkMessage.LeaderResigned()
+                                    : new LinkMessage.Heartbeat(storeAgeMillis, position));
                 });
     }
 
@@ -431,6 +408,6 @@
         open = false;
         serverSocket.close();
         leaderLink.ifPresent(Link::close);
-        followers.values().forEach(f -> f.link().close());
+        followers.forEach((name, link) -> link.close());
     }
 }
