Post the first set of followers of a term outside the control thread

What callers would see: no call is answered and no task started any more, and no other entry takes over, because the heartbeats and the renewal of the leader's lease go on in other threads.

Cause: startLeading runs as an effect in the control thread and posted the followers with a blocking put to the control thread's own queue. With a full queue (50,000 events) the thread waits for itself for ever.

Change: startLeading posts from a virtual thread. The order of the posts stays, because each set is read and posted under one lock. The other effects post from virtual threads already.

Evidence: PeerConnectionsTest.startOfTermDoesNotWaitForFullQueue runs startLeading in a ReducerLoop whose queue of one event is full. On the old code it fails after 5 s with "the control thread waits for itself"; with this change it passes.

Found by reading.

--- a/entry/src/main/java/org/jujubefork/entry/workflow/Followers.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/Followers.java
@@ -81,8 +81,15 @@
         }
     }
 
-    /** Posts the connected followers to the control thread; blocks while its queue is full. */
-    void post() {
+    /**
+     * Posts the connected followers from another thread. For the control thread, which must not
+     * wait for room in its own queue.
+     */
+    void postAsync() {
+        Thread.ofVirtual().name("peer-followers").start(this::post);
+    }
+
+    private void post() {
         postOrder.lock();
         try {
             events.accept(new WorkflowEvent.FollowersChanged(clock.millis(), capacities()));
--- a/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/PeerConnections.java
@@ -109,7 +109,7 @@
 
     /**
      * Starts to serve the other entries as their leader, and closes the connection to the previous
-     * leader.
+     * leader. Called in the control thread, so it must not block.
      *
      * @param leader the record of this entry's term
      */
@@ -117,7 +117,7 @@
         currentLeader = Optional.of(leader);
         leading = true;
         leavePreviousLeader(leader);
-        followers.post();
+        followers.postAsync();
     }
 
     /** Sets the order in which the followers replace this leader; heartbeats announce it. */
--- a/entry/src/test/java/org/jujubefork/entry/workflow/PeerConnectionsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/PeerConnectionsTest.java
@@ -20,6 +20,7 @@
 import org.jujubefork.core.workflow.WorkflowEvent;
 import org.jujubefork.core.workflow.WorkflowEvent.FollowersChanged;
 import org.jujubefork.entry.control.Clock;
+import org.jujubefork.entry.control.ReducerLoop;
 import org.testng.annotations.Test;
 
 /** Guards against a leader that works with a wrong set of followers, or none at all. */
@@ -116,4 +117,50 @@
             Thread.currentThread().interrupt();
         }
     }
+
+    /**
+     * Guards against a control thread that waits for room in its own queue. Heartbeats and the
+     * lease of the leader go on in other threads, so no other entry would replace this leader.
+     */
+    @Test
+    public void startOfTermDoesNotWaitForFullQueue() throws Exception {
+        HostPort address = freeAddress();
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch posted = new CountDownLatch(1);
+        ReducerLoop<Integer, WorkflowEvent, String> loop =
+                ReducerLoop.of(
+                        new ReducerLoop.Setup<>(
+                                0,
+                                (state, event) -> {
+                                    if (event instanceof FollowersChanged) {
+                                        posted.countDown();
+                                    }
+                                    return new ReducerLoop.ReducerResult<>(
+                                            state,
+                                            event instanceof WorkflowEvent.ResignRequested
+                                                    ? List.of("lead")
+                                                    : List.of());
+                                },
+                                now -> new WorkflowEvent.Tick(now, now),
+                                HELD_MILLIS,
+                                state -> Long.MAX_VALUE,
+                                Clock.SYSTEM,
+                                1));
+        try (PeerConnections peers = start(address, loop::post);
+                loop) {
+            loop.start(
+                    effect -> {
+                        loop.offer(new WorkflowEvent.Tick(0, 0));
+                        peers.startLeading(record(address));
+                        started.countDown();
+                    });
+            loop.post(new WorkflowEvent.ResignRequested(0));
+            assertTrue(
+                    started.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS),
+                    "the control thread waits for itself");
+            assertTrue(
+                    posted.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS),
+                    "the followers were not posted");
+        }
+    }
 }
