Tell the control loop when a follower connects anew

What callers see: after an entry has restarted, or has replaced its connection before the leader saw the end of the old one, steps wait for the timeout of the advice requests that went over the old connection, 1.2 s after twice their cost, and the entry is still avoided for its earlier failures.

Cause: the set of followers before and after is the same, so the reducer could not see the change.

Change: Followers posts such a follower as having left, and then the full set, both under the lock that orders the posts. The reducer then sends the requests again elsewhere and forgets the failures.

Evidence: PeerConnectionsTest.followerThatConnectsAnewLeavesAndJoins fails without the change (one set is posted instead of two) and passes with it.

Found by reading.

--- a/entry/src/main/java/org/jujubefork/entry/workflow/Followers.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/Followers.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.locks.ReentrantLock;
@@ -46,23 +47,27 @@
     }
 
     /**
-     * Adds the follower {@code entry}, which is connected through {@code link}.
+     * Adds the follower {@code entry}, which is connected through {@code link}. A follower that
+     * connects anew is posted as having left first, because what was sent over its earlier
+     * connection gets no answer.
      *
      * @return whether it is new, or has changed or connected anew
      */
     boolean add(String entry, Link link, int processorMillicores) {
         Follower follower = new Follower(link, processorMillicores);
-        boolean isChanged = !follower.equals(connected.put(entry, follower));
-        if (isChanged) {
-            postIfLeading();
+        Follower previous = connected.put(entry, follower);
+        if (follower.equals(previous)) {
+            return false;
         }
-        return isChanged;
+        boolean isReconnected = previous != null && previous.link() != link;
+        postIfLeading(isReconnected ? Set.of(entry) : Set.of());
+        return true;
     }
 
     /** Removes the follower {@code entry} if its connection is closed. */
     void removeIfClosed(String entry) {
         connected.computeIfPresent(entry, (n, f) -> f.link().isOpen() ? f : null);
-        postIfLeading();
+        postIfLeading(Set.of());
     }
 
     /** Returns the connection to {@code entry}, if it is connected. */
@@ -75,9 +80,9 @@
         connected.forEach((name, follower) -> action.accept(name, follower.link()));
     }
 
-    private void postIfLeading() {
+    private void postIfLeading(Set<String> reconnected) {
         if (isLeading.getAsBoolean()) {
-            post();
+            post(reconnected);
         }
     }
 
@@ -86,18 +91,30 @@
      * wait for room in its own queue.
      */
     void postAsync() {
-        Thread.ofVirtual().name("peer-followers").start(this::post);
+        Thread.ofVirtual().name("peer-followers").start(() -> post(Set.of()));
     }
 
-    private void post() {
+    /**
+     * Posts the connected followers; if {@code reconnected} has elements, first without them.
+     * Blocks while the queue of the control thread is full.
+     */
+    private void post(Set<String> reconnected) {
         postOrder.lock();
         try {
-            events.accept(new WorkflowEvent.FollowersChanged(clock.millis(), capacities()));
+            PMap<String, Integer> capacities = capacities();
+            if (!reconnected.isEmpty()) {
+                post(capacities.minusAll(reconnected));
+            }
+            post(capacities);
         } finally {
             postOrder.unlock();
         }
     }
 
+    private void post(PMap<String, Integer> capacities) {
+        events.accept(new WorkflowEvent.FollowersChanged(clock.millis(), capacities));
+    }
+
     private PMap<String, Integer> capacities() {
         PMap<String, Integer> capacities = HashTreePMap.empty();
         for (Map.Entry<String, Follower> follower : connected.entrySet()) {
--- a/entry/src/test/java/org/jujubefork/entry/workflow/PeerConnectionsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/PeerConnectionsTest.java
@@ -163,4 +163,27 @@
                     "the followers were not posted");
         }
     }
+
+    /**
+     * Guards against requests that wait for their timeout because they were sent over a connection
+     * that the follower has replaced, for example after its restart.
+     */
+    @Test
+    public void followerThatConnectsAnewLeavesAndJoins() throws Exception {
+        List<Set<String>> posted = new CopyOnWriteArrayList<>();
+        HostPort address = freeAddress();
+        try (PeerConnections peers = start(address, e -> posted.add(names(e)))) {
+            peers.startLeading(record(address));
+            assertTrue(await(() -> posted.contains(Set.of()), TIMEOUT_MILLIS));
+            try (Socket first = connect(address, "f")) {
+                assertTrue(await(() -> posted.contains(Set.of("f")), TIMEOUT_MILLIS));
+                posted.clear();
+                try (Socket second = connect(address, "f")) {
+                    assertTrue(await(() -> posted.contains(Set.of("f")), TIMEOUT_MILLIS));
+                    assertEquals(posted, List.of(Set.of(), Set.of("f")));
+                    assertTrue(first.isConnected() && second.isConnected());
+                }
+            }
+        }
+    }
 }
