--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -40,10 +40,31 @@
     static WorkflowTransition run(WorkflowState state) {
         PassWaits waits = PassWaits.of(state);
         WorkflowTransition result = Fleet.noteRecovery(state).then(s -> startAllAssigned(s, waits));
-        List<Candidate> candidates = candidates(result.state(), waits);
+        List<Candidate> candidates = new ArrayList<>();
+        boolean recovered = Fleet.isRecovered(result.state());
+        for (Job job : result.state().jobs().values()) {
+            result =
+                    result.then(
+                            s ->
+                                    FailureIsolation.isolate(
+                                            s,
+                                            job.id(),
+                                            () -> {
+                                                candidates.addAll(
+                                                        candidates(s, job, recovered, waits));
+                                                return WorkflowTransition.of(s);
+                                            }));
+        }
+        candidates.sort(Urgency.byUrgency());
         PassCapacity capacity = PassCapacity.of(result.state());
         for (Candidate candidate : candidates) {
-            result = result.then(s -> place(s, candidate, capacity, waits));
+            result =
+                    result.then(
+                            s ->
+                                    FailureIsolation.isolate(
+                                            s,
+                                            candidate.key(),
+                                            () -> place(s, candidate, capacity, waits)));
         }
         WorkflowState placed =
                 result.state()
@@ -52,26 +73,23 @@
         return result.withState(placed).then(s -> WaitingStepsLog.writeIfDue(s, capacity));
     }
 
-    private static List<Candidate> candidates(WorkflowState state, PassWaits waits) {
-        boolean recovered = Fleet.isRecovered(state);
+    private static List<Candidate> candidates(
+            WorkflowState state, Job job, boolean recovered, PassWaits waits) {
         List<Candidate> candidates = new ArrayList<>();
-        for (Job job : state.jobs().values()) {
-            boolean runsKnown = job.term() == state.term() || recovered;
-            Optional<Queue> queue = state.queueOf(job);
-            if (!job.isActive()) {
-                continue;
-            }
-            if (queue.isPresent() && runsKnown) {
-                addCandidates(job, queue.get(), state.now(), candidates);
-            } else {
-                WaitReason reason =
-                        queue.isEmpty() ? WaitReason.QUEUE_MISSING : WaitReason.RUNS_UNKNOWN;
-                for (StepKey key : job.readySteps()) {
-                    waits.add(key, job.progress(key), reason);
-                }
+        if (!job.isActive()) {
+            return candidates;
+        }
+        boolean runsKnown = job.term() == state.term() || recovered;
+        Optional<Queue> queue = state.queueOf(job);
+        if (queue.isPresent() && runsKnown) {
+            addCandidates(job, queue.get(), state.now(), candidates);
+        } else {
+            WaitReason reason =
+                    queue.isEmpty() ? WaitReason.QUEUE_MISSING : WaitReason.RUNS_UNKNOWN;
+            for (StepKey key : job.readySteps()) {
+                waits.add(key, job.progress(key), reason);
             }
         }
-        candidates.sort(Urgency.byUrgency());
         return candidates;
     }
 
@@ -84,7 +102,9 @@
         WorkflowTransition result = WorkflowTransition.of(state);
         for (Job job : state.jobs().values()) {
             for (StepKey key : job.assignedSteps()) {
-                result = result.then(s -> startAssigned(s, key));
+                result =
+                        result.then(
+                                s -> FailureIsolation.isolate(s, key, () -> startAssigned(s, key)));
                 addIfAssigned(result.state(), key, waits);
             }
         }
@@ -266,8 +286,9 @@
     private static Set<String> closedWorkers(WorkflowState state, StepProgress progress) {
         Set<String> closedWorkers = new HashSet<>();
         for (Task task : progress.tasks()) {
+            WorkerNode node = state.workers().get(task.worker());
             if (task.phase() == Task.Phase.ASSIGNED
-                    && !state.isOpenForStarts(state.workers().get(task.worker()))) {
+                    && (node == null || !state.isOpenForStarts(node))) {
                 closedWorkers.add(task.worker());
             }
         }
@@ -355,12 +376,22 @@
             TaskKey member = key.task(i);
             Task task = tasks.get(i);
             if (task.phase() == Task.Phase.ASSIGNED && workers.test(task.worker())) {
-                result = result.then(s -> WorkerCommands.stop(s, task.worker(), member));
+                result =
+                        result.then(
+                                s ->
+                                        s.workers().containsKey(task.worker())
+                                                ? WorkerCommands.stop(s, task.worker(), member)
+                                                : withoutWorker(s, member, task));
             }
         }
         return result;
     }
 
+    /** Returns a transition in which {@code task}, whose worker is gone, waits again. */
+    private static WorkflowTransition withoutWorker(WorkflowState state, TaskKey key, Task task) {
+        return WorkflowTransition.of(RunCompletions.runLost(state, key, task.runNumber()));
+    }
+
     private static String ticketOf(WorkflowState state, StepKey key, int index) {
         StepProgress progress = state.jobs().get(key.job()).progress(key);
         Ticket ticket = progress.advice().tickets().get(progress.tasks().get(index).worker());
