--- a/core/src/test/java/org/jujubefork/core/workflow/OlderRunTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/OlderRunTest.java
@@ -87,6 +87,9 @@
         leader.answerLeaseRenewal("b", List.of(running(1)), List.of());
         leader.advance(300);
         assertEquals(leader.startedWorkers(), List.of(), "started while run 1 is active on b");
+        assertEquals(
+                leader.state().waitingSteps().steps().get(TASK.stepKey()).reason(),
+                WaitReason.RUN_STOPPING);
         WorkflowEffect.Stop stop =
                 leader.effects.stream()
                         .filter(WorkflowEffect.Stop.class::isInstance)
