--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedEntry.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedEntry.java
@@ -18,6 +18,9 @@
     long frozenUntil;
     boolean partitionedFromStore;
 
+    /** Whether the process runs. */
+    boolean isUp;
+
     SimulatedEntry(String id) {
         this.id = id;
         this.state = WorkflowState.initial(id, 1_000);
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedStore.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedStore.java
@@ -53,6 +53,18 @@
                 : new CommitResult.LostLeadership();
     }
 
+    /** Returns whether a record contains that {@code task} is done, or that its job is. */
+    boolean isRecordedAsDone(TaskKey task) {
+        FinishedJob finished = finishedRecords.get(task.job());
+        if (finished != null) {
+            return finished.status() == Job.Status.DONE;
+        }
+        Job progress = progressRecords.get(task.job());
+        return progress != null
+                && progress.hasTask(task)
+                && progress.task(task).phase() == Task.Phase.DONE;
+    }
+
     private WorkflowEvent.Snapshot snapshot() {
         List<Job> jobs = new ArrayList<>();
         for (Job job : jobRecords.values()) {
--- a/core/src/test/java/org/jujubefork/core/workflow/TestSteps.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/TestSteps.java
@@ -50,6 +50,29 @@
                 false);
     }
 
+    /** Returns a step whose tasks run only on workers with {@code label}. */
+    static StepDefinition labeled(
+            int taskCount,
+            Resources size,
+            long estimateMillis,
+            List<Integer> dependencies,
+            String label) {
+        return new StepDefinition(
+                taskCount,
+                size,
+                estimateMillis,
+                dependencies,
+                false,
+                false,
+                label,
+                "",
+                0,
+                false,
+                false,
+                false,
+                false);
+    }
+
     /** Returns a job of one step. */
     static WorkflowDefinition job(StepDefinition step) {
         return new WorkflowDefinition("p", List.of(step), 0, 0, 0);
