Name refused workers again only while few requests are in flight

Callers of new jobs would wait longer for their first ticket: a request about refused workers holds one of the few places for long requests. At most a quarter of the entries may now have a request in flight when such a request is queued; half before. With two entries one request can still be in the way; that is not mended.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
@@ -38,6 +38,9 @@
      */
     static final int MAX_SHORT_REQUESTS_PER_ADVISOR = 2;
 
+    /** Part of the entries that may have a request in flight while the load is light. */
+    private static final int LIGHT_LOAD_DENOMINATOR = 4;
+
     /** Why tickets are requested; the most urgent purpose first. */
     enum Purpose {
         /** Tickets expire; the capacity is allocated already and stays idle until the answer. */
@@ -104,9 +107,12 @@
                 AdvisorFailures.NONE);
     }
 
-    /** Returns whether no request waits and at least half of the entries have none in flight. */
+    /**
+     * Returns whether no request waits and few are in flight, so that one more does not delay the
+     * first request of another step.
+     */
     boolean isLightlyLoaded() {
-        return pending.isEmpty() && 2 * inFlight.size() <= advisors.size();
+        return pending.isEmpty() && LIGHT_LOAD_DENOMINATOR * inFlight.size() <= advisors.size();
     }
 
     /**
