Test reservations of unplaceable gangs beside busy workers

The review took the checks of reserveWorkers out, and all tests passed, since on an idle fleet the minimum allocation alone prevents a reservation. Two new cases play with half of the workers busy; both fail when the checks for limit and width are taken out.

--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -38,7 +38,7 @@
      * Fraction of the capacity of a service that must be allocated for a reservation. With more
      * capacity free, small tasks do not keep a gang from starting, and a reservation would only
      * keep them waiting on idle workers. Reservations leave half of the workers to other work, so
-     * the value is below one half: a reservation must not end itself.
+     * the value is below one half; otherwise a reservation would soon end itself.
      */
     private static final double MIN_ALLOCATED_FRACTION_FOR_RESERVATION = 0.4;
 
@@ -205,7 +205,7 @@
      * reserves the same workers.
      *
      * <p>A gang that its team's limit or the number of its workers keeps from starting gets no
-     * reservation, because no end of another run would let it start.
+     * reservation, because free capacity on the reserved workers would not let it start.
      */
     void reserveWorkers(Candidate candidate) {
         if (!candidate.rank().reservesCapacity()
--- a/core/src/test/java/org/jujubefork/core/workflow/UnplaceableGangTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/UnplaceableGangTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,6 +16,10 @@
  */
 public final class UnplaceableGangTest {
     private static final List<String> WORKERS = List.of("a", "b", "c", "d");
+
+    /** Workers that are fully allocated in some cases, so that reservations are allowed. */
+    private static final List<String> BUSY_WORKERS = List.of("e", "f", "g", "h");
+
     private static final int CORES_PER_WORKER = 16;
     private static final String UNLIMITED_TEAM = "u";
 
@@ -48,11 +53,30 @@
         return leader;
     }
 
+    /** Returns a leader half of whose workers run long tasks and the others none. */
+    private static LeaderFixture withHalfOfTheWorkersIdle() {
+        LeaderFixture leader = withIdleWorkers();
+        leader.listWorkers(BUSY_WORKERS.toArray(String[]::new));
+        advance(leader, 300);
+        for (String worker : BUSY_WORKERS) {
+            submit(leader, UNLIMITED_TEAM, "on-" + worker, gang(1, 60_000));
+        }
+        advance(leader, 500);
+        assertEquals(Set.copyOf(leader.startedWorkers()), Set.copyOf(BUSY_WORKERS));
+        leader.effects.clear();
+        List<String> all = new ArrayList<>(WORKERS);
+        all.addAll(BUSY_WORKERS);
+        leader.listWorkers(all.toArray(String[]::new));
+        advance(leader, 300);
+        return leader;
+    }
+
     /** Advances the time while the workers and the store answer. */
     private static void advance(LeaderFixture leader, long millis) {
         for (long end = leader.now() + millis; leader.now() < end; ) {
             leader.advance(100);
             WORKERS.forEach(leader::answerLeaseRenewal);
+            BUSY_WORKERS.forEach(leader::answerLeaseRenewal);
             leader.storeAll();
         }
     }
@@ -84,6 +108,19 @@
         assertEquals(new HashSet<>(leader.startedWorkers()), Set.copyOf(WORKERS), why);
     }
 
+    /** Guards against reservations that only the low load of the fleet prevents. */
+    @Test(dataProvider = "unplaceableGangs")
+    public void gangStartsBesideBusyWorkers(String why, String team, int taskCount) {
+        LeaderFixture leader = withHalfOfTheWorkersIdle();
+        boolean isTooWide = team.equals(UNLIMITED_TEAM);
+        int count = isTooWide ? BUSY_WORKERS.size() + taskCount : taskCount;
+        submit(leader, team, "unplaceable", gang(count, 4_000));
+        advance(leader, 500);
+        submit(leader, UNLIMITED_TEAM, "j", gang(WORKERS.size(), 4_000));
+        advance(leader, MAX_START_MILLIS);
+        assertEquals(new HashSet<>(leader.startedWorkers()), Set.copyOf(WORKERS), why);
+    }
+
     /** Guards against rejections of jobs because of work that waits for ever. */
     @Test(dataProvider = "unplaceableGangs")
     public void gangThatCannotBePlacedIsNoBacklog(String why, String team, int taskCount) {
