--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceChoice.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceChoice.java
@@ -10,8 +10,8 @@
     private static final long CHOICE_RETRY_MILLIS = 500;
 
     /**
-     * Time after which a worker without a ticket is named again. The advice service gives no ticket
-     * for a worker that is down or restarting, so its answer may have changed.
+     * Time after which a worker without a ticket is named again. The advice service may have left
+     * it out because it was down or restarting.
      */
     private static final long REFUSAL_VALID_MILLIS = 2_000;
 
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
@@ -49,7 +49,7 @@
         FIRST,
         /** The step does not fit on the workers for which it has tickets. */
         FURTHER,
-        /** The step has been refused tickets for all other workers, some time ago. */
+        /** The step waits, and has a ticket or an older refusal for every worker. */
         REPEATED;
 
         /** Returns whether the request names workers that no earlier request of the step named. */
