Log how long requests to the advice service wait, by purpose

No logic is changed.

Added: the line advice-answered with queue time, named and granted workers; the keys requests, oldest, oldest_reason in steps-waiting; the gauge jujube_advice_oldest_seconds.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -221,14 +221,35 @@
                                         tickets,
                                         request.purpose(),
                                         state.now()));
-        return withdrawalLogged(
-                Placement.startAssigned(
-                        withYield(state, job, request, tickets.size())
-                                .with(job.with(step, updatedProgress)),
-                        step),
-                request,
-                progress.advice(),
-                updatedProgress.advice());
+        WorkflowTransition result =
+                WorkflowTransition.of(
+                                withYield(state, job, request, tickets.size())
+                                        .with(job.with(step, updatedProgress)))
+                        .with(answerLine(inFlight, tickets.size(), state.now()))
+                        .then(s -> Placement.startAssigned(s, step));
+        return withdrawalLogged(result, request, progress.advice(), updatedProgress.advice());
+    }
+
+    /** Returns the log line about an answer with {@code granted} tickets that arrives now. */
+    private static WorkflowEffect answerLine(InFlightRequest inFlight, int granted, long now) {
+        AdviceRequest request = inFlight.request();
+        return WorkflowEffect.LogEvent.of(
+                "advice-answered",
+                request.step(),
+                "purpose",
+                request.purpose(),
+                "rank",
+                request.rank(),
+                "advisor",
+                inFlight.advisor(),
+                "workers",
+                request.workers().size(),
+                "granted",
+                granted,
+                "queued_ms",
+                inFlight.sentAt() - request.queuedAt(),
+                "sent_ms_ago",
+                now - inFlight.sentAt());
     }
 
     /** Logs which workers of {@code request} had a ticket before the answer and have none now. */
--- a/core/src/main/java/org/jujubefork/core/workflow/WaitingStepsLog.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WaitingStepsLog.java
@@ -1,7 +1,11 @@
 package org.jujubefork.core.workflow;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.jujubefork.core.workflow.AdviceRequests.AdviceRequest;
@@ -61,11 +65,58 @@
         }
         addAll(fields, "reserved", capacity.reservedWorkerCount());
         addRequests(fields, state, key, progress.advice());
+        addOldest(fields, state);
+        addAll(fields, "requests", requestCounts(state.adviceRequests(), state.now()));
         addAll(fields, "unknown_cpu_millis", capacity.maxUnknownUsage().cpuMillis());
         addAll(fields, "unreached", Fleet.unreachedCount(state));
         return WorkflowEffect.LogEvent.of("steps-waiting", key, fields.toArray());
     }
 
+    /**
+     * Adds the step whose job was accepted first. It can differ from the step that has waited
+     * longest, because a wait begins anew with each term.
+     */
+    private static void addOldest(List<Object> fields, WorkflowState state) {
+        Map<StepKey, Wait> steps = state.waitingSteps().steps();
+        StepKey oldest =
+                Collections.min(
+                        steps.keySet(),
+                        Comparator.comparingLong(k -> state.jobs().get(k.job()).acceptedAt()));
+        addAll(fields, "oldest", oldest);
+        addAll(fields, "oldest_reason", steps.get(oldest).reason().label());
+        addAll(
+                fields,
+                "oldest_accepted_ms_ago",
+                state.now() - state.jobs().get(oldest.job()).acceptedAt());
+    }
+
+    /**
+     * Returns the queued and in-flight requests of each purpose and the age of the oldest queued
+     * one, for example {@code first:120/4:15209ms,further:6/0:11094ms}.
+     */
+    private static String requestCounts(AdviceRequests requests, long now) {
+        List<String> counts = new ArrayList<>();
+        for (Purpose purpose : Purpose.values()) {
+            List<AdviceRequest> queued =
+                    requests.pending().stream().filter(r -> r.purpose() == purpose).toList();
+            long inFlight =
+                    requests.inFlight().values().stream()
+                            .filter(r -> r.request().purpose() == purpose)
+                            .count();
+            if (inFlight > 0 || !queued.isEmpty()) {
+                long since = queued.stream().mapToLong(AdviceRequest::queuedAt).min().orElse(now);
+                counts.add(
+                        "%s:%d/%d:%dms"
+                                .formatted(
+                                        purpose.name().toLowerCase(Locale.ROOT),
+                                        queued.size(),
+                                        inFlight,
+                                        now - since));
+            }
+        }
+        return String.join(",", counts);
+    }
+
     private static void addAll(List<Object> fields, String key, Object value) {
         fields.add(key);
         fields.add(value);
--- a/core/src/test/java/org/jujubefork/core/workflow/WaitingStepsLogTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WaitingStepsLogTest.java
@@ -112,6 +112,37 @@
         assertTrue(Long.parseLong(field(line, "request_ms")) >= 900);
     }
 
+    /** Guards against requests of one kind that wait behind others without a trace in the log. */
+    @Test
+    public void lineShowsHowLongRequestsOfEachPurposeAreQueued() {
+        WaitingFixture fixture = WaitingFixture.withAdvice("a");
+        fixture.submit("i", LeaderFixture.job(8));
+        fixture.submit("j", LeaderFixture.job(8));
+        fixture.advance(1_500, "a");
+        LogEvent line = last(fixture, "steps-waiting");
+        String requests = field(line, "requests");
+        assertTrue(requests.matches("first:1/1:1\\d\\d\\dms"), requests);
+        assertEquals(field(line, "oldest"), "i.0.0");
+        assertEquals(field(line, "oldest_reason"), "advice-in-flight");
+    }
+
+    /**
+     * Guards against an answer of which the log does not tell whom it named and how long it took.
+     */
+    @Test
+    public void eachAnswerOfTheAdviceServiceIsLogged() {
+        WaitingFixture fixture = WaitingFixture.withAdvice("a", "b");
+        fixture.submit("i", LeaderFixture.job(8));
+        fixture.advance(400, "a", "b");
+        fixture.answerAdvice(Optional.of(Map.of("a", "ticket-a")));
+        LogEvent line = last(fixture, "advice-answered");
+        assertEquals(line.subject(), "i.0.0");
+        assertEquals(field(line, "purpose"), "FIRST");
+        assertEquals(field(line, "workers"), "2");
+        assertEquals(field(line, "granted"), "1");
+        assertTrue(Long.parseLong(field(line, "sent_ms_ago")) >= 400);
+    }
+
     @Test
     public void lineShowsARenewalThatIsNotAnswered() {
         WaitingFixture fixture = WaitingFixture.awaitingRenewal();
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -154,6 +154,11 @@
                 "Queued calls for advice.",
                 state,
                 s -> s.adviceRequests().pending().size());
+        gauge(
+                "jujube_advice_oldest_seconds",
+                "Age of the oldest queued call for advice.",
+                state,
+                s -> oldestAdviceMillis(s, now.getAsLong()) / MILLIS_PER_SECOND);
         labelledGauge(
                 "jujube_jobs",
                 "Accepted jobs that have not ended, by queue.",
@@ -200,6 +205,13 @@
                 s -> s.waitingSteps().reservedWorkers());
     }
 
+    private static long oldestAdviceMillis(WorkflowState state, long now) {
+        return state.adviceRequests().pending().stream()
+                .mapToLong(r -> now - r.queuedAt())
+                .max()
+                .orElse(0);
+    }
+
     /** Returns a value of each reason; it is 0 if no step waits for the reason. */
     private static Map<String, Double> byReason(
             WorkflowState state, ToDoubleFunction<WaitingSteps.Total> value) {
