Let advice requests of medium cost use entries that long ones do not

Cause: everything over 60 ms counted as long, and long requests share half of eight entries.

Change: requests over 240 ms are long and use as many entries as before; those between use half of the entries that are kept free of long ones as well. Cells of one and two entries are as before.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
@@ -29,10 +29,13 @@
         AdvisorFailures failures,
         OverdueShare overdueShare) {
     /**
-     * Requests that cost more than this are long. A long request blocks its entry, so urgent
-     * requests are sent through other entries.
+     * Requests that cost at most this are short. A longer request blocks its entry, so short ones
+     * are sent through other entries.
      */
-    static final long LONG_REQUEST_MILLIS = 60;
+    static final long MAX_SHORT_REQUEST_MILLIS = 60;
+
+    /** Requests that cost more than this are long; those between the two limits are medium. */
+    static final long MAX_MEDIUM_REQUEST_MILLIS = 240;
 
     /**
      * Maximum number of short requests that one entry has in flight. The second request hides the
@@ -90,8 +93,12 @@
                     step, other, rank, priority, otherPurpose, otherCostMillis, queuedAt);
         }
 
+        boolean isShort() {
+            return costMillis <= MAX_SHORT_REQUEST_MILLIS;
+        }
+
         boolean isLong() {
-            return costMillis > LONG_REQUEST_MILLIS;
+            return costMillis > MAX_MEDIUM_REQUEST_MILLIS;
         }
 
         /** Returns whether the request has been queued for so long that it must not wait on. */
--- a/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
@@ -15,10 +15,10 @@
  */
 final class AdvisorLoads {
     /** Number of entries that are kept free of long requests, if there are enough entries. */
-    private static final int MIN_ENTRIES_FOR_SHORT_REQUESTS = 4;
+    private static final int MIN_ENTRIES_WITHOUT_LONG_REQUEST = 4;
 
     /** Part of the entries that is kept free of long requests in a large cell. */
-    private static final int SHORT_REQUEST_SHARE_DENOMINATOR = 4;
+    private static final int SHARE_WITHOUT_LONG_REQUEST_DENOMINATOR = 4;
 
     /**
      * Number of requests in flight at an entry whose newest request has failed. One is enough to
@@ -28,7 +28,7 @@
 
     /** The requests that one entry has in flight, and how many it may have. */
     private record Load(
-            int requestCount, boolean hasLongRequest, long totalMillis, int maxRequestCount) {
+            int requestCount, boolean hasNotShortRequest, long totalMillis, int maxRequestCount) {
         static Load none(int maxRequestCount) {
             return new Load(0, false, 0, maxRequestCount);
         }
@@ -36,17 +36,17 @@
         Load plus(AdviceRequest request) {
             return new Load(
                     requestCount + 1,
-                    hasLongRequest || request.isLong(),
+                    hasNotShortRequest || !request.isShort(),
                     totalMillis + request.costMillis(),
                     maxRequestCount);
         }
 
         boolean isFull() {
-            return hasLongRequest || requestCount >= maxRequestCount;
+            return hasNotShortRequest || requestCount >= maxRequestCount;
         }
 
         boolean canAccept(AdviceRequest request) {
-            return !isFull() && (!request.isLong() || requestCount == 0);
+            return !isFull() && (request.isShort() || requestCount == 0);
         }
     }
 
@@ -56,6 +56,9 @@
     /** The entries that have not failed; all entries if each of them has failed. */
     private final Set<String> reliableAdvisors;
 
+    /** The number of requests in flight that are not short, which includes the long ones. */
+    private int notShortRequestCount;
+
     private int longRequestCount;
 
     private AdvisorLoads(AdviceRequests requests) {
@@ -94,7 +97,10 @@
 
     private void add(String advisor, AdviceRequest request) {
         loads.computeIfPresent(advisor, (a, l) -> l.plus(request));
-        longRequestCount += request.isLong() && reliableAdvisors.contains(advisor) ? 1 : 0;
+        if (reliableAdvisors.contains(advisor)) {
+            notShortRequestCount += request.isShort() ? 0 : 1;
+            longRequestCount += request.isLong() ? 1 : 0;
+        }
     }
 
     /** Returns whether every entry is fully loaded, so that none can accept a request. */
@@ -107,11 +113,31 @@
      * few entries, three quarters of many.
      */
     static int maxLongRequestCount(int entryCount) {
-        int reserved =
-                Math.max(
-                        Math.min(MIN_ENTRIES_FOR_SHORT_REQUESTS, entryCount / 2),
-                        entryCount / SHORT_REQUEST_SHARE_DENOMINATOR);
-        return Math.max(1, entryCount - reserved);
+        return Math.max(1, entryCount - entriesWithoutLongRequest(entryCount));
+    }
+
+    /**
+     * Returns how many of {@code entryCount} entries may have a request in flight that is not
+     * short. Half of the entries that are kept free of long requests are kept free of medium ones
+     * as well, so that neither waits behind what takes many times as long.
+     */
+    static int maxNotShortRequestCount(int entryCount) {
+        int entriesForShortRequests = (entriesWithoutLongRequest(entryCount) + 1) / 2;
+        return Math.max(1, entryCount - entriesForShortRequests);
+    }
+
+    private static int entriesWithoutLongRequest(int entryCount) {
+        return Math.max(
+                Math.min(MIN_ENTRIES_WITHOUT_LONG_REQUEST, entryCount / 2),
+                entryCount / SHARE_WITHOUT_LONG_REQUEST_DENOMINATOR);
+    }
+
+    private boolean isWithinLimit(AdviceRequest request) {
+        int entryCount = reliableAdvisors.size();
+        return request.isShort()
+                || (notShortRequestCount < maxNotShortRequestCount(entryCount)
+                        && (!request.isLong()
+                                || longRequestCount < maxLongRequestCount(entryCount)));
     }
 
     /** Returns whether an entry can accept {@code request}. */
@@ -131,9 +157,7 @@
     }
 
     private Optional<String> advisorFor(AdviceRequest request) {
-        boolean isWithinLimit =
-                !request.isLong()
-                        || longRequestCount < maxLongRequestCount(reliableAdvisors.size());
+        boolean isWithinLimit = isWithinLimit(request);
         // The limit keeps reliable entries free. It does not hold for the others, or an entry that
         // works again would get no request where all requests are long.
         return loads.keySet().stream()
--- a/core/src/test/java/org/jujubefork/core/workflow/AdviceRequestTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdviceRequestTest.java
@@ -240,6 +240,16 @@
         assertEquals(AdvisorLoads.maxLongRequestCount(48), 36);
     }
 
+    /** Guards against requests of medium cost that wait behind long ones while entries are idle. */
+    @Test
+    public void mediumRequestsHaveEntriesThatLongOnesDoNotUse() {
+        assertEquals(AdvisorLoads.maxNotShortRequestCount(1), 1);
+        assertEquals(AdvisorLoads.maxNotShortRequestCount(2), 1);
+        assertEquals(AdvisorLoads.maxNotShortRequestCount(4), 3);
+        assertEquals(AdvisorLoads.maxNotShortRequestCount(8), 6);
+        assertEquals(AdvisorLoads.maxNotShortRequestCount(48), 42);
+    }
+
     @Test
     public void yieldFollowsTheAnswers() {
         AdviceYields yields = AdviceYields.NONE;
