Add a failing test of a worker that moves while it is called

The test fails: a renewal is on its way to the old address of a worker when the worker list names its new one. A task starts at the new address. Then the worker that has the old address now answers 421, and the leader takes the run at the new address for ended and sends a second start.

It needs a slow call to the old address.

--- a/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
@@ -206,6 +206,26 @@
         assertOnlyNewestRunIsCharged(leader);
     }
 
+    /**
+     * Guards against two active runs of a task: another worker at the address that the task's
+     * worker had before answers a renewal after the task was started at the new address.
+     */
+    @Test(groups = "known-red")
+    public void runAtNewAddressStaysChargedAfterLateAnswerOfOldAddress() {
+        LeaderFixture leader = started(false);
+        leader.completeStart(leader.starts().get(0), CommandOutcome.NO_ROOM);
+        assertTrue(leader.state().workers().get("a").contact().renewalInFlight());
+        leader.post(moved(leader));
+        leader.advance(1_100);
+        assertEquals(leader.starts().size(), 2);
+        assertEquals(leader.starts().get(1).worker().address(), "other:2");
+        leader.completeStart(leader.starts().get(1), CommandOutcome.OK);
+        leader.failLeaseRenewal("a", CommandOutcome.OTHER_WORKER);
+        leader.advance(400);
+        assertEquals(leader.starts().size(), 2, "started again while run 2 is active");
+        assertOnlyNewestRunIsCharged(leader);
+    }
+
     @DataProvider
     public Object[][] failuresOfReplacedWorker() {
         return new Object[][] {
