Ignore an answer from an address that a worker has left

What callers see: fewer tasks that run twice at the same time or lose their work after a worker has come back at another address.

Cause: a failed renewal named only the worker. The answer 421 of another worker at the old address cleared all charges, also those of runs that were started at the new address since. The failure now names the address that was called, and 421 counts only if the worker is still listed there.

Ruled out: a run of the old address that stays charged.

--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -94,9 +94,11 @@
                                         state.now() - node.contact().lastContactAt(),
                                         "charges",
                                         node.charges().size()));
-        return event.failure() == CommandOutcome.OTHER_WORKER
-                ? result.then(s -> addressReused(s, event.worker()))
-                : result;
+        // The worker may have moved since the renewal was sent, and have runs at its new address.
+        boolean isReplaced =
+                event.failure() == CommandOutcome.OTHER_WORKER
+                        && event.address().equals(node.listing().address());
+        return isReplaced ? result.then(s -> addressReused(s, event.worker())) : result;
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
@@ -141,9 +141,11 @@
      * @param at when it failed
      * @param fence the fencing token of the leader that sent the renewal
      * @param worker the identifier of the worker
+     * @param address the address that the renewal was sent to
      * @param failure the reason
      */
-    record LeaseRenewalFailed(long at, long fence, String worker, CommandOutcome failure)
+    record LeaseRenewalFailed(
+            long at, long fence, String worker, String address, CommandOutcome failure)
             implements FencedOutcome {}
 
     /**
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -214,7 +214,9 @@
     void failLeaseRenewal(String worker, CommandOutcome outcome) {
         WorkflowEffect.RenewLease renewal = renewals.remove(worker);
         if (renewal != null) {
-            post(new WorkflowEvent.LeaseRenewalFailed(now, renewal.fence(), worker, outcome));
+            post(
+                    new WorkflowEvent.LeaseRenewalFailed(
+                            now, renewal.fence(), worker, renewal.worker().address(), outcome));
         }
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorkerCalls.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorkerCalls.java
@@ -90,7 +90,11 @@
                 entry,
                 boot,
                 new WorkflowEvent.LeaseRenewalFailed(
-                        simulation.now(), renewal.fence(), renewal.worker().id(), outcome));
+                        simulation.now(),
+                        renewal.fence(),
+                        renewal.worker().id(),
+                        renewal.worker().address(),
+                        outcome));
     }
 
     void start(SimulatedEntry entry, int boot, WorkflowEffect.Start start) {
--- a/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
@@ -210,7 +210,7 @@
      * Guards against two active runs of a task: another worker at the address that the task's
      * worker had before answers a renewal after the task was started at the new address.
      */
-    @Test(groups = "known-red")
+    @Test
     public void runAtNewAddressStaysChargedAfterLateAnswerOfOldAddress() {
         LeaderFixture leader = started(false);
         leader.completeStart(leader.starts().get(0), CommandOutcome.NO_ROOM);
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
@@ -161,7 +161,11 @@
                                         worker,
                                         result.report().get())
                                 : new WorkflowEvent.LeaseRenewalFailed(
-                                        now(), renewal.fence(), worker, result.outcome()));
+                                        now(),
+                                        renewal.fence(),
+                                        worker,
+                                        renewal.worker().address(),
+                                        result.outcome()));
     }
 
     private void postCommandOutcome(
