Add a failing test of a start command whose outcome is lost

What callers see: a task never runs, although its worker answers and has room, and no line or metric about waiting steps names it.

The test fails: no outcome of a start arrives, and each report of the worker lists no run. The charge keeps its time of sending, has no confirmation and is not being stopped, so isMissing never holds and retryStops passes it over.

Read: WorkflowEffectExecutor posts an outcome for each start, except when an Error ends the thread of the call. ReducerLoop drops an outcome whose handling throws.

--- a/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
@@ -170,6 +170,24 @@
         assertOnlyNewestRunIsCharged(leader);
     }
 
+    /**
+     * Guards against a charge that stays for good, because the outcome of the start command never
+     * arrives and the worker reports no such run.
+     */
+    @Test(groups = "known-red")
+    public void taskStartsAgainAfterOutcomeOfItsStartWasLost() {
+        answeredStopCount = 0;
+        LeaderFixture leader = started(false);
+        awaitSecondStart(
+                leader,
+                LEASE_END_MILLIS,
+                () -> {
+                    answerStops(leader, CommandOutcome.OK);
+                    answer(leader, "a", EARLIER);
+                });
+        assertOnlyNewestRunIsCharged(leader);
+    }
+
     /** Returns a worker list in which worker {@code a} has another address. */
     private static WorkflowEvent moved(LeaderFixture leader) {
         WorkerNode.Listing old = LeaderFixture.worker("a");
