Add a failing test of the volume of lines about placement failures

What callers see: nothing directly. A job that cannot be handled writes a line in each placement pass, up to 66 a second, and the log drops lines when its queue is full, so that other lines of an incident are missing.

The test fails: 20 lines in 2 s with a pass every 100 ms.

--- a/core/src/test/java/org/jujubefork/core/workflow/PlacementFailureTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/PlacementFailureTest.java
@@ -76,6 +76,42 @@
                 "the failure is not logged: " + result.effects());
     }
 
+    /**
+     * Guards against a job that cannot be handled and floods the log: passes run many times a
+     * second, and lines beyond the capacity of the log are dropped.
+     */
+    @Test(groups = "known-red")
+    public void failureIsLoggedOncePerSecond() {
+        WorkflowState state = stateWithJobs();
+        StepKey step = new StepKey("broken", 0, 0);
+        Job job = state.jobs().get("broken");
+        StepProgress withoutTasks =
+                new StepProgress(
+                        TreePVector.empty(),
+                        2,
+                        0,
+                        0,
+                        FailedRuns.NONE,
+                        -1,
+                        job.progress(step).advice());
+        state = state.with(job.with(step, withoutTasks));
+        long lines = 0;
+        for (int i = 0; i < 20; i++) {
+            WorkflowTransition pass = Placement.run(state.withTime(state.now() + 100));
+            state = pass.state();
+            lines += failures(pass).size();
+        }
+        assertEquals(lines, 2, "lines in 2 s");
+    }
+
+    private static List<WorkflowEffect.LogEvent> failures(WorkflowTransition transition) {
+        return transition.effects().stream()
+                .filter(WorkflowEffect.LogEvent.class::isInstance)
+                .map(WorkflowEffect.LogEvent.class::cast)
+                .filter(line -> line.event().equals("placement-failure"))
+                .toList();
+    }
+
     /** Guards against a task whose worker is gone, which stops the pass and never starts itself. */
     @Test
     public void taskWithoutWorkerIsPlacedAgain() {
