Send the overdue advice request of the oldest job first

Cause: the age of a request starts anew after each answer, loss of a worker and takeover, so a job that needs several requests goes behind newer ones.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -117,16 +117,25 @@
         return result;
     }
 
-    /** Returns the overdue request that goes before all others, if it is the turn of one. */
+    /**
+     * Returns the overdue request that goes before all others, if it is the turn of one: that of
+     * the job that was accepted first. By the age of the request, a job would go behind newer ones
+     * after each answer and each takeover.
+     */
     private static Optional<AdviceRequest> overdueRequest(WorkflowState state) {
         AdviceRequests requests = state.adviceRequests();
         return requests.overdueShare().isDue()
                 ? requests.pending().stream()
                         .filter(r -> r.isOverdue(state.now()))
-                        .min(Comparator.comparingLong(AdviceRequest::queuedAt))
+                        .min(Comparator.comparingLong(r -> acceptedAt(state, r)))
                 : Optional.empty();
     }
 
+    private static long acceptedAt(WorkflowState state, AdviceRequest request) {
+        Job job = state.jobs().get(request.step().job());
+        return job == null ? Long.MAX_VALUE : job.acceptedAt();
+    }
+
     private static List<AdviceRequest> inDispatchOrder(
             AdviceRequests requests, Optional<AdviceRequest> overdue) {
         List<AdviceRequest> ordered = new ArrayList<>(requests.pending());
