Check the limit of attempts before each start

Nothing compared them again when the queue was back. A lowered limit and a takeover led to the same start.

AttemptLimit compares the stored failed runs when a run fails, in each placement pass and when an assigned task is started, and ends the job as failed. An active run may still complete.

Ruled out by the tests: failed runs that are counted twice, and a job that fails under a higher limit.

--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -50,11 +50,9 @@
                                     FailureIsolation.isolate(
                                             s,
                                             job.id(),
-                                            () -> {
-                                                candidates.addAll(
-                                                        candidates(s, job, recovered, waits));
-                                                return WorkflowTransition.of(s);
-                                            }));
+                                            () ->
+                                                    addCandidates(
+                                                            s, job, recovered, waits, candidates)));
         }
         candidates.sort(Urgency.byUrgency());
         PassCapacity capacity = PassCapacity.of(result.state());
@@ -74,24 +72,38 @@
         return result.withState(placed).then(s -> WaitingStepsLog.writeIfDue(s, capacity));
     }
 
-    private static List<Candidate> candidates(
-            WorkflowState state, Job job, boolean recovered, PassWaits waits) {
-        List<Candidate> candidates = new ArrayList<>();
+    /**
+     * Adds the ready steps of {@code job} to {@code candidates}, or ends the job if one of them has
+     * no attempts left.
+     */
+    private static WorkflowTransition addCandidates(
+            WorkflowState state,
+            Job job,
+            boolean recovered,
+            PassWaits waits,
+            List<Candidate> candidates) {
         if (!job.isActive()) {
-            return candidates;
+            return WorkflowTransition.of(state);
         }
         boolean runsKnown = job.term() == state.term() || recovered;
         Optional<Queue> queue = state.queueOf(job);
-        if (queue.isPresent() && runsKnown) {
-            addCandidates(job, queue.get(), state.now(), candidates);
-        } else {
+        List<StepKey> readySteps = job.readySteps();
+        if (queue.isEmpty() || !runsKnown) {
             WaitReason reason =
                     queue.isEmpty() ? WaitReason.QUEUE_MISSING : WaitReason.RUNS_UNKNOWN;
-            for (StepKey key : job.readySteps()) {
-                waits.add(key, job.progress(key), reason);
-            }
+            readySteps.forEach(key -> waits.add(key, job.progress(key), reason));
+            return WorkflowTransition.of(state);
+        }
+        Optional<TaskKey> exhaustedTask =
+                readySteps.stream()
+                        .flatMap(key -> AttemptLimit.exhaustedTask(job, key, queue.get()).stream())
+                        .findFirst();
+        if (exhaustedTask.isPresent()) {
+            return AttemptLimit.failBeforeStart(state, job, exhaustedTask.get(), queue.get());
         }
-        return candidates;
+        candidates.addAll(
+                readySteps.stream().map(k -> candidate(job, k, queue.get(), state.now())).toList());
+        return WorkflowTransition.of(state);
     }
 
     /**
@@ -119,12 +131,6 @@
         }
     }
 
-    private static void addCandidates(Job job, Queue queue, long now, List<Candidate> candidates) {
-        for (StepKey key : job.readySteps()) {
-            candidates.add(candidate(job, key, queue, now));
-        }
-    }
-
     static Candidate candidate(Job job, StepKey key, Queue queue, long now) {
         List<StepProgress> steps = job.occurrences().get(key.occurrence());
         Urgency.Standing standing = Urgency.standing(job, steps, queue, now);
@@ -271,7 +277,7 @@
      * tickets of the others. A gang starts only if all of its tickets are valid. Tasks that can no
      * longer start as assigned are placed again, because the wait for a ticket may take seconds:
      * their queue may have been removed, their worker may be draining, or a member of the gang may
-     * have lost its capacity.
+     * have lost its capacity. A job whose attempts are exhausted ends instead.
      */
     static WorkflowTransition startAssigned(WorkflowState state, StepKey key) {
         Job job = state.jobs().get(key.job());
@@ -286,6 +292,10 @@
         if (queue.isEmpty() || isPartialGang) {
             return unassign(state, key);
         }
+        Optional<TaskKey> exhaustedTask = AttemptLimit.exhaustedTask(job, key, queue.get());
+        if (exhaustedTask.isPresent()) {
+            return AttemptLimit.failBeforeStart(state, job, exhaustedTask.get(), queue.get());
+        }
         WorkflowTransition result =
                 closedWorkers.isEmpty()
                         ? WorkflowTransition.of(state)
--- a/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
@@ -1,5 +1,6 @@
 package org.jujubefork.core.workflow;
 
+import java.util.Optional;
 import org.jujubefork.core.workflow.WorkflowEvent.EndedRun;
 import org.jujubefork.core.workflow.WorkflowEvent.RunOutcome;
 
@@ -130,32 +131,14 @@
                         isNewestRun
                                 ? task.asWaiting(taskFailures, endedRun.checkpoint())
                                 : task.withFailedRuns(taskFailures));
-        int failureCount = taskFailures.count();
         if (definition.gang()) {
             StepProgress progress = updatedJob.progress(step);
             FailedRuns gangFailures = progress.gangFailedRuns().withRun(endedRun.runNumber());
             updatedJob = updatedJob.with(step, progress.withGangFailedRuns(gangFailures));
-            failureCount = gangFailures.count();
         }
-        int maxAttempts = state.queueOf(job).map(CellConfiguration.Queue::maxAttempts).orElse(0);
-        boolean attemptsExhausted =
-                maxAttempts > 0 && failureCount >= maxAttempts && !definition.service();
-        if (attemptsExhausted) {
-            WorkflowState next =
-                    state.with(updatedJob.withStatus(Job.Status.FAILED)).withDirtyJob(job.id());
-            return CallHandler.stopAll(next, job.id())
-                    .with(
-                            WorkflowEffect.LogEvent.of(
-                                    "job-failed",
-                                    job.id(),
-                                    "task",
-                                    endedRun.task(),
-                                    "failures",
-                                    failureCount,
-                                    "attempts",
-                                    maxAttempts,
-                                    "worker",
-                                    worker));
+        Optional<CellConfiguration.Queue> queue = state.queueOf(job);
+        if (queue.isPresent() && AttemptLimit.isReached(updatedJob, endedRun.task(), queue.get())) {
+            return AttemptLimit.fail(state, updatedJob, endedRun.task(), queue.get(), worker);
         }
         WorkflowState next = state.with(updatedJob).withDirtyJob(job.id()).withPlacementDue(true);
         return definition.gang()
