Count jobs as waiting whose starts were rejected

Ruled out by the tests: a job whose run was interrupted, lost or rejected as old does not count as waiting.

--- a/core/src/main/java/org/jujubefork/core/workflow/Job.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Job.java
@@ -198,11 +198,14 @@
                         .allMatch(steps -> steps.stream().allMatch(StepProgress::isDone));
     }
 
-    /** Returns whether a start command was ever sent for a task of this job. */
+    /**
+     * Returns whether a run of a task of this job was confirmed or may have been carried out. After
+     * a takeover only the runs are known that are active or have left a record in the store.
+     */
     public boolean hasStarted() {
         return occurrences.values().stream()
                 .flatMap(PVector::stream)
                 .flatMap(s -> s.tasks().stream())
-                .anyMatch(t -> t.runNumber() > 0 && t.phase() != Task.Phase.ASSIGNED);
+                .anyMatch(Task::hasStarted);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -410,7 +410,7 @@
 
     /** Returns a transition in which {@code task}, whose worker is gone, waits again. */
     private static WorkflowTransition withoutWorker(WorkflowState state, TaskKey key, Task task) {
-        return WorkflowTransition.of(RunCompletions.runLost(state, key, task.runNumber()));
+        return WorkflowTransition.of(RunCompletions.runNotStarted(state, key, task.runNumber()));
     }
 
     private static String ticketOf(WorkflowState state, StepKey key, int index) {
--- a/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.workflow;
 
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.jujubefork.core.workflow.WorkflowEvent.EndedRun;
 import org.jujubefork.core.workflow.WorkflowEvent.RunOutcome;
 
@@ -48,6 +49,16 @@
 
     /** Sets the task back to waiting after its run has ended without a reported completion. */
     static WorkflowState runLost(WorkflowState state, TaskKey key, long runNumber) {
+        return withNewestRun(state, key, runNumber, Task::afterLostRun);
+    }
+
+    /** Sets the task back to waiting after its run was certainly not started. */
+    static WorkflowState runNotStarted(WorkflowState state, TaskKey key, long runNumber) {
+        return withNewestRun(state, key, runNumber, Task::withoutStart);
+    }
+
+    private static WorkflowState withNewestRun(
+            WorkflowState state, TaskKey key, long runNumber, UnaryOperator<Task> change) {
         Job job = state.jobs().get(key.job());
         if (job == null || !job.hasTask(key)) {
             return state;
@@ -55,8 +66,7 @@
         Task task = job.task(key);
         boolean isNewestRun = task.runNumber() == runNumber && task.phase() != Task.Phase.DONE;
         return isNewestRun
-                ? state.with(job.with(key, task.asWaiting(task.failedRuns(), "")))
-                        .withPlacementDue(true)
+                ? state.with(job.with(key, change.apply(task))).withPlacementDue(true)
                 : state;
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
@@ -77,7 +77,7 @@
 
     private static WorkflowState unassign(
             WorkflowState state, String worker, TaskKey key, long runNumber) {
-        return RunCompletions.runLost(
+        return RunCompletions.runNotStarted(
                 RunCompletions.releaseCharge(state, worker, key, runNumber), key, runNumber);
     }
 
@@ -205,7 +205,14 @@
             WorkflowState state, WorkflowEvent.CommandCompleted event, long runNumber) {
         TaskKey key = event.command().task();
         String worker = event.command().worker();
-        WorkflowState next = unassign(state, worker, key, runNumber);
+        // A worker also rejects a repeated start as old if it has carried out the first one.
+        WorkflowState next =
+                event.outcome() == CommandOutcome.OLD
+                        ? RunCompletions.runLost(
+                                RunCompletions.releaseCharge(state, worker, key, runNumber),
+                                key,
+                                runNumber)
+                        : unassign(state, worker, key, runNumber);
         next =
                 switch (event.outcome()) {
                     case NO_TICKET -> AdviceDispatcher.expireTicket(next, key.stepKey(), worker);
