--- a/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
@@ -1,5 +1,7 @@
 package org.jujubefork.core.workflow;
 
+import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.jujubefork.core.workflow.WorkflowEvent.EndedRun;
 import org.jujubefork.core.workflow.WorkflowEvent.RunOutcome;
 
@@ -47,6 +49,16 @@
 
     /** Sets the task back to waiting after its run has ended without a reported completion. */
     static WorkflowState runLost(WorkflowState state, TaskKey key, long runNumber) {
+        return withNewestRun(state, key, runNumber, Task::afterLostRun);
+    }
+
+    /** Sets the task back to waiting after its run was certainly not started. */
+    static WorkflowState runNotStarted(WorkflowState state, TaskKey key, long runNumber) {
+        return withNewestRun(state, key, runNumber, Task::withoutStart);
+    }
+
+    private static WorkflowState withNewestRun(
+            WorkflowState state, TaskKey key, long runNumber, UnaryOperator<Task> change) {
         Job job = state.jobs().get(key.job());
         if (job == null || !job.hasTask(key)) {
             return state;
@@ -54,8 +66,7 @@
         Task task = job.task(key);
         boolean isNewestRun = task.runNumber() == runNumber && task.phase() != Task.Phase.DONE;
         return isNewestRun
-                ? state.with(job.with(key, task.asWaiting(task.failedRuns(), "")))
-                        .withPlacementDue(true)
+                ? state.with(job.with(key, change.apply(task))).withPlacementDue(true)
                 : state;
     }
 
@@ -130,32 +141,14 @@
                         isNewestRun
                                 ? task.asWaiting(taskFailures, endedRun.checkpoint())
                                 : task.withFailedRuns(taskFailures));
-        int failureCount = taskFailures.count();
         if (definition.gang()) {
             StepProgress progress = updatedJob.progress(step);
             FailedRuns gangFailures = progress.gangFailedRuns().withRun(endedRun.runNumber());
             updatedJob = updatedJob.with(step, progress.withGangFailedRuns(gangFailures));
-            failureCount = gangFailures.count();
         }
-        int maxAttempts = state.queueOf(job).map(CellConfiguration.Queue::maxAttempts).orElse(0);
-        boolean attemptsExhausted =
-                maxAttempts > 0 && failureCount >= maxAttempts && !definition.service();
-        if (attemptsExhausted) {
-            WorkflowState next =
-                    state.with(updatedJob.withStatus(Job.Status.FAILED)).withDirtyJob(job.id());
-            return CallHandler.stopAll(next, job.id())
-                    .with(
-                            WorkflowEffect.LogEvent.of(
-                                    "job-failed",
-                                    job.id(),
-                                    "task",
-                                    endedRun.task(),
-                                    "failures",
-                                    failureCount,
-                                    "attempts",
-                                    maxAttempts,
-                                    "worker",
-                                    worker));
+        Optional<CellConfiguration.Queue> queue = state.queueOf(job);
+        if (queue.isPresent() && AttemptLimit.isReached(updatedJob, endedRun.task(), queue.get())) {
+            return AttemptLimit.fail(state, updatedJob, endedRun.task(), queue.get(), worker);
         }
         WorkflowState next = state.with(updatedJob).withDirtyJob(job.id()).withPlacementDue(true);
         return definition.gang()
