--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -1,10 +1,12 @@
 package org.jujubefork.core.workflow;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.jujubefork.core.workflow.AdviceRequests.AdviceRequest;
 import org.jujubefork.core.workflow.AdviceRequests.InFlightRequest;
 import org.jujubefork.core.workflow.AdviceRequests.Purpose;
@@ -64,7 +66,7 @@
                         rank,
                         queue.get().priority(),
                         purpose,
-                        Math.round(queue.get().advice().get().costMillis(candidates.size())),
+                        costMillis(queue.get(), candidates.size()),
                         state.now());
         return state.with(
                         job.with(
@@ -73,15 +75,21 @@
                 .with(state.adviceRequests().withPending(request));
     }
 
+    /** Returns how long the service takes for a request of {@code queue}, in milliseconds. */
+    static long costMillis(CellConfiguration.Queue queue, int workerCount) {
+        return queue.advice().map(a -> Math.round(a.costMillis(workerCount))).orElse(0L);
+    }
+
     /** Sends pending requests through the entries that have capacity for them. */
     static WorkflowTransition dispatch(WorkflowState state) {
         if (state.adviceRequests().pending().isEmpty() || !state.hasConfirmedLeadership()) {
             return WorkflowTransition.of(state);
         }
         AdvisorLoads loads = AdvisorLoads.of(state.adviceRequests(), state.now());
+        Supplier<PassCapacity> capacity = new Memoized<>(() -> PassCapacity.of(state));
+        Optional<AdviceRequest> overdue = overdueRequest(state);
         WorkflowTransition result = WorkflowTransition.of(state);
-        for (AdviceRequest request :
-                state.adviceRequests().pending().stream().sorted(DISPATCH_ORDER).toList()) {
+        for (AdviceRequest request : inDispatchOrder(state.adviceRequests(), overdue)) {
             if (loads.isFull()) {
                 return result;
             }
@@ -89,21 +97,72 @@
                 result = result.withState(withoutRequest(result.state(), request));
                 continue;
             }
-            Optional<String> advisor = loads.assign(request);
+            if (!loads.canAssign(request)) {
+                continue;
+            }
+            Optional<AdviceRequest> current =
+                    AdviceChoice.current(result.state(), request, capacity);
+            if (current.isEmpty()) {
+                result = result.withState(withoutRequest(result.state(), request));
+                continue;
+            }
+            Optional<String> advisor = loads.assign(current.get());
             if (advisor.isPresent()) {
-                result = result.then(s -> send(s, request, advisor.get()));
+                boolean goesFirst = overdue.isPresent() && overdue.get() == request;
+                result =
+                        result.withState(sent(result.state(), request, current.get(), goesFirst))
+                                .then(s -> send(s, current.get(), advisor.get()));
             }
         }
         return result;
     }
 
+    /** Returns the overdue request that goes before all others, if it is the turn of one. */
+    private static Optional<AdviceRequest> overdueRequest(WorkflowState state) {
+        AdviceRequests requests = state.adviceRequests();
+        return requests.overdueShare().isDue()
+                ? requests.pending().stream()
+                        .filter(r -> r.isOverdue(state.now()))
+                        .min(Comparator.comparingLong(AdviceRequest::queuedAt))
+                : Optional.empty();
+    }
+
+    private static List<AdviceRequest> inDispatchOrder(
+            AdviceRequests requests, Optional<AdviceRequest> overdue) {
+        List<AdviceRequest> ordered = new ArrayList<>(requests.pending());
+        ordered.sort(DISPATCH_ORDER);
+        overdue.ifPresent(
+                r -> {
+                    ordered.remove(r);
+                    ordered.addFirst(r);
+                });
+        return ordered;
+    }
+
     /** Returns whether the answer to {@code request} can still help to start a task. */
     private static boolean isNeeded(WorkflowState state, AdviceRequest request) {
         Job job = state.jobs().get(request.step().job());
-        if (job == null || !job.isActive()) {
+        if (job == null || !job.isActive() || state.queueOf(job).isEmpty()) {
             return false;
         }
-        return request.purpose() == Purpose.RENEWAL || job.progress(request.step()).hasWaiting();
+        StepProgress progress = job.progress(request.step());
+        return request.purpose() == Purpose.RENEWAL
+                ? progress.hasAssigned()
+                : progress.hasWaiting();
+    }
+
+    /**
+     * Returns a copy in which {@code queued} is not pending, because it is sent as {@code current}.
+     */
+    private static WorkflowState sent(
+            WorkflowState state, AdviceRequest queued, AdviceRequest current, boolean goesFirst) {
+        AdviceRequests requests = state.adviceRequests().withoutPending(queued);
+        OverdueShare share = requests.overdueShare();
+        return state.with(
+                requests.with(
+                        goesFirst
+                                ? share.afterOverdue(current.costMillis())
+                                : share.afterUrgent(current.costMillis())));
     }
 
     private static WorkflowState withoutRequest(WorkflowState state, AdviceRequest request) {
