--- a/core/src/test/java/org/jujubefork/core/workflow/ProgressUnderCrashWavesTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/ProgressUnderCrashWavesTest.java
@@ -22,7 +22,7 @@
         return LongStream.range(0, 4).mapToObj(s -> new Object[] {s}).toArray(Object[][]::new);
     }
 
-    @Test(dataProvider = "seeds", groups = "known-red")
+    @Test(dataProvider = "seeds")
     public void oldWorkRunsAfterCrashWaves(long seed) {
         assertEquals(String.join("\n", SeedSearch.failures(day(seed, FINISH_MILLIS))), "");
     }
