Let an overdue advice request get an entry that short requests fill

Cause: a request over 60 ms needs an entry without other requests, and short ones keep two in flight on each. The overdue request is passed over, and short overdue ones wait behind it.

Change: an entry takes no further request while the overdue one waits for it; overdue requests may use the entries that are kept free of long ones, not those for short ones. A request whose new choice costs too much for now is queued with it, so that it is not chosen anew in each round. Terms: requests that are not short are called blocking.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -88,6 +88,7 @@
         AdvisorLoads loads = AdvisorLoads.of(state.adviceRequests(), state.now());
         Supplier<PassCapacity> capacity = new Memoized<>(() -> PassCapacity.of(state));
         Optional<AdviceRequest> overdue = overdueRequest(state);
+        overdue.ifPresent(loads::holdEntryFor);
         WorkflowTransition result = WorkflowTransition.of(state);
         for (AdviceRequest request : inDispatchOrder(state.adviceRequests(), overdue)) {
             if (loads.isFull()) {
@@ -107,11 +108,19 @@
                 continue;
             }
             Optional<String> advisor = loads.assign(current.get());
+            WorkflowState dequeued =
+                    result.state().with(result.state().adviceRequests().withoutPending(request));
             if (advisor.isPresent()) {
-                boolean goesFirst = overdue.isPresent() && overdue.get() == request;
+                boolean isOverdueTurn = overdue.isPresent() && overdue.get() == request;
                 result =
-                        result.withState(sent(result.state(), request, current.get(), goesFirst))
+                        result.withState(charged(dequeued, current.get(), isOverdueTurn))
                                 .then(s -> send(s, current.get(), advisor.get()));
+            } else {
+                // It costs more than when it was queued, and no entry can accept it now.
+                result =
+                        result.withState(
+                                dequeued.with(
+                                        dequeued.adviceRequests().withPending(current.get())));
             }
         }
         return result;
@@ -160,18 +169,16 @@
                 : progress.hasWaiting();
     }
 
-    /**
-     * Returns a copy in which {@code queued} is not pending, because it is sent as {@code current}.
-     */
-    private static WorkflowState sent(
-            WorkflowState state, AdviceRequest queued, AdviceRequest current, boolean goesFirst) {
-        AdviceRequests requests = state.adviceRequests().withoutPending(queued);
+    /** Returns a copy in which the cost of {@code request} counts for the overdue share. */
+    private static WorkflowState charged(
+            WorkflowState state, AdviceRequest request, boolean isOverdueTurn) {
+        AdviceRequests requests = state.adviceRequests();
         OverdueShare share = requests.overdueShare();
         return state.with(
                 requests.with(
-                        goesFirst
-                                ? share.afterOverdue(current.costMillis())
-                                : share.afterUrgent(current.costMillis())));
+                        isOverdueTurn
+                                ? share.afterOverdue(request.costMillis())
+                                : share.afterUrgent(request.costMillis())));
     }
 
     private static WorkflowState withoutRequest(WorkflowState state, AdviceRequest request) {
--- a/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdvisorLoads.java
@@ -28,7 +28,7 @@
 
     /** The requests that one entry has in flight, and how many it may have. */
     private record Load(
-            int requestCount, boolean hasNotShortRequest, long totalMillis, int maxRequestCount) {
+            int requestCount, boolean hasBlockingRequest, long totalMillis, int maxRequestCount) {
         static Load none(int maxRequestCount) {
             return new Load(0, false, 0, maxRequestCount);
         }
@@ -36,32 +36,42 @@
         Load plus(AdviceRequest request) {
             return new Load(
                     requestCount + 1,
-                    hasNotShortRequest || !request.isShort(),
+                    hasBlockingRequest || !request.isShort(),
                     totalMillis + request.costMillis(),
                     maxRequestCount);
         }
 
         boolean isFull() {
-            return hasNotShortRequest || requestCount >= maxRequestCount;
+            return hasBlockingRequest || requestCount >= maxRequestCount;
         }
 
+        Load closed() {
+            return new Load(requestCount, hasBlockingRequest, totalMillis, 0);
+        }
+
+        /**
+         * Returns whether the entry can accept {@code request}. One that is not short needs an
+         * entry without other requests, which it would delay.
+         */
         boolean canAccept(AdviceRequest request) {
             return !isFull() && (request.isShort() || requestCount == 0);
         }
     }
 
+    private final long now;
     private final Map<String, Load> loads = new TreeMap<>();
     private final AdvisorFailures failures;
 
     /** The entries that have not failed; all entries if each of them has failed. */
     private final Set<String> reliableAdvisors;
 
-    /** The number of requests in flight that are not short, which includes the long ones. */
-    private int notShortRequestCount;
+    /** The number of medium and long requests in flight; each of them blocks its entry. */
+    private int blockingRequestCount;
 
     private int longRequestCount;
 
-    private AdvisorLoads(AdviceRequests requests) {
+    private AdvisorLoads(AdviceRequests requests, long now) {
+        this.now = now;
         this.failures = requests.failures();
         Set<String> withoutFailure =
                 requests.advisors().stream()
@@ -72,11 +82,10 @@
 
     /** Returns the loads of the entries at {@code now}. */
     static AdvisorLoads of(AdviceRequests requests, long now) {
-        AdvisorLoads result = new AdvisorLoads(requests);
-        boolean areAllAvoided =
-                requests.advisors().stream().allMatch(a -> result.isAvoided(a, now));
+        AdvisorLoads result = new AdvisorLoads(requests, now);
+        boolean areAllAvoided = requests.advisors().stream().allMatch(result::isAvoided);
         for (String advisor : requests.advisors()) {
-            boolean isClosed = result.isAvoided(advisor, now) && !areAllAvoided;
+            boolean isClosed = result.isAvoided(advisor) && !areAllAvoided;
             result.loads.put(advisor, Load.none(isClosed ? 0 : result.maxRequestCount(advisor)));
         }
         for (InFlightRequest inFlight : requests.inFlight().values()) {
@@ -85,7 +94,7 @@
         return result;
     }
 
-    private boolean isAvoided(String advisor, long now) {
+    private boolean isAvoided(String advisor) {
         return failures.avoidedUntil(advisor) > now;
     }
 
@@ -98,7 +107,7 @@
     private void add(String advisor, AdviceRequest request) {
         loads.computeIfPresent(advisor, (a, l) -> l.plus(request));
         if (reliableAdvisors.contains(advisor)) {
-            notShortRequestCount += request.isShort() ? 0 : 1;
+            blockingRequestCount += request.isShort() ? 0 : 1;
             longRequestCount += request.isLong() ? 1 : 0;
         }
     }
@@ -109,19 +118,19 @@
     }
 
     /**
-     * Returns how many of {@code entryCount} entries may have a long request in flight: half of a
-     * few entries, three quarters of many.
+     * Returns how many of {@code entryCount} entries may have a long request in flight that is not
+     * overdue: half of a few entries, three quarters of many.
      */
     static int maxLongRequestCount(int entryCount) {
         return Math.max(1, entryCount - entriesWithoutLongRequest(entryCount));
     }
 
     /**
-     * Returns how many of {@code entryCount} entries may have a request in flight that is not
-     * short. Half of the entries that are kept free of long requests are kept free of medium ones
-     * as well, so that neither waits behind what takes many times as long.
+     * Returns how many of {@code entryCount} entries may have a medium or long request in flight.
+     * Half of the entries that are kept free of long requests are kept free of medium ones as well,
+     * so that neither waits behind what takes many times as long.
      */
-    static int maxNotShortRequestCount(int entryCount) {
+    static int maxBlockingRequestCount(int entryCount) {
         int entriesForShortRequests = (entriesWithoutLongRequest(entryCount) + 1) / 2;
         return Math.max(1, entryCount - entriesForShortRequests);
     }
@@ -135,11 +144,26 @@
     private boolean isWithinLimit(AdviceRequest request) {
         int entryCount = reliableAdvisors.size();
         return request.isShort()
-                || (notShortRequestCount < maxNotShortRequestCount(entryCount)
+                || (blockingRequestCount < maxBlockingRequestCount(entryCount)
                         && (!request.isLong()
+                                || request.isOverdue(now)
                                 || longRequestCount < maxLongRequestCount(entryCount)));
     }
 
+    /**
+     * Keeps one entry free of further requests in this round if {@code request} could be sent but
+     * every entry has another request in flight. Otherwise short requests, of which an entry
+     * carries out two, would keep a longer one from ever being sent.
+     */
+    void holdEntryFor(AdviceRequest request) {
+        if (isWithinLimit(request) && !canAssign(request)) {
+            loads.keySet().stream()
+                    .filter(a -> loads.get(a).maxRequestCount() > 0)
+                    .min(Comparator.comparingLong(a -> loads.get(a).totalMillis()))
+                    .ifPresent(a -> loads.computeIfPresent(a, (name, l) -> l.closed()));
+        }
+    }
+
     /** Returns whether an entry can accept {@code request}. */
     boolean canAssign(AdviceRequest request) {
         return advisorFor(request).isPresent();
--- a/core/src/main/java/org/jujubefork/core/workflow/OverdueShare.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/OverdueShare.java
@@ -2,8 +2,9 @@
 
 /**
  * Divides the time of the advice service between requests in the order of their urgency and overdue
- * requests, the oldest first. Without a share of their own, requests that are less urgent than all
- * that arrive would wait for as long as the service has no idle time.
+ * requests, that of the oldest job first. After the turn of an overdue request, requests in their
+ * order get three times its cost before the next turn. Without a share of their own, requests that
+ * are less urgent than all that arrive would wait for as long as the service has no idle time.
  *
  * @param debtMillis the service time that urgent requests have to get before an overdue request
  *     goes first again
@@ -26,7 +27,7 @@
         return debtMillis == 0;
     }
 
-    /** Returns a copy after an overdue request went first, which takes {@code costMillis}. */
+    /** Returns a copy after the turn of an overdue request, which takes {@code costMillis}. */
     OverdueShare afterOverdue(long costMillis) {
         return new OverdueShare(debtMillis + URGENT_MILLIS_PER_OVERDUE_MILLI * costMillis);
     }
--- a/core/src/test/java/org/jujubefork/core/workflow/AdviceRequestTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdviceRequestTest.java
@@ -243,11 +243,11 @@
     /** Guards against requests of medium cost that wait behind long ones while entries are idle. */
     @Test
     public void mediumRequestsHaveEntriesThatLongOnesDoNotUse() {
-        assertEquals(AdvisorLoads.maxNotShortRequestCount(1), 1);
-        assertEquals(AdvisorLoads.maxNotShortRequestCount(2), 1);
-        assertEquals(AdvisorLoads.maxNotShortRequestCount(4), 3);
-        assertEquals(AdvisorLoads.maxNotShortRequestCount(8), 6);
-        assertEquals(AdvisorLoads.maxNotShortRequestCount(48), 42);
+        assertEquals(AdvisorLoads.maxBlockingRequestCount(1), 1);
+        assertEquals(AdvisorLoads.maxBlockingRequestCount(2), 1);
+        assertEquals(AdvisorLoads.maxBlockingRequestCount(4), 3);
+        assertEquals(AdvisorLoads.maxBlockingRequestCount(8), 6);
+        assertEquals(AdvisorLoads.maxBlockingRequestCount(48), 42);
     }
 
     @Test
