Build the configuration with advice of four tests in one place

It stood in AdviceStarvationTest, RefusalUnderLoadTest, AdviceRefusalTest and AdvisorFailureTest with the same values; the tests are unchanged otherwise.

--- a/core/src/test/java/org/jujubefork/core/workflow/AdviceRefusalTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdviceRefusalTest.java
@@ -7,9 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
-import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.WorkflowEvent.CommandOutcome;
 import org.testng.annotations.Test;
 
@@ -26,34 +24,10 @@
 
     private final LeaderFixture leader =
             LeaderFixture.leading(
-                    configuration(),
+                    LeaderFixture.configuration(new AdviceSettings(10, 1, 2_000)),
                     new WorkflowEvent.Snapshot(
                             List.of(), List.of(), List.of(), SilentWorkers.NONE));
 
-    private static CellConfiguration configuration() {
-        Queue queue =
-                new Queue(
-                        LeaderFixture.QUEUE,
-                        "h",
-                        "/q/",
-                        LeaderFixture.SERVICE,
-                        0,
-                        3,
-                        3_000,
-                        2,
-                        400,
-                        true,
-                        Optional.of(new AdviceSettings(10, 1, 2_000)));
-        return new CellConfiguration(
-                1,
-                List.of(queue),
-                List.of(new CellConfiguration.Service(LeaderFixture.SERVICE, false)),
-                List.of(
-                        new CellConfiguration.Team(
-                                LeaderFixture.TEAM, List.of(), 50, Resources.ZERO)),
-                100_000);
-    }
-
     /** Advances the time while the workers, the store and the advice service answer. */
     private static void advance(LeaderFixture leader, long millis, Set<String> permitted) {
         for (long end = leader.now() + millis; leader.now() < end; ) {
--- a/core/src/test/java/org/jujubefork/core/workflow/AdviceStarvationTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdviceStarvationTest.java
@@ -9,9 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
-import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.WorkflowEvent.CommandOutcome;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -36,37 +34,13 @@
     private int nextNewJob;
     private LeaderFixture leader;
 
-    private static CellConfiguration configuration() {
-        Queue queue =
-                new Queue(
-                        LeaderFixture.QUEUE,
-                        "h",
-                        "/q/",
-                        LeaderFixture.SERVICE,
-                        0,
-                        3,
-                        3_000,
-                        2,
-                        400,
-                        true,
-                        Optional.of(new AdviceSettings(ADVICE_MILLIS, 1, 20_000)));
-        return new CellConfiguration(
-                1,
-                List.of(queue),
-                List.of(new CellConfiguration.Service(LeaderFixture.SERVICE, false)),
-                List.of(
-                        new CellConfiguration.Team(
-                                LeaderFixture.TEAM, List.of(), 50, Resources.ZERO)),
-                100_000);
-    }
-
     private void lead(List<Job> jobs, String... workers) {
         serviceQueue.clear();
         nextAnswerAt = 0;
         nextNewJob = 0;
         leader =
                 LeaderFixture.leading(
-                        configuration(),
+                        LeaderFixture.configuration(new AdviceSettings(ADVICE_MILLIS, 1, 20_000)),
                         new WorkflowEvent.Snapshot(jobs, List.of(), List.of(), SilentWorkers.NONE));
         leader.listWorkers(workers);
         advance(300, workers);
--- a/core/src/test/java/org/jujubefork/core/workflow/AdvisorFailureTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/AdvisorFailureTest.java
@@ -8,9 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
-import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.testng.annotations.DataProvider;
@@ -29,35 +27,11 @@
 
     private static final int LONG_REQUEST_MILLIS = 400;
 
-    private static CellConfiguration configuration(int requestMillis) {
-        Queue queue =
-                new Queue(
-                        LeaderFixture.QUEUE,
-                        "h",
-                        "/q/",
-                        LeaderFixture.SERVICE,
-                        0,
-                        3,
-                        3_000,
-                        2,
-                        400,
-                        true,
-                        Optional.of(new AdviceSettings(requestMillis, 1, 60_000)));
-        return new CellConfiguration(
-                1,
-                List.of(queue),
-                List.of(new CellConfiguration.Service(LeaderFixture.SERVICE, false)),
-                List.of(
-                        new CellConfiguration.Team(
-                                LeaderFixture.TEAM, List.of(), 50, Resources.ZERO)),
-                100_000);
-    }
-
     /** Returns a leader, e0, with four workers and {@code followers}. */
     private static LeaderFixture start(int requestMillis, String... followers) {
         LeaderFixture leader =
                 LeaderFixture.leading(
-                        configuration(requestMillis),
+                        LeaderFixture.configuration(new AdviceSettings(requestMillis, 1, 60_000)),
                         new WorkflowEvent.Snapshot(
                                 List.of(), List.of(), List.of(), SilentWorkers.NONE));
         leader.listWorkers(WORKERS);
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
 import org.jujubefork.core.workflow.WorkflowEvent.CommandOutcome;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -54,9 +55,19 @@
 
     /** Returns a configuration whose team has {@code weight} and {@code limit}. */
     static CellConfiguration configuration(double weight, Resources limit) {
+        return configuration(weight, limit, Optional.empty());
+    }
+
+    /** Returns a configuration whose steps need advice, with the settings {@code advice}. */
+    static CellConfiguration configuration(AdviceSettings advice) {
+        return configuration(50, Resources.ZERO, Optional.of(advice));
+    }
+
+    private static CellConfiguration configuration(
+            double weight, Resources limit, Optional<AdviceSettings> advice) {
         CellConfiguration.Queue queue =
                 new CellConfiguration.Queue(
-                        QUEUE, "h", "/q/", SERVICE, 0, 3, 3_000, 2, 400, true, Optional.empty());
+                        QUEUE, "h", "/q/", SERVICE, 0, 3, 3_000, 2, 400, true, advice);
         return new CellConfiguration(
                 1,
                 List.of(queue),
--- a/core/src/test/java/org/jujubefork/core/workflow/RefusalUnderLoadTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/RefusalUnderLoadTest.java
@@ -9,9 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
-import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.pcollections.HashTreePMap;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -33,37 +31,13 @@
     private long watchedAt;
     private LeaderFixture leader;
 
-    private static CellConfiguration configuration() {
-        Queue queue =
-                new Queue(
-                        LeaderFixture.QUEUE,
-                        "h",
-                        "/q/",
-                        LeaderFixture.SERVICE,
-                        0,
-                        3,
-                        3_000,
-                        2,
-                        400,
-                        true,
-                        Optional.of(new AdviceSettings(ADVICE_MILLIS, 1, 20_000)));
-        return new CellConfiguration(
-                1,
-                List.of(queue),
-                List.of(new CellConfiguration.Service(LeaderFixture.SERVICE, false)),
-                List.of(
-                        new CellConfiguration.Team(
-                                LeaderFixture.TEAM, List.of(), 50, Resources.ZERO)),
-                100_000);
-    }
-
     private void start(String... workers) {
         queue.clear();
         nextAnswerAt = 0;
         namedAgain = 0;
         leader =
                 LeaderFixture.leading(
-                        configuration(),
+                        LeaderFixture.configuration(new AdviceSettings(ADVICE_MILLIS, 1, 20_000)),
                         new WorkflowEvent.Snapshot(
                                 List.of(), List.of(), List.of(), SilentWorkers.NONE));
         leader.listWorkers(workers);
