--- a/review/standins-2/src/review2/Cell.java
+++ b/review/standins-2/src/review2/Cell.java
@@ -1,7 +1,5 @@
 package review2;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.io.File;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -37,11 +35,6 @@
 
     private static final long HEARTBEAT_MILLIS = 1_500;
 
-    /** Duration of a call for advice, as in the queue list-rebalance of plotshare-gh. */
-    static final double DECIDE_MILLIS = 510;
-
-    static final double EACH_MILLIS = 7.4;
-
     /** An entry process. */
     static final class Entry {
         final String name;
@@ -67,28 +60,15 @@
     private final Map<Worker, Double> lastBeat = new HashMap<>();
     private volatile boolean open = true;
 
-    /** Values of the settings template that differ from the sheet. */
-    final Map<String, String> overrides = new HashMap<>();
-
     Cell(String configuration) throws Exception {
-        advice = new Server(0, Cell::advise);
+        // No queue of the cases needs advice, but the settings name its service.
+        advice = new Server(0, request -> Answer.of(404));
         store.put("op/config", configuration.replace("HOST", HOST));
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
         Thread.ofPlatform().daemon().start(this::beat);
         Thread.ofPlatform().daemon().start(this::advance);
     }
 
-    /** Decides, for any step, that all workers named may run it; takes as long as the queue says. */
-    private static Answer advise(Server.Request request) throws InterruptedException {
-        Thread.sleep(Math.round(DECIDE_MILLIS + EACH_MILLIS * request.body().path("workers").size()));
-        Answer answer = Answer.of(200);
-        ArrayNode good = answer.body().putArray("good");
-        for (JsonNode worker : request.body().path("workers")) {
-            good.addArray().add(worker.asText()).add(Worker.ticket(worker.asText()));
-        }
-        return answer;
-    }
-
     /** Returns a free port below those that the system gives to outgoing connections. */
     static int freePort() {
         while (true) {
@@ -173,7 +153,6 @@
         values.put("platform.ttl_min_ms", "1000");
         values.put("bounds.grace_s", "6");
         values.put("bounds.revoke_ms", "5000");
-        values.putAll(overrides);
         Matcher holes =
                 Pattern.compile("\\{\\{([a-z0-9_.]+)\\}\\}")
                         .matcher(Files.readString(Path.of("deploy/settings.jsonc")));
@@ -196,10 +175,6 @@
         Record.line("entry " + entry.name + " is started");
     }
 
-    List<String> log(Entry entry) throws IOException {
-        return Files.readAllLines(directory.resolve(entry.name + ".log"));
-    }
-
     boolean isReady(Entry entry) {
         try {
             HttpRequest request =
--- a/review/standins-2/src/review2/Worker.java
+++ b/review/standins-2/src/review2/Worker.java
@@ -20,7 +20,6 @@
  */
 final class Worker {
     private static final long HOLD_MAX_MILLIS = 10_000;
-    private static final long TICKET_VALID_MILLIS = 2_000;
 
     private static final RandomGenerator RANDOM = new Random(40);
 
@@ -74,14 +73,10 @@
     volatile double lateShare;
 
     volatile boolean up;
-    volatile boolean draining;
-    private volatile boolean leaving;
 
     /** When the worker has answered a hold for the first time in this life, -1 before. */
     volatile double firstHoldAt = -1;
 
-    volatile double lastHoldAnsweredAt = -1;
-
     Worker(String id, int cpu) {
         this.id = id;
         this.cpu = cpu;
@@ -112,20 +107,10 @@
         active.clear();
         up = false;
         server.close();
-        Record.line("worker " + id + (leaving ? " leaves" : " crashes"));
+        Record.line("worker " + id + " crashes");
         notifyAll();
     }
 
-    /** Leaves after a planned stop: answers the calls that wait, then everything on it terminates. */
-    void leave() {
-        leaving = true;
-        synchronized (this) {
-            notifyAll();
-        }
-        Cell.sleep(50);
-        crash();
-    }
-
     String key() {
         return "servers/" + id;
     }
@@ -133,9 +118,9 @@
     synchronized String entry() {
         return String.format(
                 "{\"service\":\"svc\",\"address\":\"%s:%d\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
-                        + "\"state\":\"%s\",\"cold_left_ms\":0,\"room\":{\"cpu\":%d,\"mem_mb\":131072,\"gpu\":0},"
+                        + "\"state\":\"ready\",\"cold_left_ms\":0,\"room\":{\"cpu\":%d,\"mem_mb\":131072,\"gpu\":0},"
                         + "\"labels\":[\"a\",\"r1\"],\"clock_ms\":%d,\"seq\":%d,\"born\":%d}",
-                Cell.HOST, port, draining ? "draining" : "ready", cpu, clock(), ++seq, born);
+                Cell.HOST, port, cpu, clock(), ++seq, born);
     }
 
     private long clock() {
@@ -251,7 +236,7 @@
         }
         ended.removeIf(e -> e.number() <= body.path("seen_upto").asLong());
         long deadline = System.nanoTime() + body.path("wait_ms").asLong() * 1_000_000;
-        while (up && !leaving && ended.isEmpty() && System.nanoTime() < deadline) {
+        while (up && ended.isEmpty() && System.nanoTime() < deadline) {
             wait(5);
             advance();
         }
@@ -271,7 +256,6 @@
         if (firstHoldAt < 0) {
             firstHoldAt = Record.seconds();
         }
-        lastHoldAnsweredAt = Record.seconds();
         return answer;
     }
 
@@ -288,9 +272,6 @@
         if (body.path("until_ms").asLong() <= clock()) {
             return refused("late");
         }
-        if (body.hasNonNull("ticket") && !isValid(body.path("ticket").asText())) {
-            return refused("ticket");
-        }
         extendLease(body.path("until_ms").asLong());
         String spec = body.path("spec").asText();
         boolean fails = spec.startsWith("f");
@@ -305,18 +286,6 @@
         return answer(200);
     }
 
-    /** Returns a ticket for a worker that is granted now. */
-    static String ticket(String worker) {
-        return worker + "/" + System.currentTimeMillis();
-    }
-
-    private boolean isValid(String ticket) {
-        String[] parts = ticket.split("/");
-        return parts[0].equals(id)
-                && System.currentTimeMillis() - Long.parseLong(parts[1]) < TICKET_VALID_MILLIS
-                && Long.parseLong(parts[1]) >= born;
-    }
-
     private Answer stop(JsonNode body) {
         String task = body.path("task").asText();
         closed.merge(task, body.path("run").asLong(), Math::max);
