Cases: identifiers end in a letter, and a run leaves nothing behind

Cause: task names whose job identifier ends in a digit read like addresses of other machines; the scripts left their folders in the temporary folder (227 of them), and a signal to run.sh left the Java process and the entries running until its end.

--- a/review/standins-2/src/review2/Cell.java
+++ b/review/standins-2/src/review2/Cell.java
@@ -277,13 +277,21 @@
         return runs(job).stream().filter(r -> r.endedAt < 0).count();
     }
 
-    private void killAll() {
+    /** Ends all processes that this case has started, and removes its folder. */
+    private synchronized void killAll() {
         open = false;
         for (Entry entry : entries) {
             if (entry.process != null) {
-                entry.process.destroyForcibly();
+                entry.process.destroyForcibly().onExit().join();
             }
         }
+        File[] files = directory.toFile().listFiles();
+        if (files != null) {
+            for (File file : files) {
+                file.delete();
+            }
+        }
+        directory.toFile().delete();
     }
 
     @Override
--- a/review/standins-2/src/review2/CrashLoop.java
+++ b/review/standins-2/src/review2/CrashLoop.java
@@ -36,7 +36,7 @@
             }
             Cell.sleep(4_000);
             for (int i = 0; i < 18; i++) {
-                cell.submit("/q/%016x".formatted(i), "key-b",
+                cell.submit("/q/%015xf".formatted(i), "key-b",
                         "{\"spec\":\"300\",\"steps\":[{\"count\":1,\"cpu\":500,\"mem_mb\":64,\"est_ms\":300}]}");
                 Cell.sleep(200);
             }
@@ -68,7 +68,7 @@
     }
 
     private static String job(int number) {
-        return "%016x".formatted(0x100 + number);
+        return "%015xf".formatted(0x100 + number);
     }
 
     /** Returns whether an open job has nothing running for 3 s, counted from {@code finish} on. */
--- a/review/standins-2/src/review2/FullFleet.java
+++ b/review/standins-2/src/review2/FullFleet.java
@@ -35,7 +35,7 @@
             if (trouble) {
                 Record.line("tenant a sends 7.5 times its usual for half a second");
                 for (int i = 0; i < 4; i++) {
-                    cell.submit("/q/%016x".formatted(i), "key-a",
+                    cell.submit("/q/%015xf".formatted(i), "key-a",
                             "{\"spec\":\"200\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":64,\"est_ms\":200}]}");
                     Cell.sleep(133);
                 }
--- a/review/standins-2/src/review2/UnansweredStarts.java
+++ b/review/standins-2/src/review2/UnansweredStarts.java
@@ -75,7 +75,7 @@
     }
 
     private static String job(int number) {
-        return "%016x".formatted(0x100 + number);
+        return "%015xf".formatted(0x100 + number);
     }
 
     private static void submit(Cell cell, int number, Map<Integer, Double> acceptedAt) {
