--- a/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
@@ -111,7 +111,8 @@
                             false,
                             WORKER_CAPACITY,
                             List.of(rack),
-                            rack);
+                            rack,
+                            0);
             workers.put(listing.id(), new EmulatedWorker(listing));
         }
         post(new WorkflowEvent.ConfigurationRead(time(), time(), Optional.of(configuration())));
@@ -272,7 +273,7 @@
                         post(
                                 new WorkflowEvent.LeaseRenewalAnswered(
                                         time(),
-                                        renewal.get().fence(),
+                                        renewal.get().leaderFence(),
                                         sentAt,
                                         worker.listing.id(),
                                         answer)));
@@ -287,7 +288,7 @@
         long millis = definition.steps().get(task.step()).estimateMillis();
         report.addRunning(millis * definition.steps().get(task.step()).size().cpuMillis());
         after(millis, () -> endRun(worker, task, runNumber));
-        commandCompleted(start.command(), start.fence());
+        commandCompleted(start.command(), start.leaderFence());
     }
 
     private void endRun(EmulatedWorker worker, TaskKey task, long runNumber) {
@@ -302,7 +303,7 @@
         if (worker.end(command.task(), command.runNumber(), RunOutcome.STOPPED)) {
             answerRenewal(worker);
         }
-        commandCompleted(command, stop.fence());
+        commandCompleted(command, stop.leaderFence());
     }
 
     private void commandCompleted(WorkflowEvent.WorkerCommand command, long fence) {
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -215,7 +215,7 @@
         Map<String, Long> incarnations = new HashMap<>();
         for (String worker : request.workers()) {
             WorkerNode node = state.workers().get(worker);
-            incarnations.put(worker, node == null ? 0 : node.contact().incarnation());
+            incarnations.put(worker, node == null ? 0 : node.contact().born());
         }
         return incarnations;
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/CommitQueue.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitQueue.java
@@ -23,7 +23,7 @@
  *     the revision of the leader's record
  * @param sentAt when the last commit was sent, -1 before the first commit
  * @param fleetDirty whether the set of workers has changed
- * @param storedFleet the workers in the stored set
+ * @param storedFleet the workers in the stored set, with the incarnation that the set names, or 0
  * @param silentWorkersDirty whether the record of silent workers has to be written
  * @param storedSilentWorkers the workers in the stored record of silent workers
  * @param jobRemovals the jobs that have ended and whose records are still in the store
@@ -38,7 +38,7 @@
         long previousRevision,
         long sentAt,
         boolean fleetDirty,
-        PSet<String> storedFleet,
+        PMap<String, Long> storedFleet,
         boolean silentWorkersDirty,
         PSet<String> storedSilentWorkers,
         PVector<String> jobRemovals,
@@ -54,7 +54,7 @@
                     0,
                     -1,
                     false,
-                    HashTreePSet.empty(),
+                    HashTreePMap.empty(),
                     false,
                     HashTreePSet.empty(),
                     TreePVector.empty(),
@@ -75,7 +75,8 @@
      * @param jobs the jobs that it writes
      * @param pendingAnswers the requests that are answered once it is stored
      * @param watermarks the completions that are durable once it is stored, by worker
-     * @param fleet the set of workers that it writes, empty if it does not write the set
+     * @param fleet the set of workers that it writes, with the incarnations that it names; empty if
+     *     it does not write the set
      * @param silentWorkers the silent workers that it records, empty if it does not write that
      *     record
      */
@@ -84,29 +85,29 @@
             PVector<String> jobs,
             PVector<PendingAnswer> pendingAnswers,
             PMap<String, CompletionWatermark> watermarks,
-            Optional<PSet<String>> fleet,
+            Optional<PMap<String, Long>> fleet,
             Optional<PSet<String>> silentWorkers) {}
 
     /**
      * Stands for all completions of a worker's incarnation up to a sequence number.
      *
-     * @param incarnation the incarnation
+     * @param born the start of the incarnation in Unix milliseconds
      * @param sequence the highest sequence number
      */
-    public record CompletionWatermark(long incarnation, long sequence) {}
+    public record CompletionWatermark(long born, long sequence) {}
 
     /**
      * Returns a copy for a new leader that has read the store.
      *
      * @param revision the revision of the leader's record
-     * @param newStoredFleet the workers in the stored set
+     * @param newStoredFleet the workers in the stored set, with the incarnations that it names
      * @param silentWorkers the workers whose runs the previous leader has recorded
      * @param newJobRemovals the jobs that have ended and whose records are still in the store
      * @param storedBuckets the finished jobs by the number of their store record
      */
     public CommitQueue recovered(
             long revision,
-            PSet<String> newStoredFleet,
+            PMap<String, Long> newStoredFleet,
             PSet<String> silentWorkers,
             PVector<String> newJobRemovals,
             PMap<Long, PMap<String, FinishedJob>> storedBuckets) {
@@ -201,7 +202,7 @@
      * Returns a copy without a commit in flight, after that commit was stored at {@code revision}.
      */
     public CommitQueue stored(long revision) {
-        PSet<String> fleet = inFlight.flatMap(InFlight::fleet).orElse(storedFleet);
+        PMap<String, Long> fleet = inFlight.flatMap(InFlight::fleet).orElse(storedFleet);
         Builder next = new Builder(this);
         next.inFlight = Optional.empty();
         next.previousRevision = revision;
@@ -239,8 +240,26 @@
      * after the commit in flight.
      */
     public boolean isWorkerRecorded(String worker) {
-        return storedFleet.contains(worker)
-                && inFlight.flatMap(InFlight::fleet).map(f -> f.contains(worker)).orElse(true);
+        return storedFleet.containsKey(worker)
+                && inFlight.flatMap(InFlight::fleet).map(f -> f.containsKey(worker)).orElse(true);
+    }
+
+    /**
+     * Returns the incarnation of {@code worker} that the newest set of workers, stored or in
+     * flight, names; 0 if it names none.
+     */
+    long recordedBorn(String worker) {
+        return inFlight.flatMap(InFlight::fleet).orElse(storedFleet).getOrDefault(worker, 0L);
+    }
+
+    /**
+     * Returns whether the stored set contains {@code worker} without naming its incarnation, before
+     * and after the commit in flight.
+     */
+    boolean isRecordedWithoutIncarnation(String worker) {
+        return isWorkerRecorded(worker)
+                && storedFleet.get(worker) == 0
+                && recordedBorn(worker) == 0;
     }
 
     /** Returns the silent workers that the newest commit, stored or in flight, has recorded. */
@@ -299,7 +318,7 @@
         private long previousRevision;
         private long sentAt;
         private boolean fleetDirty;
-        private PSet<String> storedFleet;
+        private PMap<String, Long> storedFleet;
         private boolean silentWorkersDirty;
         private PSet<String> storedSilentWorkers;
         private PVector<String> jobRemovals;
--- a/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
@@ -90,7 +90,7 @@
         for (long bucket : changedBuckets) {
             entries.add(new Entry.PutFinished(bucket, List.copyOf(buckets.get(bucket).values())));
         }
-        Optional<PSet<String>> fleet = addFleet(next, entries);
+        Optional<PMap<String, Long>> fleet = addFleet(next, entries);
         Optional<PSet<String>> silentWorkers = addSilentWorkers(next, entries);
         return send(next, entries, includedJobs, buckets, fleet, silentWorkers);
     }
@@ -102,18 +102,21 @@
         return buckets.plus(job.bucket(), jobs.plus(job.id(), job));
     }
 
-    private static Optional<PSet<String>> addFleet(WorkflowState state, List<Entry> entries) {
+    private static Optional<PMap<String, Long>> addFleet(WorkflowState state, List<Entry> entries) {
         if (!state.commitQueue().fleetDirty()) {
             return Optional.empty();
         }
         List<WorkerNode.Listing> listings =
                 state.workers().values().stream()
                         .filter(w -> !w.isUnreachableAndIdle(state.now()))
-                        .map(WorkerNode::listing)
+                        .map(w -> w.listing().withBorn(Fleet.recordableBorn(state, w)))
                         .toList();
         entries.add(new Entry.PutFleet(listings));
-        return Optional.of(
-                HashTreePSet.from(listings.stream().map(WorkerNode.Listing::id).toList()));
+        PMap<String, Long> fleet = HashTreePMap.empty();
+        for (WorkerNode.Listing listing : listings) {
+            fleet = fleet.plus(listing.id(), listing.born());
+        }
+        return Optional.of(fleet);
     }
 
     private static Optional<PSet<String>> addSilentWorkers(
@@ -131,7 +134,7 @@
             List<Entry> entries,
             PVector<String> includedJobs,
             PMap<Long, PMap<String, FinishedJob>> finishedBuckets,
-            Optional<PSet<String>> fleet,
+            Optional<PMap<String, Long>> fleet,
             Optional<PSet<String>> silentWorkers) {
         CommitQueue queue = state.commitQueue();
         PVector<String> remainingJobs = queue.dirtyJobs().minusAll(includedJobs);
@@ -164,12 +167,12 @@
         PMap<String, CommitQueue.CompletionWatermark> watermarks = HashTreePMap.empty();
         for (WorkerNode node : state.workers().values()) {
             WorkerNode.Contact contact = node.contact();
-            if (contact.processedSequence() > contact.storedSequence()) {
+            if (!contact.areCompletionsStored()) {
                 watermarks =
                         watermarks.plus(
                                 node.id(),
                                 new CommitQueue.CompletionWatermark(
-                                        contact.incarnation(), contact.processedSequence()));
+                                        contact.born(), contact.incarnation().processedSequence()));
             }
         }
         return watermarks;
@@ -192,9 +195,8 @@
         if (node == null || !state.commitQueue().isIdle()) {
             return WorkflowTransition.of(state);
         }
-        WorkerNode.Contact contact = node.contact();
         return WorkflowTransition.of(
-                state.with(node.with(contact.withStoredSequence(contact.processedSequence()))));
+                withStoredSequence(state, node, node.contact().incarnation().processedSequence()));
     }
 
     private static WorkflowState acknowledge(
@@ -203,15 +205,20 @@
         for (String worker : watermarks.keySet()) {
             WorkerNode node = next.workers().get(worker);
             CommitQueue.CompletionWatermark watermark = watermarks.get(worker);
-            if (node != null && node.contact().incarnation() == watermark.incarnation()) {
-                next =
-                        next.with(
-                                node.with(node.contact().withStoredSequence(watermark.sequence())));
+            if (node != null && node.contact().born() == watermark.born()) {
+                next = withStoredSequence(next, node, watermark.sequence());
             }
         }
         return next;
     }
 
+    private static WorkflowState withStoredSequence(
+            WorkflowState state, WorkerNode node, long sequence) {
+        WorkerNode.Contact contact = node.contact();
+        return state.with(
+                node.with(contact.with(contact.incarnation().withStoredSequence(sequence))));
+    }
+
     static WorkflowTransition completed(WorkflowState state, WorkflowEvent.CommitCompleted event) {
         Optional<CommitQueue.InFlight> write = state.commitQueue().inFlight();
         if (write.isEmpty() || write.get().commit().batch() != event.batch()) {
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -18,15 +18,20 @@
         if (!state.leadership().leads()) {
             return WorkflowTransition.of(state);
         }
+        WorkflowTransition result = WorkflowTransition.of(state);
         PMap<String, WorkerNode> workers = state.workers();
         for (WorkerNode.Listing listing : event.workers().values()) {
             WorkerNode previousNode = workers.get(listing.id());
-            // An unknown worker is not in the stored set, so no earlier leader has started runs on
-            // it.
+            // An unknown worker is not in the stored set, so no earlier leader has granted it a
+            // lease or started runs on it.
             WorkerNode node =
                     previousNode == null
-                            ? WorkerNode.of(listing, 0)
+                            ? WorkerNode.listed(listing)
                             : previousNode.withListing(listing, true);
+            if (previousNode != null && previousNode.isRestartedIn(listing)) {
+                node = node.with(withoutConfirmation(node.contact(), state.now()));
+                result = result.with(restartListedLog(previousNode, listing, state.now()));
+            }
             workers = workers.plus(listing.id(), node);
         }
         for (WorkerNode previousNode : state.workers().values()) {
@@ -37,7 +42,32 @@
                                 previousNode.withListing(previousNode.listing(), false));
             }
         }
-        return WorkflowTransition.of(state.withWorkers(workers).withPlacementDue(true));
+        return result.withState(state.withWorkers(workers).withPlacementDue(true));
+    }
+
+    /**
+     * Returns {@code contact} after the worker list has shown a new incarnation. It may already
+     * have carried out orders that were meant for the earlier one.
+     */
+    private static WorkerNode.Contact withoutConfirmation(WorkerNode.Contact contact, long now) {
+        return contact.withoutConfirmation(now).withRunsUntil(WorkflowLimits.maxLeaseEnd(now));
+    }
+
+    private static WorkflowEffect restartListedLog(
+            WorkerNode node, WorkerNode.Listing newer, long now) {
+        return WorkflowEffect.LogEvent.of(
+                "worker-restart-listed",
+                node.id(),
+                "born",
+                newer.born(),
+                "born_before",
+                node.contact().born(),
+                "tasks",
+                node.charges().size(),
+                "leases_ms_before",
+                node.contact().runsUntil() - now,
+                "answered_ms_ago",
+                now - node.contact().lastContactAt());
     }
 
     /**
@@ -93,7 +123,11 @@
                                         "answered_ms_ago",
                                         state.now() - node.contact().lastContactAt(),
                                         "charges",
-                                        node.charges().size()));
+                                        node.charges().size(),
+                                        "born",
+                                        node.contact().born(),
+                                        "leases_ms",
+                                        node.contact().runsUntil() - state.now()));
         // The worker may have moved since the renewal was sent, and have runs at its new address.
         boolean isReplaced =
                 event.failure() == CommandOutcome.OTHER_WORKER
@@ -156,7 +190,7 @@
                         new WorkerNode(
                                 node.listing(),
                                 node.listed(),
-                                node.contact().withNewIncarnation(),
+                                node.contact(),
                                 HashTreePMap.empty(),
                                 node.health()));
         for (Map.Entry<TaskKey, WorkerNode.Charge> taskAndCharge : node.charges().entrySet()) {
@@ -178,25 +212,72 @@
                                 "tasks",
                                 node.charges().size(),
                                 "answered_ms_ago",
-                                state.now() - node.contact().lastContactAt()));
+                                state.now() - node.contact().lastContactAt(),
+                                "born",
+                                node.contact().born(),
+                                "leases_ms",
+                                node.contact().runsUntil() - state.now()));
     }
 
     /**
-     * Handles a restart of a worker under the same identifier. The new incarnation numbers its
-     * completions anew and may already have started some of the charged runs, so its report
+     * Handles a restart of a worker under the same identifier: {@code born} has answered in place
+     * of the known incarnation. It may already have started some of the charged runs, so its report
      * determines for each run whether the run is active.
      */
-    static WorkflowTransition workerRestarted(WorkflowState state, String worker) {
+    static WorkflowTransition workerRestarted(WorkflowState state, String worker, long born) {
         WorkerNode node = state.workers().get(worker);
-        return WorkflowTransition.of(state.with(node.with(node.contact().withNewIncarnation())))
+        WorkerNode.Contact contact = node.contact();
+        WorkerNode restarted =
+                node.with(
+                        contact.with(Incarnation.unfenced(born, contact.usedFence()))
+                                .withRunsUntil(WorkflowLimits.maxLeaseEnd(state.now())));
+        // The revision of the next commit is the fencing token of the new incarnation.
+        return WorkflowTransition.of(
+                        state.with(restarted).with(state.commitQueue().withFleetDirty()))
                 .with(
                         WorkflowEffect.LogEvent.of(
                                 "worker-restarted",
                                 worker,
+                                "born",
+                                born,
+                                "born_before",
+                                contact.born(),
+                                "clock_offset_before",
+                                contact.incarnation().clockOffset(),
                                 "tasks",
                                 node.charges().size(),
+                                "leases_ms_before",
+                                contact.runsUntil() - state.now(),
                                 "answered_ms_ago",
-                                state.now() - node.contact().lastContactAt()));
+                                state.now() - contact.lastContactAt()));
+    }
+
+    /**
+     * Processes that {@code answering}, which may differ from the known incarnation, has answered a
+     * renewal. Logs when it begins to reject the orders that were meant for an earlier incarnation.
+     */
+    static WorkflowTransition incarnationAnswered(
+            WorkflowState state, String worker, Incarnation answering) {
+        WorkerNode node = state.workers().get(worker);
+        boolean becomesFenced = answering.isFenced() && !node.contact().incarnation().isFenced();
+        WorkerNode.Contact contact = node.contact().withRenewalAnswered(answering, state.now());
+        if (!becomesFenced) {
+            return WorkflowTransition.of(state.with(node.with(contact)));
+        }
+        return WorkflowTransition.of(
+                        state.with(node.with(contact.withRunsUntil(answering.foreignLeaseEnd()))))
+                .with(
+                        WorkflowEffect.LogEvent.of(
+                                "worker-fenced",
+                                worker,
+                                "born",
+                                answering.born(),
+                                "clock_offset",
+                                answering.clockOffset(),
+                                "fence",
+                                answering.fence(),
+                                "foreign_leases_ms",
+                                answering.foreignLeaseEnd() - state.now()));
     }
 
     /** Sends the lease renewals that are due. */
@@ -221,44 +302,119 @@
         if (!node.listed() && node.charges().isEmpty() && contact.reached()) {
             return false;
         }
-        boolean allStored = contact.storedSequence() >= contact.processedSequence();
+        boolean nextIsUseful = contact.areCompletionsStored() && !awaitsFence(state, contact);
         return contact.renewalSentAt() < 0
-                || (contact.lastRenewalAnswered() && allStored)
+                || (contact.lastRenewalAnswered() && nextIsUseful)
                 || state.now() - contact.renewalSentAt() >= WorkflowLimits.RENEWAL_RETRY_MILLIS;
     }
 
+    /** Returns whether a commit has to raise the fencing token for a new incarnation. */
+    private static boolean awaitsFence(WorkflowState state, WorkerNode.Contact contact) {
+        Incarnation incarnation = contact.incarnation();
+        return !incarnation.isFenced()
+                && renewalFence(state, contact) <= incarnation.previousFence();
+    }
+
+    /**
+     * Returns the fencing token of the next lease renewal. The token for a new incarnation is the
+     * revision of the newest commit: that is higher than all tokens sent before the commit, and
+     * lower than the revision of the next leader's record.
+     */
+    private static long renewalFence(WorkflowState state, WorkerNode.Contact contact) {
+        return contact.incarnation().isFenced()
+                ? contact.incarnation().fence()
+                : Math.max(state.fence(), state.commitQueue().previousRevision());
+    }
+
+    /**
+     * Returns the fencing token of a command. Only lease renewals raise the token that a worker
+     * knows, because their answers show that the worker has seen it.
+     */
+    static long commandFence(WorkflowState state, WorkerNode.Contact contact) {
+        return contact.incarnation().isFenced()
+                ? contact.incarnation().fence()
+                : Math.max(state.fence(), contact.usedFence());
+    }
+
     private static WorkflowTransition renewLease(WorkflowState state, WorkerNode node) {
         WorkerNode.Contact contact = node.contact();
-        boolean reachable =
-                contact.lastContactAt() >= 0
-                        && contact.reached()
-                        && state.now() - contact.lastContactAt()
-                                < WorkflowLimits.WORKER_CONTACT_TIMEOUT_MILLIS;
+        boolean mayGrant = mayGrantLease(state, node);
         OptionalLong expiry =
-                reachable
+                mayGrant
                         ? OptionalLong.of(leaseExpiryOnWorkerClock(state, node))
                         : OptionalLong.empty();
         // A restarted worker numbers its completions anew. Until the worker has answered, a
         // sequence number of its earlier incarnation could acknowledge completions that were never
         // processed.
-        long acknowledgedSequence = contact.lastRenewalAnswered() ? contact.storedSequence() : 0;
-        boolean mayHoldAnswer =
-                reachable
-                        && contact.lastRenewalAnswered()
-                        && contact.storedSequence() >= contact.processedSequence();
+        long acknowledgedSequence =
+                contact.lastRenewalAnswered() ? contact.incarnation().storedSequence() : 0;
+        boolean mayHoldAnswer = mayGrant && contact.areCompletionsStored();
         long runsUntil =
-                reachable ? WorkflowLimits.addLeaseMargin(leaseExpiry(state)) : contact.runsUntil();
+                mayGrant ? WorkflowLimits.addLeaseMargin(leaseExpiry(state)) : contact.runsUntil();
+        long fence = renewalFence(state, contact);
         return WorkflowTransition.of(
-                        state.with(node.with(contact.withRenewalSent(state.now(), runsUntil))))
+                        state.with(
+                                node.with(contact.withRenewalSent(state.now(), runsUntil, fence))))
                 .with(
                         new WorkflowEffect.RenewLease(
                                 node.listing(),
                                 state.fence(),
+                                fence,
                                 acknowledgedSequence,
                                 expiry,
                                 mayHoldAnswer ? WorkflowLimits.MAX_RENEWAL_WAIT_MILLIS : 0));
     }
 
+    /**
+     * Returns whether a renewal may grant a lease. The expiry is a time of the worker's clock, so
+     * the incarnation must be confirmed, and a worker outside of the stored set needs no lease.
+     */
+    private static boolean mayGrantLease(WorkflowState state, WorkerNode node) {
+        return node.contact().isIncarnationConfirmed()
+                && state.commitQueue().isWorkerRecorded(node.id())
+                && state.now() - node.contact().lastContactAt()
+                        < WorkflowLimits.WORKER_CONTACT_TIMEOUT_MILLIS;
+    }
+
+    /**
+     * Marks the stored set of workers as changed if it names other incarnations than it should by
+     * now.
+     */
+    static WorkflowTransition recordIncarnations(WorkflowState state) {
+        CommitQueue queue = state.commitQueue();
+        boolean isCurrent =
+                state.workers().values().stream()
+                        .filter(w -> queue.isWorkerRecorded(w.id()))
+                        .allMatch(w -> queue.recordedBorn(w.id()) == recordableBorn(state, w));
+        return WorkflowTransition.of(
+                isCurrent || queue.fleetDirty() ? state : state.with(queue.withFleetDirty()));
+    }
+
+    /**
+     * Returns the incarnation of {@code node} that the stored set of workers names. Returns 0 while
+     * leases that orders for earlier incarnations have set may outlast those that are granted now.
+     */
+    static long recordableBorn(WorkflowState state, WorkerNode node) {
+        long grantedLeaseEnd = WorkflowLimits.addLeaseMargin(leaseExpiry(state));
+        boolean isBounded =
+                node.contact().incarnation().foreignLeaseEnd()
+                        <= Math.max(state.now(), grantedLeaseEnd);
+        return isBounded ? node.contact().born() : 0;
+    }
+
+    /**
+     * Returns whether all leases of {@code node} end in time for the next leader, which waits
+     * longer for a worker whose incarnation the stored set of workers does not name.
+     */
+    static boolean areLeasesBounded(WorkflowState state, WorkerNode node) {
+        // The store confirms no leader after the claim of the next one.
+        long nextLeaderWaitsUntil = WorkflowLimits.maxLeaseEnd(state.leadership().confirmedAt());
+        boolean isLongWaitRecorded =
+                state.commitQueue().isRecordedWithoutIncarnation(node.id())
+                        && node.contact().incarnation().foreignLeaseEnd() <= nextLeaderWaitsUntil;
+        return isLongWaitRecorded || recordableBorn(state, node) != 0;
+    }
+
     /** Returns when a lease that is granted now expires. */
     static long leaseExpiry(WorkflowState state) {
         return WorkflowLimits.leaseExpiry(state.now(), state.leadership().confirmedAt());
@@ -266,6 +422,6 @@
 
     /** Returns when a lease that is granted now expires, on the worker's clock. */
     static long leaseExpiryOnWorkerClock(WorkflowState state, WorkerNode node) {
-        return leaseExpiry(state) + node.contact().clockOffset();
+        return leaseExpiry(state) + node.contact().incarnation().clockOffset();
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
@@ -58,7 +58,7 @@
     private static boolean isRecordable(WorkflowState state, WorkerNode node) {
         WorkerNode.Contact contact = node.contact();
         boolean silent = contact.reached() ? node.isSilent(state.now()) : contact.areRunsKnown();
-        return silent && contact.storedSequence() >= contact.processedSequence();
+        return silent && contact.areCompletionsStored();
     }
 
     private static PMap<TaskKey, Long> runsOn(WorkerNode node) {
--- a/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
@@ -55,7 +55,7 @@
          */
         boolean isRefused(WorkerNode node) {
             Long incarnation = refusals.get(node.id());
-            return incarnation != null && incarnation == node.contact().incarnation();
+            return incarnation != null && incarnation == node.contact().born();
         }
 
         /** Returns a copy with a pending request. */
--- a/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import org.jujubefork.core.workflow.WorkflowEvent.ClaimResult;
 import org.pcollections.HashTreePMap;
-import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
@@ -70,21 +69,37 @@
     }
 
     private PMap<String, WorkerNode> workers() {
-        // The store confirms no earlier leader after the claim, so older leases expire by this
-        // time.
-        long runsUntil =
-                WorkflowLimits.addLeaseMargin(
-                        state.now() + WorkflowLimits.MAX_LEASE_AFTER_CONFIRMATION_MILLIS);
         PMap<String, WorkerNode> workers = HashTreePMap.empty();
         for (WorkerNode.Listing listing : won.snapshot().fleet()) {
             workers =
                     workers.plus(
                             listing.id(),
-                            WorkerNode.of(listing, runsUntil).withListing(listing, false));
+                            WorkerNode.recorded(
+                                    listing,
+                                    recordedIncarnation(listing),
+                                    leaseEnd(listing, state.now())));
         }
         return workers;
     }
 
+    /**
+     * Returns when the leases of a recorded worker have expired. The store confirms no earlier
+     * leader after the claim, so earlier leaders grant none that expire later. A worker that has
+     * restarted may have got a longer one from an order for its earlier incarnation.
+     */
+    private static long leaseEnd(WorkerNode.Listing listing, long now) {
+        return listing.born() == 0
+                ? WorkflowLimits.maxLeaseEnd(now)
+                : WorkflowLimits.addLeaseMargin(
+                        now + WorkflowLimits.MAX_LEASE_AFTER_CONFIRMATION_MILLIS);
+    }
+
+    private Incarnation recordedIncarnation(WorkerNode.Listing listing) {
+        return listing.born() == 0
+                ? Incarnation.unfenced(0, won.leader().revision() - 1)
+                : Incarnation.recorded(listing.born());
+    }
+
     private static WorkerNode withKnownRuns(WorkerNode node) {
         return node.with(node.contact().withKnownRuns());
     }
@@ -105,12 +120,20 @@
             PMap<String, FinishedJob> finished) {
         return CommitQueue.NONE.recovered(
                 won.leader().revision(),
-                HashTreePSet.from(workers.keySet()),
+                recordedBorn(workers),
                 silent.workers(),
                 unremovedJobs,
                 buckets(finished));
     }
 
+    private static PMap<String, Long> recordedBorn(PMap<String, WorkerNode> workers) {
+        PMap<String, Long> born = HashTreePMap.empty();
+        for (WorkerNode worker : workers.values()) {
+            born = born.plus(worker.id(), worker.listing().born());
+        }
+        return born;
+    }
+
     private static PMap<Long, PMap<String, FinishedJob>> buckets(
             PMap<String, FinishedJob> finished) {
         PMap<Long, PMap<String, FinishedJob>> buckets = HashTreePMap.empty();
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
@@ -36,6 +36,7 @@
                                         .withCommandSent(
                                                 WorkflowLimits.addLeaseMargin(
                                                         Fleet.leaseExpiry(state))));
+        long fence = Fleet.commandFence(state, node.contact());
         WorkerCommand command =
                 new WorkerCommand(CommandKind.START, node.id(), key, task.runNumber());
         return WorkflowTransition.of(
@@ -48,6 +49,7 @@
                                 job.definition().payload(),
                                 Fleet.leaseExpiryOnWorkerClock(state, node),
                                 state.fence(),
+                                fence,
                                 task.checkpoint(),
                                 ticket))
                 .with(
@@ -59,7 +61,11 @@
                                 "worker",
                                 node.id(),
                                 "fence",
-                                state.fence(),
+                                fence,
+                                "born",
+                                node.contact().born(),
+                                "lease_end",
+                                Fleet.leaseExpiryOnWorkerClock(state, node),
                                 "free",
                                 node.freeCapacity(),
                                 "waited_ms",
@@ -106,7 +112,12 @@
                 new WorkerCommand(CommandKind.STOP, worker, key, charge.runNumber());
         return WorkflowTransition.of(
                         state.with(node.withCharge(key, charge.withStopSent(state.now()))))
-                .with(new WorkflowEffect.Stop(command, node.listing(), state.fence()))
+                .with(
+                        new WorkflowEffect.Stop(
+                                command,
+                                node.listing(),
+                                state.fence(),
+                                Fleet.commandFence(state, node.contact())))
                 .with(
                         WorkflowEffect.LogEvent.of(
                                 "task-stop", key, "run", charge.runNumber(), "worker", worker));
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -33,6 +33,8 @@
      * @param capacity its total capacity
      * @param labels its labels, which include its kind and rack
      * @param rack the rack that the labels name, empty if they name none
+     * @param born the start of the process that wrote the record, in Unix milliseconds; 0 if the
+     *     record does not tell
      */
     public record Listing(
             String id,
@@ -42,52 +44,74 @@
             boolean draining,
             Resources capacity,
             List<String> labels,
-            String rack) {
+            String rack,
+            long born) {
         /** Copies the labels. */
         public Listing {
             labels = List.copyOf(labels);
         }
+
+        /** Returns a copy of a record that the incarnation {@code newBorn} has written. */
+        public Listing withBorn(long newBorn) {
+            return new Listing(
+                    id, service, address, zone, draining, capacity, labels, rack, newBorn);
+        }
     }
 
     /**
      * The leader's contact with a worker. Times are in milliseconds of the leader's monotonic
      * clock.
      *
-     * @param incarnation the start of the worker process in Unix milliseconds, which identifies the
-     *     incarnation; 0 before the first answer
+     * @param incarnation the incarnation that answered last
      * @param reached whether the worker has answered in this term
      * @param areRunsKnown whether all runs that may be active on the worker are charged, because it
      *     has answered or because the previous leader has recorded its runs
-     * @param clockOffset the worker's clock minus the leader's, in milliseconds
      * @param lastContactAt when the worker last answered, -1 if it has not answered yet
      * @param runsUntil the time at which all runs of the worker have ended if no further call
      *     reaches it
      * @param lastRenewalAnswered whether the last completed lease renewal was answered
      * @param renewalInFlight whether a lease renewal is in flight
      * @param renewalSentAt when the newest lease renewal was sent, -1 if none was sent
-     * @param processedSequence the highest sequence number of the completions that this leader has
-     *     processed
-     * @param storedSequence the highest sequence number up to which the results of completions are
-     *     stored
+     * @param usedFence the highest fencing token that this leader has sent to the worker, 0 if none
+     * @param confirmableSince only answers to renewals sent at or after this time confirm that the
+     *     incarnation is the present one
      */
     public record Contact(
-            long incarnation,
+            Incarnation incarnation,
             boolean reached,
             boolean areRunsKnown,
-            long clockOffset,
             long lastContactAt,
             long runsUntil,
             boolean lastRenewalAnswered,
             boolean renewalInFlight,
             long renewalSentAt,
-            long processedSequence,
-            long storedSequence) {
+            long usedFence,
+            long confirmableSince) {
         /**
          * Returns the contact with a worker that was never called; runs may be active there until
          * {@code runsUntil}.
          */
-        public static Contact unknown(long runsUntil) {
-            return new Contact(0, false, false, 0, -1, runsUntil, false, false, -1, 0, 0);
+        public static Contact unknown(Incarnation incarnation, long runsUntil) {
+            return new Contact(incarnation, false, false, -1, runsUntil, false, false, -1, 0, 0);
+        }
+
+        /** Returns the start of the incarnation that answered last in Unix milliseconds. */
+        public long born() {
+            return incarnation.born();
+        }
+
+        /** Returns whether all processed completions are stored. */
+        public boolean areCompletionsStored() {
+            return incarnation.storedSequence() >= incarnation.processedSequence();
+        }
+
+        /**
+         * Returns whether the incarnation that answered last is known to be the present one: it has
+         * answered the last renewal, and rejects orders for an earlier incarnation. Only then may
+         * the worker get leases and tasks.
+         */
+        public boolean isIncarnationConfirmed() {
+            return reached && lastRenewalAnswered && incarnation.isFenced();
         }
 
         /** Returns a copy in which all runs that may be active are charged. */
@@ -97,17 +121,23 @@
             return next.build();
         }
 
-        /** Returns a copy after a lease renewal was sent at {@code at}. */
-        public Contact withRenewalSent(long at, long newRunsUntil) {
+        /** Returns a copy after a lease renewal with {@code fence} was sent at {@code at}. */
+        public Contact withRenewalSent(long at, long newRunsUntil, long fence) {
             Builder next = new Builder(this);
             next.runsUntil = Math.max(runsUntil, newRunsUntil);
             next.renewalInFlight = true;
             next.renewalSentAt = at;
+            next.usedFence = Math.max(usedFence, fence);
             return next.build();
         }
 
         /** Returns a copy after a start command was sent, which can extend the lease. */
         public Contact withCommandSent(long newRunsUntil) {
+            return withRunsUntil(newRunsUntil);
+        }
+
+        /** Returns a copy in which runs may be active until {@code newRunsUntil} at least. */
+        public Contact withRunsUntil(long newRunsUntil) {
             Builder next = new Builder(this);
             next.runsUntil = Math.max(runsUntil, newRunsUntil);
             return next.build();
@@ -121,70 +151,67 @@
             return next.build();
         }
 
-        /** Returns a copy after a lease renewal was answered. */
-        public Contact withRenewalAnswered(
-                long newIncarnation, long offset, long at, long newProcessedSequence) {
+        /** Returns a copy after {@code answering} has answered a lease renewal. */
+        public Contact withRenewalAnswered(Incarnation answering, long at) {
             Builder next = new Builder(this);
-            next.incarnation = newIncarnation;
+            next.incarnation = answering;
             next.reached = true;
             next.areRunsKnown = true;
-            next.clockOffset = offset;
             next.lastContactAt = at;
-            next.lastRenewalAnswered = true;
+            next.lastRenewalAnswered = renewalSentAt >= confirmableSince;
             next.renewalInFlight = false;
-            next.processedSequence = newProcessedSequence;
             return next.build();
         }
 
-        /** Returns a copy in which no run is active any more. */
-        public Contact withNoRuns() {
+        /**
+         * Returns a copy in which the incarnation is not known to be the present one, until a
+         * renewal is answered that is sent at or after {@code at}.
+         */
+        public Contact withoutConfirmation(long at) {
             Builder next = new Builder(this);
-            next.runsUntil = 0;
+            next.lastRenewalAnswered = false;
+            next.confirmableSince = at;
             return next.build();
         }
 
-        /** Returns a copy for a new incarnation, which numbers its completions from the start. */
-        public Contact withNewIncarnation() {
+        /** Returns a copy in which no run is active any more. */
+        public Contact withNoRuns() {
             Builder next = new Builder(this);
-            next.incarnation = 0;
-            next.processedSequence = 0;
-            next.storedSequence = 0;
+            next.runsUntil = 0;
             return next.build();
         }
 
-        /** Returns a copy in which the completions up to {@code sequence} are stored. */
-        public Contact withStoredSequence(long sequence) {
+        /** Returns a copy with {@code other} as the incarnation. */
+        public Contact with(Incarnation other) {
             Builder next = new Builder(this);
-            next.storedSequence = Math.max(storedSequence, sequence);
+            next.incarnation = other;
             return next.build();
         }
 
         /** Mutable copy of the components, used to build a changed instance. */
         private static final class Builder {
-            private long incarnation;
+            private Incarnation incarnation;
             private boolean reached;
             private boolean areRunsKnown;
-            private long clockOffset;
             private long lastContactAt;
             private long runsUntil;
             private boolean lastRenewalAnswered;
             private boolean renewalInFlight;
             private long renewalSentAt;
-            private long processedSequence;
-            private long storedSequence;
+            private long usedFence;
+            private long confirmableSince;
 
             Builder(Contact from) {
                 this.incarnation = from.incarnation();
                 this.reached = from.reached();
                 this.areRunsKnown = from.areRunsKnown();
-                this.clockOffset = from.clockOffset();
                 this.lastContactAt = from.lastContactAt();
                 this.runsUntil = from.runsUntil();
                 this.lastRenewalAnswered = from.lastRenewalAnswered();
                 this.renewalInFlight = from.renewalInFlight();
                 this.renewalSentAt = from.renewalSentAt();
-                this.processedSequence = from.processedSequence();
-                this.storedSequence = from.storedSequence();
+                this.usedFence = from.usedFence();
+                this.confirmableSince = from.confirmableSince();
             }
 
             Contact build() {
@@ -192,14 +219,13 @@
                         incarnation,
                         reached,
                         areRunsKnown,
-                        clockOffset,
                         lastContactAt,
                         runsUntil,
                         lastRenewalAnswered,
                         renewalInFlight,
                         renewalSentAt,
-                        processedSequence,
-                        storedSequence);
+                        usedFence,
+                        confirmableSince);
             }
         }
     }
@@ -250,10 +276,21 @@
         public static final Health NEW = new Health(0, 0);
     }
 
-    /** Returns a worker that this leader has not called yet. */
-    public static WorkerNode of(Listing listing, long runsUntil) {
-        return new WorkerNode(
-                listing, true, Contact.unknown(runsUntil), HashTreePMap.empty(), Health.NEW);
+    /** Returns a listed worker that no leader has called yet. */
+    public static WorkerNode listed(Listing listing) {
+        return of(listing, true, Contact.unknown(Incarnation.FIRST, 0));
+    }
+
+    /**
+     * Returns a worker that earlier leaders may have called. Runs may be active there until {@code
+     * runsUntil}.
+     */
+    static WorkerNode recorded(Listing listing, Incarnation incarnation, long runsUntil) {
+        return of(listing, false, Contact.unknown(incarnation, runsUntil));
+    }
+
+    private static WorkerNode of(Listing listing, boolean listed, Contact contact) {
+        return new WorkerNode(listing, listed, contact, HashTreePMap.empty(), Health.NEW);
     }
 
     /** Returns its identifier. */
@@ -294,7 +331,7 @@
     public boolean isUsable(long now) {
         return listed
                 && !listing.draining()
-                && contact.reached()
+                && contact.isIncarnationConfirmed()
                 && now - contact.lastContactAt() < WorkflowLimits.WORKER_CONTACT_TIMEOUT_MILLIS
                 && health.quarantinedUntil() <= now;
     }
@@ -319,6 +356,17 @@
         return new WorkerNode(other, stillListed, contact, charges, health);
     }
 
+    /**
+     * Returns whether {@code newer}, which replaces the listing, was written by an incarnation that
+     * has not answered yet.
+     */
+    boolean isRestartedIn(Listing newer) {
+        return newer.born() != 0
+                && newer.born() != listing.born()
+                && contact.born() != 0
+                && newer.born() != contact.born();
+    }
+
     /** Returns a copy with {@code other} as the contact. */
     public WorkerNode with(Contact other) {
         return new WorkerNode(listing, listed, other, charges, health);
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
@@ -20,12 +20,11 @@
         if (node == null || !state.leadership().leads()) {
             return WorkflowTransition.of(state);
         }
-        boolean restarted =
-                node.contact().incarnation() != 0
-                        && node.contact().incarnation() != event.report().incarnation();
+        long born = node.contact().born();
+        boolean restarted = born != 0 && born != event.report().incarnation();
         WorkflowTransition result =
                 restarted
-                        ? Fleet.workerRestarted(state, event.worker())
+                        ? Fleet.workerRestarted(state, event.worker(), event.report().incarnation())
                         : WorkflowTransition.of(state);
         boolean firstContact = !node.contact().reached();
         if (!state.commitQueue().isWorkerRecorded(event.worker())) {
@@ -54,29 +53,29 @@
             WorkflowState state, WorkflowEvent.LeaseRenewalAnswered event) {
         WorkerReport report = event.report();
         WorkerNode.Contact contact = state.workers().get(event.worker()).contact();
+        Incarnation incarnation = contact.incarnation();
         List<EndedRun> newlyEnded =
                 report.ended().stream()
-                        .filter(e -> e.sequence() > contact.processedSequence())
+                        .filter(e -> e.sequence() > incarnation.processedSequence())
                         .sorted(Comparator.comparingLong(EndedRun::sequence))
                         .toList();
         WorkflowTransition result = WorkflowTransition.of(state);
-        long lastSequence = contact.processedSequence();
+        long lastSequence = incarnation.processedSequence();
         for (EndedRun endedRun : newlyEnded) {
             result = result.then(s -> RunCompletions.completed(s, event.worker(), endedRun));
             lastSequence = endedRun.sequence();
         }
-        WorkerNode node = result.state().workers().get(event.worker());
-        WorkerNode.Contact updated =
-                node.contact()
-                        .withRenewalAnswered(
-                                report.incarnation(),
-                                report.clockMillis() - event.at(),
-                                state.now(),
-                                lastSequence);
-        return result.withState(
-                result.state()
-                        .with(node.with(updated))
-                        .withPlacementDue(result.state().placementDue() || !contact.reached()));
+        Incarnation answering =
+                incarnation
+                        .withBorn(report.incarnation())
+                        .answered(event.at(), report.clockMillis(), contact.usedFence())
+                        .withProcessedSequence(lastSequence);
+        return result.then(s -> Fleet.incarnationAnswered(s, event.worker(), answering))
+                .then(
+                        s ->
+                                WorkflowTransition.of(
+                                        s.withPlacementDue(
+                                                s.placementDue() || !contact.reached())));
     }
 
     private static WorkflowTransition reconcile(
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowEffect.java
@@ -147,7 +147,7 @@
         /**
          * Writes the set of workers on which tasks may run.
          *
-         * @param workers the workers
+         * @param workers the workers, each with the incarnation that the set names
          */
         record PutFleet(List<WorkerNode.Listing> workers) implements Entry {
             /** Copies the list. */
@@ -168,7 +168,8 @@
      * Renews the lease of a worker and requests a report of its runs.
      *
      * @param worker the worker
-     * @param fence the fencing token of the leader
+     * @param leaderFence the fencing token of the leader, which identifies its term
+     * @param fence the fencing token that the worker checks
      * @param acknowledged the completions up to this sequence number are stored, so the worker can
      *     forget them
      * @param expiry when the lease expires on the worker's clock; empty to leave the lease
@@ -177,6 +178,7 @@
      */
     record RenewLease(
             WorkerNode.Listing worker,
+            long leaderFence,
             long fence,
             long acknowledged,
             OptionalLong expiry,
@@ -190,7 +192,8 @@
      * @param worker the worker
      * @param payload the payload of the job
      * @param leaseExpiry when the lease of the run expires, on the worker's clock
-     * @param fence the fencing token of the leader
+     * @param leaderFence the fencing token of the leader, which identifies its term
+     * @param fence the fencing token that the worker checks
      * @param checkpoint the checkpoint to resume from, empty to start from the beginning
      * @param ticket the ticket of the advice service, empty if none is needed
      */
@@ -199,6 +202,7 @@
             WorkerNode.Listing worker,
             String payload,
             long leaseExpiry,
+            long leaderFence,
             long fence,
             String checkpoint,
             String ticket)
@@ -209,9 +213,10 @@
      *
      * @param command the run and the worker
      * @param worker the worker
-     * @param fence the fencing token of the leader
+     * @param leaderFence the fencing token of the leader, which identifies its term
+     * @param fence the fencing token that the worker checks
      */
-    record Stop(WorkerCommand command, WorkerNode.Listing worker, long fence)
+    record Stop(WorkerCommand command, WorkerNode.Listing worker, long leaderFence, long fence)
             implements WorkflowEffect {}
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowLimits.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowLimits.java
@@ -11,6 +11,18 @@
      */
     public static final long WORKER_LEASE_MILLIS = 6_000;
 
+    /**
+     * Longest lease that a worker holds, whatever an order asks for: the platform's {@code
+     * hold_max_ms}.
+     */
+    public static final long MAX_WORKER_LEASE_MILLIS = 10_000;
+
+    /**
+     * Time after which an order that was not answered is no longer carried out. The platform states
+     * seconds.
+     */
+    public static final long MAX_ORDER_DELAY_MILLIS = 15_000;
+
     /**
      * Margin added to the expiry of a lease. It covers a worker clock that is 2% slow, and the age
      * of the clock offset estimate.
@@ -119,6 +131,11 @@
                 now + WORKER_LEASE_MILLIS, confirmedAt + MAX_LEASE_AFTER_CONFIRMATION_MILLIS);
     }
 
+    /** Returns when each lease has expired that any order has set by {@code now}. */
+    public static long maxLeaseEnd(long now) {
+        return addLeaseMargin(now + MAX_WORKER_LEASE_MILLIS);
+    }
+
     /**
      * Returns the time by which all runs have ended whose leases expire at {@code expiry}, on every
      * worker.
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -92,6 +92,7 @@
         }
         return WorkflowTransition.of(state.withFleetChecked())
                 .then(Fleet::checkExpiredLeases)
+                .then(Fleet::recordIncarnations)
                 .then(SilentWorkers::updateRecord)
                 .then(WorkerCommands::retryStops)
                 .then(CommitWriter::acknowledgeAllIfIdle)
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -82,11 +82,13 @@
     }
 
     /**
-     * Returns whether new tasks may start on {@code worker}: it can take them, and the store
-     * records it as a worker in use.
+     * Returns whether new tasks may start on {@code worker}: it can take them, the store records it
+     * as a worker in use, and its leases end in time if it is lost.
      */
     boolean isOpenForStarts(WorkerNode worker) {
-        return commitQueue.isOpenForStarts(worker.id()) && worker.isUsable(now);
+        return commitQueue.isOpenForStarts(worker.id())
+                && worker.isUsable(now)
+                && Fleet.areLeasesBounded(this, worker);
     }
 
     /**
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -89,7 +89,8 @@
                 draining,
                 Resources.of(16_000, 64_000, 0),
                 List.of(),
-                "");
+                "",
+                FIRST_INCARNATION);
     }
 
     /** Returns a job of one task of {@code cores} cores with an estimate of one second. */
@@ -215,7 +216,7 @@
             post(
                     new WorkflowEvent.LeaseRenewalAnswered(
                             now,
-                            renewal.fence(),
+                            renewal.leaderFence(),
                             now,
                             worker,
                             new WorkflowEvent.WorkerReport(
@@ -237,7 +238,11 @@
         if (renewal != null) {
             post(
                     new WorkflowEvent.LeaseRenewalFailed(
-                            now, renewal.fence(), worker, renewal.worker().address(), outcome));
+                            now,
+                            renewal.leaderFence(),
+                            worker,
+                            renewal.worker().address(),
+                            outcome));
         }
     }
 
@@ -336,7 +341,9 @@
 
     /** Reports that the worker has answered {@code start} with {@code outcome}. */
     void completeStart(WorkflowEffect.Start start, CommandOutcome outcome) {
-        post(new WorkflowEvent.CommandCompleted(now, start.fence(), start.command(), outcome));
+        post(
+                new WorkflowEvent.CommandCompleted(
+                        now, start.leaderFence(), start.command(), outcome));
     }
 
     /** Confirms all start commands. */
--- a/core/src/test/java/org/jujubefork/core/workflow/OlderRunTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/OlderRunTest.java
@@ -98,7 +98,7 @@
                         .orElseThrow();
         leader.post(
                 new WorkflowEvent.CommandCompleted(
-                        leader.now(), stop.fence(), stop.command(), CommandOutcome.OK));
+                        leader.now(), stop.leaderFence(), stop.command(), CommandOutcome.OK));
         leader.advance(100);
         leader.answerLeaseRenewal("a");
         leader.answerLeaseRenewal("b");
--- /dev/null
+++ b/core/src/test/java/org/jujubefork/core/workflow/QuickRestartTest.java
@@ -0,0 +1,41 @@
+package org.jujubefork.core.workflow;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.stream.LongStream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Guards against a task that runs on two workers because its worker has restarted under its
+ * identifier and holds a longer lease than the leader counts with. More seeds are run by hand with
+ * {@link #main}.
+ */
+public final class QuickRestartTest {
+    @DataProvider
+    public Object[][] seeds() {
+        return LongStream.range(0, 40).mapToObj(s -> new Object[] {s}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void noTaskRunsTwiceAfterQuickRestarts(long seed) {
+        assertEquals(String.join("\n", SeedSearch.failures(day(seed, false))), "");
+    }
+
+    private static SeedSearch.Day day(long seed, boolean commandsOutliveRestarts) {
+        QuickRestartScenario scenario = new QuickRestartScenario(seed, commandsOutliveRestarts);
+        return new SeedSearch.Day(scenario.simulation, scenario.lostRule, scenario::run);
+    }
+
+    /**
+     * Runs the seeds from {@code arguments[0]} to before {@code arguments[1]} and prints the rules
+     * that they break. With a third argument, commands without an answer can also be carried out by
+     * a later incarnation of their worker.
+     */
+    public static void main(String[] arguments) {
+        SeedSearch.print(
+                Long.parseLong(arguments[0]),
+                Long.parseLong(arguments[1]),
+                seed -> day(seed, arguments.length > 2));
+    }
+}
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedDisruptions.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedDisruptions.java
@@ -107,7 +107,8 @@
                 draining,
                 capacity,
                 labels,
-                listing.rack());
+                listing.rack(),
+                listing.born());
     }
 
     private void drainWorker() {
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
@@ -17,6 +17,9 @@
  * completions as the workers of the platform do.
  */
 final class SimulatedWorker {
+    /** Longest lease that a worker of the platform holds. */
+    private static final long MAX_LEASE_MILLIS = 10_000;
+
     /** An active run. */
     record Run(TaskKey task, long runNumber, Resources size, long endsAt, RunOutcome outcome) {}
 
@@ -35,8 +38,15 @@
     private final Map<Long, Run> unacknowledgedFailures = new HashMap<>();
     private final Map<Long, TaskKey> unacknowledgedCompletions = new HashMap<>();
     private long incarnation;
+
+    /** When the incarnation started; its clock shows the time since then. */
+    private long startedAt;
+
     private long fence;
+
+    /** When the lease expires, in the time of the simulation. */
     private long leaseExpiry;
+
     private long nextSequence = 1;
 
     SimulatedWorker(Simulation simulation, WorkerNode.Listing listing) {
@@ -135,23 +145,38 @@
     /** Restarts the worker under the same identifier; all earlier state is lost. */
     void restart() {
         incarnation++;
+        listing = listing.withBorn(incarnation);
         runs.clear();
         highestEndedRuns.clear();
         unacknowledgedEndedRuns.clear();
         unacknowledgedCompletions.clear();
         unacknowledgedFailures.clear();
+        startedAt = simulation.now();
         fence = 0;
         nextSequence = 1;
         leaseExpiry = 0;
     }
 
+    private long clockMillis() {
+        return simulation.now() - startedAt;
+    }
+
+    /**
+     * Extends the lease to {@code expiry}, a time of this incarnation's clock. The worker shortens
+     * a longer lease to the platform's maximum.
+     */
+    private void extendLease(long expiry) {
+        long remaining = Math.min(expiry - clockMillis(), MAX_LEASE_MILLIS);
+        leaseExpiry = Math.max(leaseExpiry, simulation.now() + remaining);
+    }
+
     WorkerReport renewLease(WorkflowEffect.RenewLease renewal) {
         advance();
         if (renewal.fence() < fence) {
             return null;
         }
         fence = renewal.fence();
-        renewal.expiry().ifPresent(newExpiry -> leaseExpiry = Math.max(leaseExpiry, newExpiry));
+        renewal.expiry().ifPresent(this::extendLease);
         unacknowledgedEndedRuns.removeIf(e -> e.sequence() <= renewal.acknowledged());
         for (long sequence : List.copyOf(unacknowledgedFailures.keySet())) {
             if (sequence <= renewal.acknowledged()) {
@@ -167,7 +192,7 @@
         }
         return new WorkerReport(
                 incarnation,
-                simulation.now(),
+                clockMillis(),
                 TreePVector.from(
                         runs.values().stream()
                                 .map(r -> new RunningRun(r.task(), r.runNumber(), "", 100))
@@ -188,16 +213,17 @@
         if (active != null && active.runNumber() == runNumber) {
             return CommandOutcome.OK;
         }
-        if (start.leaseExpiry() <= simulation.now()) {
+        if (start.leaseExpiry() <= clockMillis()) {
             return CommandOutcome.LATE;
         }
         if (runNumber <= highestEndedRuns.getOrDefault(task, 0L) || active != null) {
+            extendLease(start.leaseExpiry());
             return CommandOutcome.OLD;
         }
         if (simulation.advice.isTicketMissing(this, start)) {
             return CommandOutcome.NO_TICKET;
         }
-        leaseExpiry = Math.max(leaseExpiry, start.leaseExpiry());
+        extendLease(start.leaseExpiry());
         simulation.safetyChecker.checkStart(this, task, size);
         runs.put(task, new Run(task, runNumber, size, simulation.now() + durationMillis, outcome));
         return CommandOutcome.OK;
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorkerCalls.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorkerCalls.java
@@ -41,6 +41,7 @@
                         simulation.latency(),
                         () -> renewWithoutAnswer(simulation.workers.get(id), incarnation, renewal));
             }
+            renewInLaterIncarnation(id, renewal);
             simulation.after(
                     1_000 + renewal.maxWaitMillis(),
                     () -> renewalFailed(entry, boot, renewal, CommandOutcome.UNKNOWN));
@@ -50,6 +51,7 @@
                 simulation.latency() + Math.min(renewal.maxWaitMillis(), 200),
                 () -> {
                     if (simulation.workers.get(id).incarnation() != incarnation) {
+                        renewInLaterIncarnation(id, renewal);
                         renewalFailed(entry, boot, renewal, CommandOutcome.UNKNOWN);
                         return;
                     }
@@ -65,7 +67,7 @@
                                             boot,
                                             new WorkflowEvent.LeaseRenewalAnswered(
                                                     simulation.now(),
-                                                    renewal.fence(),
+                                                    renewal.leaderFence(),
                                                     sentAt,
                                                     id,
                                                     report));
@@ -74,6 +76,24 @@
                 });
     }
 
+    /** Carries out an unanswered renewal seconds later, whichever incarnation there is then. */
+    private void renewInLaterIncarnation(String id, WorkflowEffect.RenewLease renewal) {
+        if (!simulation.renewalsOutliveRestarts || !simulation.random.nextBoolean()) {
+            return;
+        }
+        simulation.after(
+                lateMillis(),
+                () -> {
+                    if (simulation.workers.get(id).isUp()) {
+                        simulation.workers.get(id).renewLease(renewal);
+                    }
+                });
+    }
+
+    private long lateMillis() {
+        return 500 + simulation.random.nextInt(6_000);
+    }
+
     private static void renewWithoutAnswer(
             SimulatedWorker worker, long incarnation, WorkflowEffect.RenewLease renewal) {
         if (worker.incarnation() == incarnation) {
@@ -91,7 +111,7 @@
                 boot,
                 new WorkflowEvent.LeaseRenewalFailed(
                         simulation.now(),
-                        renewal.fence(),
+                        renewal.leaderFence(),
                         renewal.worker().id(),
                         renewal.worker().address(),
                         outcome));
@@ -110,14 +130,15 @@
                 entry,
                 boot,
                 start.command(),
-                start.fence(),
+                start.leaderFence(),
                 worker,
                 () -> worker.start(start, step.size(), durationMillis, outcome));
     }
 
     void stop(SimulatedEntry entry, int boot, WorkflowEffect.Stop stop) {
         SimulatedWorker worker = simulation.workers.get(stop.worker().id());
-        sendCommand(entry, boot, stop.command(), stop.fence(), worker, () -> worker.stop(stop));
+        sendCommand(
+                entry, boot, stop.command(), stop.leaderFence(), worker, () -> worker.stop(stop));
     }
 
     private void sendCommand(
@@ -132,12 +153,15 @@
         long incarnation = worker.incarnation();
         if (partitioned || late) {
             if (late) {
-                // The command is carried out up to seconds later, possibly after newer commands,
-                // unless the worker has restarted.
+                // The command is carried out up to seconds later, possibly after newer commands.
                 simulation.after(
-                        500 + simulation.random.nextInt(6_000),
+                        lateMillis(),
                         () -> {
-                            if (worker.incarnation() == incarnation) {
+                            boolean isCarriedOut =
+                                    simulation.commandsOutliveRestarts
+                                            ? worker.isUp()
+                                            : worker.incarnation() == incarnation;
+                            if (isCarriedOut) {
                                 lateOutcomes.add(action.get());
                             }
                         });
--- a/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
@@ -54,6 +54,15 @@
     /** Bound of the random part of the duration of a run. */
     int maxRunMillis = 1_500;
 
+    /**
+     * Whether a lease renewal without an answer can be carried out by an incarnation of the worker
+     * that has started after the renewal was sent.
+     */
+    boolean renewalsOutliveRestarts;
+
+    /** Whether the same holds for commands. */
+    boolean commandsOutliveRestarts;
+
     boolean storeDown;
     boolean faultsDisabled;
 
@@ -82,7 +91,7 @@
         String id = "w" + number;
         WorkerNode.Listing listing =
                 new WorkerNode.Listing(
-                        id, service, id + ":1", "z", false, capacity, allLabels, rack);
+                        id, service, id + ":1", "z", false, capacity, allLabels, rack, 1);
         workers.put(id, new SimulatedWorker(this, listing));
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
@@ -86,7 +86,7 @@
             WorkflowEffect.Stop stop = stops.get(answeredStopCount);
             leader.post(
                     new WorkflowEvent.CommandCompleted(
-                            leader.now(), stop.fence(), stop.command(), outcome));
+                            leader.now(), stop.leaderFence(), stop.command(), outcome));
         }
     }
 
@@ -200,7 +200,8 @@
                         old.draining(),
                         old.capacity(),
                         old.labels(),
-                        old.rack());
+                        old.rack(),
+                        old.born());
         return new WorkflowEvent.WorkersListed(leader.now(), HashTreePMap.singleton("a", moved));
     }
 
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkerRecordCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkerRecordCodec.java
@@ -25,6 +25,10 @@
                     for (WorkerNode.Listing worker : workers) {
                         packWorker(p, worker);
                     }
+                    // Entries of earlier releases read only up to here.
+                    for (WorkerNode.Listing worker : workers) {
+                        p.packLong(worker.born());
+                    }
                 });
     }
 
@@ -52,6 +56,11 @@
                     for (int i = 0; i < count; i++) {
                         workers.add(unpackWorker(u));
                     }
+                    if (u.hasNext()) {
+                        for (int i = 0; i < count; i++) {
+                            workers.set(i, workers.get(i).withBorn(u.unpackLong()));
+                        }
+                    }
                     return workers;
                 });
     }
@@ -68,7 +77,7 @@
             labels.add(unpacker.unpackString());
         }
         return new WorkerNode.Listing(
-                id, service, address, zone, false, capacity, labels, unpacker.unpackString());
+                id, service, address, zone, false, capacity, labels, unpacker.unpackString(), 0);
     }
 
     /** Encodes the silent workers and the runs that may be active on them. */
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
@@ -66,7 +66,7 @@
                             () ->
                                     postCommandOutcome(
                                             e.command(),
-                                            e.fence(),
+                                            e.leaderFence(),
                                             resultOf(
                                                     () -> context.workers().start(e),
                                                     CommandOutcome.UNKNOWN)));
@@ -75,7 +75,7 @@
                             () ->
                                     postCommandOutcome(
                                             e.command(),
-                                            e.fence(),
+                                            e.leaderFence(),
                                             resultOf(
                                                     () -> context.workers().stop(e),
                                                     CommandOutcome.UNKNOWN)));
@@ -156,13 +156,13 @@
                         result.report().isPresent()
                                 ? new WorkflowEvent.LeaseRenewalAnswered(
                                         now(),
-                                        renewal.fence(),
+                                        renewal.leaderFence(),
                                         sentAt,
                                         worker,
                                         result.report().get())
                                 : new WorkflowEvent.LeaseRenewalFailed(
                                         now(),
-                                        renewal.fence(),
+                                        renewal.leaderFence(),
                                         worker,
                                         renewal.worker().address(),
                                         result.outcome()));
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -70,10 +70,10 @@
         WorkflowMetrics metrics = WorkflowMetrics.create();
         WorkerNode.Listing worker =
                 new WorkerNode.Listing(
-                        "w", "s", "w:1", "z", false, Resources.of(1, 1, 0), List.of(), "");
+                        "w", "s", "w:1", "z", false, Resources.of(1, 1, 0), List.of(), "", 0);
         WorkflowState state =
                 WorkflowState.initial("e", 1_000)
-                        .with(WorkerNode.of(worker, 0))
+                        .with(WorkerNode.listed(worker))
                         .with(
                                 new WaitingSteps(
                                         Map.of(),
--- a/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
@@ -111,7 +111,8 @@
                                 false,
                                 Resources.of(1, 2, 3),
                                 List.of("a", "r"),
-                                "r"));
+                                "r",
+                                1_790_000_000_000L));
         assertEquals(WorkerRecordCodec.decodeFleet(WorkerRecordCodec.encodeFleet(fleet)), fleet);
         SilentWorkers silentWorkers =
                 new SilentWorkers(
