Move lease renewals and fencing tokens out of Fleet

WorkerLeases now sends the renewals and knows the expiry and the token of an order; Fleet keeps the set of workers and their incarnations. Contact.withCommandSent did the same as withRunsUntil and is gone.

--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerCommands.java
@@ -33,10 +33,10 @@
                 node.withCharge(key, charge)
                         .with(
                                 node.contact()
-                                        .withCommandSent(
+                                        .withRunsUntil(
                                                 WorkflowLimits.addLeaseMargin(
-                                                        Fleet.leaseExpiry(state))));
-        long fence = Fleet.commandFence(state, node.contact());
+                                                        WorkerLeases.expiry(state))));
+        long fence = WorkerLeases.commandFence(state, node.contact());
         WorkerCommand command =
                 new WorkerCommand(CommandKind.START, node.id(), key, task.runNumber());
         return WorkflowTransition.of(
@@ -47,7 +47,7 @@
                                 command,
                                 node.listing(),
                                 job.definition().payload(),
-                                Fleet.leaseExpiryOnWorkerClock(state, node),
+                                WorkerLeases.expiryOnWorkerClock(state, node),
                                 state.fence(),
                                 fence,
                                 task.checkpoint(),
@@ -65,7 +65,7 @@
                                 "born",
                                 node.contact().born(),
                                 "lease_end",
-                                Fleet.leaseExpiryOnWorkerClock(state, node),
+                                WorkerLeases.expiryOnWorkerClock(state, node),
                                 "free",
                                 node.freeCapacity(),
                                 "waited_ms",
@@ -117,7 +117,7 @@
                                 command,
                                 node.listing(),
                                 state.fence(),
-                                Fleet.commandFence(state, node.contact())))
+                                WorkerLeases.commandFence(state, node.contact())))
                 .with(
                         WorkflowEffect.LogEvent.of(
                                 "task-stop", key, "run", charge.runNumber(), "worker", worker));
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerLeases.java
@@ -0,0 +1,114 @@
+package org.jujubefork.core.workflow;
+
+import java.util.OptionalLong;
+
+/** Grants leases to workers, and determines which fencing tokens their orders carry. */
+final class WorkerLeases {
+    private WorkerLeases() {}
+
+    /** Sends the lease renewals that are due. */
+    static WorkflowTransition renewDue(WorkflowState state) {
+        WorkflowTransition result = WorkflowTransition.of(state);
+        for (WorkerNode node : state.workers().values()) {
+            result = result.then(s -> renewIfDue(s, node.id()));
+        }
+        return result;
+    }
+
+    /** Sends a lease renewal to {@code worker} if it is due. */
+    static WorkflowTransition renewIfDue(WorkflowState state, String worker) {
+        WorkerNode node = state.workers().get(worker);
+        return node != null && !node.contact().renewalInFlight() && isRenewalDue(state, node)
+                ? renew(state, node)
+                : WorkflowTransition.of(state);
+    }
+
+    private static boolean isRenewalDue(WorkflowState state, WorkerNode node) {
+        WorkerNode.Contact contact = node.contact();
+        if (!node.listed() && node.charges().isEmpty() && contact.reached()) {
+            return false;
+        }
+        boolean nextIsUseful = contact.areCompletionsStored() && !awaitsFence(state, contact);
+        return contact.renewalSentAt() < 0
+                || (contact.lastRenewalAnswered() && nextIsUseful)
+                || state.now() - contact.renewalSentAt() >= WorkflowLimits.RENEWAL_RETRY_MILLIS;
+    }
+
+    /** Returns whether a commit has to raise the fencing token for a new incarnation. */
+    private static boolean awaitsFence(WorkflowState state, WorkerNode.Contact contact) {
+        Incarnation incarnation = contact.incarnation();
+        return !incarnation.isFenced()
+                && renewalFence(state, contact) <= incarnation.previousFence();
+    }
+
+    /**
+     * Returns the fencing token of the next lease renewal. The token for a new incarnation is the
+     * revision of the newest commit: that is higher than all tokens sent before the commit, and
+     * lower than the revision of the next leader's record.
+     */
+    private static long renewalFence(WorkflowState state, WorkerNode.Contact contact) {
+        return contact.incarnation().isFenced()
+                ? contact.incarnation().fence()
+                : Math.max(state.fence(), state.commitQueue().previousRevision());
+    }
+
+    /**
+     * Returns the fencing token of a command. Only lease renewals raise the token that a worker
+     * knows, because their answers show that the worker has seen it.
+     */
+    static long commandFence(WorkflowState state, WorkerNode.Contact contact) {
+        return contact.incarnation().isFenced()
+                ? contact.incarnation().fence()
+                : Math.max(state.fence(), contact.usedFence());
+    }
+
+    private static WorkflowTransition renew(WorkflowState state, WorkerNode node) {
+        WorkerNode.Contact contact = node.contact();
+        boolean isGranted = mayGrant(state, node);
+        OptionalLong newExpiry =
+                isGranted
+                        ? OptionalLong.of(expiryOnWorkerClock(state, node))
+                        : OptionalLong.empty();
+        // A restarted worker numbers its completions anew. Until the worker has answered, a
+        // sequence number of its earlier incarnation could acknowledge completions that were never
+        // processed.
+        long acknowledgedSequence =
+                contact.lastRenewalAnswered() ? contact.incarnation().storedSequence() : 0;
+        boolean mayHoldAnswer = isGranted && contact.areCompletionsStored();
+        long runsUntil =
+                isGranted ? WorkflowLimits.addLeaseMargin(expiry(state)) : contact.runsUntil();
+        long fence = renewalFence(state, contact);
+        return WorkflowTransition.of(
+                        state.with(
+                                node.with(contact.withRenewalSent(state.now(), runsUntil, fence))))
+                .with(
+                        new WorkflowEffect.RenewLease(
+                                node.listing(),
+                                state.fence(),
+                                fence,
+                                acknowledgedSequence,
+                                newExpiry,
+                                mayHoldAnswer ? WorkflowLimits.MAX_RENEWAL_WAIT_MILLIS : 0));
+    }
+
+    /**
+     * Returns whether a renewal may grant a lease. The expiry is a time of the worker's clock, so
+     * the incarnation must be confirmed, and a worker outside of the stored set needs no lease.
+     */
+    private static boolean mayGrant(WorkflowState state, WorkerNode node) {
+        return node.contact().isIncarnationConfirmed()
+                && state.commitQueue().isWorkerRecorded(node.id())
+                && state.now() - node.contact().lastContactAt()
+                        < WorkflowLimits.WORKER_CONTACT_TIMEOUT_MILLIS;
+    }
+
+    /** Returns when a lease that is granted now expires. */
+    static long expiry(WorkflowState state) {
+        return WorkflowLimits.leaseExpiry(state.now(), state.leadership().confirmedAt());
+    }
+
+    /** Returns when a lease that is granted now expires, on the worker's clock. */
+    static long expiryOnWorkerClock(WorkflowState state, WorkerNode node) {
+        return expiry(state) + node.contact().incarnation().clockOffset();
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -111,7 +111,7 @@
          * the worker get leases and tasks.
          */
         public boolean isIncarnationConfirmed() {
-            return reached && lastRenewalAnswered && incarnation.isFenced();
+            return lastRenewalAnswered && incarnation.isFenced();
         }
 
         /** Returns a copy in which all runs that may be active are charged. */
@@ -131,11 +131,6 @@
             return next.build();
         }
 
-        /** Returns a copy after a start command was sent, which can extend the lease. */
-        public Contact withCommandSent(long newRunsUntil) {
-            return withRunsUntil(newRunsUntil);
-        }
-
         /** Returns a copy in which runs may be active until {@code newRunsUntil} at least. */
         public Contact withRunsUntil(long newRunsUntil) {
             Builder next = new Builder(this);
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -96,7 +96,7 @@
                 .then(SilentWorkers::updateRecord)
                 .then(WorkerCommands::retryStops)
                 .then(CommitWriter::acknowledgeAllIfIdle)
-                .then(Fleet::renewDueLeases);
+                .then(WorkerLeases::renewDue);
     }
 
     /**
@@ -151,7 +151,7 @@
             case WorkflowEvent.LeaseRenewalAnswered e ->
                     CommitWriter.sendIfDue(state)
                             .then(s -> CommitWriter.acknowledgeIfIdle(s, e.worker()))
-                            .then(s -> Fleet.renewLeaseIfDue(s, e.worker()));
+                            .then(s -> WorkerLeases.renewIfDue(s, e.worker()));
             case WorkflowEvent.CommitCompleted e -> afterFleetEvent(state);
             case WorkflowEvent.WorkersListed e -> afterFleetEvent(state);
             case WorkflowEvent.ClaimCompleted e -> afterFleetEvent(state);
@@ -162,6 +162,6 @@
     private static WorkflowTransition afterFleetEvent(WorkflowState state) {
         return CommitWriter.sendIfDue(state)
                 .then(CommitWriter::acknowledgeAllIfIdle)
-                .then(Fleet::renewDueLeases);
+                .then(WorkerLeases::renewDue);
     }
 }
