--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -264,7 +264,7 @@
             return WorkflowTransition.of(state.with(node.with(contact)));
         }
         return WorkflowTransition.of(
-                        state.with(node.with(contact.withRunsUntil(answering.foreignLeaseEnd()))))
+                        state.with(node.with(contact.withRunsUntil(answering.staleLeaseEnd()))))
                 .with(
                         WorkflowEffect.LogEvent.of(
                                 "worker-fenced",
@@ -275,8 +275,8 @@
                                 answering.clockOffset(),
                                 "fence",
                                 answering.fence(),
-                                "foreign_leases_ms",
-                                Math.max(0, answering.foreignLeaseEnd() - state.now())));
+                                "stale_leases_ms",
+                                Math.max(0, answering.staleLeaseEnd() - state.now())));
     }
 
     /**
@@ -300,7 +300,7 @@
     static long recordableBorn(WorkflowState state, WorkerNode node) {
         long grantedLeaseEnd = WorkflowLimits.addLeaseMargin(WorkerLeases.expiry(state));
         boolean isBounded =
-                node.contact().incarnation().foreignLeaseEnd()
+                node.contact().incarnation().staleLeaseEnd()
                         <= Math.max(state.now(), grantedLeaseEnd);
         return isBounded ? node.contact().born() : 0;
     }
@@ -314,7 +314,7 @@
         long nextLeaderWaitsUntil = WorkflowLimits.maxLeaseEnd(state.leadership().confirmedAt());
         boolean isLongWaitRecorded =
                 state.commitQueue().isRecordedWithoutIncarnation(node.id())
-                        && node.contact().incarnation().foreignLeaseEnd() <= nextLeaderWaitsUntil;
+                        && node.contact().incarnation().staleLeaseEnd() <= nextLeaderWaitsUntil;
         return isLongWaitRecorded || recordableBorn(state, node) != 0;
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Incarnation.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Incarnation.java
@@ -19,9 +19,9 @@
  *     worker can get no such order any more
  * @param fence the fencing token of the orders to this incarnation; 0 until it has answered a
  *     renewal that carries a higher token than {@code previousFence}
- * @param foreignLeaseEnd the time of the leader's clock at which each lease has expired that an
- *     order for an earlier incarnation has set; {@link Long#MAX_VALUE} while such an order may
- *     still be carried out
+ * @param staleLeaseEnd the time of the leader's clock at which each lease has expired that an order
+ *     for an earlier incarnation has set; {@link Long#MAX_VALUE} while such an order may still be
+ *     carried out
  * @param processedSequence the highest sequence number of its completions that this leader has
  *     processed
  * @param storedSequence the highest sequence number up to which the results of its completions are
@@ -32,7 +32,7 @@
         long clockOffset,
         long previousFence,
         long fence,
-        long foreignLeaseEnd,
+        long staleLeaseEnd,
         long processedSequence,
         long storedSequence) {
     /** The first incarnation of a worker, before its first answer. */
@@ -68,7 +68,7 @@
                 clockOffset,
                 previousFence,
                 fence,
-                foreignLeaseEnd,
+                staleLeaseEnd,
                 processedSequence,
                 storedSequence);
     }
@@ -86,14 +86,14 @@
                 clockMillis - at,
                 previousFence,
                 becomesFenced ? answeredFence : fence,
-                becomesFenced ? foreignLeaseEnd(at, clockMillis) : foreignLeaseEnd,
+                becomesFenced ? staleLeaseEnd(at, clockMillis) : staleLeaseEnd,
                 processedSequence,
                 storedSequence);
     }
 
-    private long foreignLeaseEnd(long fencedAt, long clockMillis) {
+    private long staleLeaseEnd(long fencedAt, long clockMillis) {
         if (previousFence == 0) {
-            return foreignLeaseEnd;
+            return staleLeaseEnd;
         }
         long lastOrderAt = fencedAt - clockMillis + WorkflowLimits.MAX_ORDER_DELAY_MILLIS;
         return WorkflowLimits.maxLeaseEnd(Math.min(fencedAt, lastOrderAt));
@@ -102,7 +102,7 @@
     /** Returns a copy in which the completions up to {@code sequence} are processed. */
     Incarnation withProcessedSequence(long sequence) {
         return new Incarnation(
-                born, clockOffset, previousFence, fence, foreignLeaseEnd, sequence, storedSequence);
+                born, clockOffset, previousFence, fence, staleLeaseEnd, sequence, storedSequence);
     }
 
     /** Returns a copy in which the completions up to {@code sequence} are stored. */
@@ -112,7 +112,7 @@
                 clockOffset,
                 previousFence,
                 fence,
-                foreignLeaseEnd,
+                staleLeaseEnd,
                 processedSequence,
                 Math.max(storedSequence, sequence));
     }
