Let a new worker hold its answer before it may get a lease

While the store did not answer, the leader called a new worker again after each answer: 51 renewals in a second in newWorkerIsCalledAtIntervalsWhileStoreDoesNotAnswer, 3 at most now, as many as before, when such a worker got a lease. Each call is priced as a probe.

A confirmed incarnation may now hold its answer; only the lease waits for the store. worker-fenced is logged only where stale orders are possible: not for each worker at each takeover (258 lines there).

--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -260,7 +260,8 @@
         WorkerNode node = state.workers().get(worker);
         boolean becomesFenced = answering.isFenced() && !node.contact().incarnation().isFenced();
         WorkerNode.Contact contact = node.contact().withRenewalAnswered(answering, state.now());
-        if (!becomesFenced) {
+        boolean endsStaleOrders = becomesFenced && answering.previousFence() > 0;
+        if (!endsStaleOrders) {
             return WorkflowTransition.of(state.with(node.with(contact)));
         }
         return WorkflowTransition.of(
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerLeases.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerLeases.java
@@ -64,7 +64,9 @@
 
     private static WorkflowTransition renew(WorkflowState state, WorkerNode node) {
         WorkerNode.Contact contact = node.contact();
-        boolean isGranted = mayGrant(state, node);
+        boolean isConfirmed = isRecentlyConfirmed(state, node);
+        // A worker outside of the stored set has no runs, so it needs no lease.
+        boolean isGranted = isConfirmed && state.commitQueue().isWorkerRecorded(node.id());
         OptionalLong newExpiry =
                 isGranted
                         ? OptionalLong.of(expiryOnWorkerClock(state, node))
@@ -74,7 +76,7 @@
         // processed.
         long acknowledgedSequence =
                 contact.lastRenewalAnswered() ? contact.incarnation().storedSequence() : 0;
-        boolean mayHoldAnswer = isGranted && contact.areCompletionsStored();
+        boolean mayHoldAnswer = isConfirmed && contact.areCompletionsStored();
         long runsUntil =
                 isGranted ? WorkflowLimits.addLeaseMargin(expiry(state)) : contact.runsUntil();
         long fence = renewalFence(state, contact);
@@ -92,12 +94,11 @@
     }
 
     /**
-     * Returns whether a renewal may grant a lease. The expiry is a time of the worker's clock, so
-     * the incarnation must be confirmed, and a worker outside of the stored set needs no lease.
+     * Returns whether the incarnation is confirmed and has answered lately. The expiry of a lease
+     * is a time of its clock, so only then may a renewal grant one.
      */
-    private static boolean mayGrant(WorkflowState state, WorkerNode node) {
+    private static boolean isRecentlyConfirmed(WorkflowState state, WorkerNode node) {
         return node.contact().isIncarnationConfirmed()
-                && state.commitQueue().isWorkerRecorded(node.id())
                 && state.now() - node.contact().lastContactAt()
                         < WorkflowLimits.WORKER_CONTACT_TIMEOUT_MILLIS;
     }
--- a/core/src/test/java/org/jujubefork/core/workflow/IncarnationChangeTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/IncarnationChangeTest.java
@@ -216,4 +216,28 @@
         advance(leader, 1_000, List.of());
         assertEquals(recordedIncarnations(leader), List.of(earlier, 0L, earlier + 1));
     }
+
+    /**
+     * Guards against a leader that calls a new worker again and again while the store, which has to
+     * record the worker before its first lease, does not answer.
+     */
+    @Test
+    public void newWorkerIsCalledAtIntervalsWhileStoreDoesNotAnswer() {
+        LeaderFixture leader = leading();
+        leader.listWorkers("a");
+        for (int i = 0; i < 50; i++) {
+            leader.advance(20);
+            if (!isAnswerHeld(leader)) {
+                leader.answerLeaseRenewal("a");
+            }
+        }
+        int count = leader.leaseRenewals("a").size();
+        assertTrue(count <= 3, count + " renewals in a second");
+    }
+
+    /** Returns whether the newest renewal lets worker {@code a} wait until a run ends. */
+    private static boolean isAnswerHeld(LeaderFixture leader) {
+        List<WorkflowEffect.RenewLease> renewals = leader.leaseRenewals("a");
+        return !renewals.isEmpty() && renewals.getLast().maxWaitMillis() > 0;
+    }
 }
