--- a/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
@@ -96,24 +96,18 @@
                 RecordCodec.withProgress(job, RecordCodec.encodeProgress(changedJob)), changedJob);
     }
 
+    private static WorkerNode.Listing worker(long born) {
+        return new WorkerNode.Listing(
+                "w", "s", "a:1", "z", false, Resources.of(1, 2, 3), List.of("a", "r"), "r", born);
+    }
+
     @Test
     public void otherRecordsRoundTrip() throws IOException {
         List<FinishedJob> finishedJobs =
                 List.of(new FinishedJob("id", "queue", Job.Status.FAILED, 5));
         assertEquals(
                 RecordCodec.decodeFinished(RecordCodec.encodeFinished(finishedJobs)), finishedJobs);
-        List<WorkerNode.Listing> fleet =
-                List.of(
-                        new WorkerNode.Listing(
-                                "w",
-                                "s",
-                                "a:1",
-                                "z",
-                                false,
-                                Resources.of(1, 2, 3),
-                                List.of("a", "r"),
-                                "r",
-                                1_790_000_000_000L));
+        List<WorkerNode.Listing> fleet = List.of(worker(1_790_000_000_000L));
         assertEquals(WorkerRecordCodec.decodeFleet(WorkerRecordCodec.encodeFleet(fleet)), fleet);
         SilentWorkers silentWorkers =
                 new SilentWorkers(
@@ -169,18 +163,7 @@
     /** Guards against a new release that cannot read the set of workers of an earlier one. */
     @Test
     public void setOfWorkersWithoutIncarnationsIsReadable() throws IOException {
-        List<WorkerNode.Listing> fleet =
-                List.of(
-                        new WorkerNode.Listing(
-                                "w",
-                                "s",
-                                "a:1",
-                                "z",
-                                false,
-                                Resources.of(1, 2, 3),
-                                List.of(),
-                                "r",
-                                0));
+        List<WorkerNode.Listing> fleet = List.of(worker(0));
         byte[] encoded = WorkerRecordCodec.encodeFleet(fleet);
         // The incarnations follow the workers; the one here takes one byte.
         byte[] ofEarlierRelease = Arrays.copyOf(encoded, encoded.length - 1);
