--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowLimits.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowLimits.java
@@ -12,8 +12,8 @@
     public static final long WORKER_LEASE_MILLIS = 6_000;
 
     /**
-     * Longest lease that a worker holds, whatever an order asks for: the platform's {@code
-     * hold_max_ms}.
+     * Longest lease that a worker of the platform holds: it shortens a lease that an order asks for
+     * to this time from when it carries out the order.
      */
     public static final long MAX_WORKER_LEASE_MILLIS = 10_000;
 
