--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceChoice.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceChoice.java
@@ -74,7 +74,7 @@
         if (!isOutdated(state, request)) {
             return Optional.of(request);
         }
-        Candidate candidate = Placement.candidate(job, request.step(), queue, state.now());
+        Candidate candidate = Placement.candidate(state, job, request.step(), queue);
         return named(request, queue, choose(state, candidate, capacity.get()));
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -55,7 +55,7 @@
                                                     addCandidates(
                                                             s, job, recovered, waits, candidates)));
         }
-        candidates.sort(Urgency.byUrgency());
+        candidates.sort(result.state().policies().order());
         PassCapacity capacity = PassCapacity.of(result.state());
         for (Candidate candidate : candidates) {
             result =
@@ -104,7 +104,7 @@
             return AttemptLimit.failBeforeStart(state, job, exhaustedTask.get(), queue.get());
         }
         candidates.addAll(
-                readySteps.stream().map(k -> candidate(job, k, queue.get(), state.now())).toList());
+                readySteps.stream().map(k -> candidate(state, job, k, queue.get())).toList());
         return WorkflowTransition.of(state);
     }
 
@@ -135,9 +135,9 @@
         }
     }
 
-    static Candidate candidate(Job job, StepKey key, Queue queue, long now) {
+    static Candidate candidate(WorkflowState state, Job job, StepKey key, Queue queue) {
         List<StepProgress> steps = job.occurrences().get(key.occurrence());
-        Urgency.Standing standing = Urgency.standing(job, steps, queue, now);
+        Urgency.Standing standing = Urgency.standing(state, job, steps, queue);
         return new Candidate(key, job, job.step(key), steps.get(key.step()), queue, standing);
     }
 
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -0,0 +1,88 @@
+package org.jujubefork.core.workflow;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The scheduling policies of an entry. The settings select them by name, and they stay the same as
+ * long as the process runs.
+ *
+ * @param order the order in which waiting steps are served
+ * @param share whether a job counts as within the share of its team
+ * @param durations how long a task is expected to run
+ * @param retry when a rejected caller may return
+ */
+public record SchedulingPolicies(
+        WaitingOrder order, TeamShare share, DurationModel durations, RetryDelay retry) {
+    /** The name of the policy that is in force if the settings select no order. */
+    public static final String DEFAULT_ORDER = "acceptance";
+
+    /** The name of the policy that is in force if the settings select no share. */
+    public static final String DEFAULT_SHARE = "jobs";
+
+    /** The name of the policy that is in force if the settings select no durations. */
+    public static final String DEFAULT_DURATIONS = "declared";
+
+    /** The name of the policy that is in force if the settings select no retry delay. */
+    public static final String DEFAULT_RETRY = "uniform";
+
+    private static final Map<String, WaitingOrder> ORDERS =
+            Map.of(DEFAULT_ORDER, Urgency.byUrgency()::compare);
+    private static final Map<String, TeamShare> SHARES =
+            Map.of(DEFAULT_SHARE, (state, job) -> job.acceptance().withinShare());
+    private static final Map<String, DurationModel> DURATIONS =
+            Map.of(DEFAULT_DURATIONS, (learned, queue, estimateMillis) -> estimateMillis);
+    private static final Map<String, RetryDelay> RETRIES =
+            Map.of(DEFAULT_RETRY, (waitMillis, priority, job) -> waitMillis);
+
+    /** Returns the names of the orders, sorted. */
+    public static List<String> orders() {
+        return names(ORDERS);
+    }
+
+    /** Returns the names of the shares, sorted. */
+    public static List<String> shares() {
+        return names(SHARES);
+    }
+
+    /** Returns the names of the duration models, sorted. */
+    public static List<String> durationModels() {
+        return names(DURATIONS);
+    }
+
+    /** Returns the names of the retry delays, sorted. */
+    public static List<String> retryDelays() {
+        return names(RETRIES);
+    }
+
+    private static List<String> names(Map<String, ?> policies) {
+        return policies.keySet().stream().sorted().toList();
+    }
+
+    /** The policies of an entry whose settings select none. */
+    public static final SchedulingPolicies DEFAULT =
+            named(DEFAULT_ORDER, DEFAULT_SHARE, DEFAULT_DURATIONS, DEFAULT_RETRY);
+
+    /**
+     * Returns the policies with the given names.
+     *
+     * @throws IllegalArgumentException if there is no policy of one of the names
+     */
+    public static SchedulingPolicies named(
+            String order, String share, String durations, String retry) {
+        return new SchedulingPolicies(
+                policy(ORDERS, order),
+                policy(SHARES, share),
+                policy(DURATIONS, durations),
+                policy(RETRIES, retry));
+    }
+
+    private static <T> T policy(Map<String, T> policies, String name) {
+        T policy = policies.get(name);
+        if (policy == null) {
+            throw new IllegalArgumentException(
+                    "unknown policy " + name + ", known are " + policies.keySet());
+        }
+        return policy;
+    }
+}
--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -85,14 +85,15 @@
      * Returns the urgency of the occurrence of {@code job} whose steps have the progress {@code
      * steps}.
      */
-    static Standing standing(Job job, List<StepProgress> steps, Queue queue, long now) {
+    static Standing standing(WorkflowState state, Job job, List<StepProgress> steps, Queue queue) {
+        long now = state.now();
         double objectiveMillis = objectiveMillis(job.definition(), queue);
         double completionMillis = now - job.acceptedAt() + remainingMillis(job, steps, queue, now);
         double slackMillis = objectiveMillis - completionMillis;
         if (completionMillis > MAX_OBJECTIVE_FACTOR * objectiveMillis) {
             return new Standing(Rank.TOO_LATE, slackMillis);
         }
-        if (!job.acceptance().withinShare()) {
+        if (!state.policies().share().isWithinShare(state, job)) {
             return new Standing(Rank.OVER_SHARE, slackMillis);
         }
         return new Standing(slackMillis >= 0 ? Rank.ON_TIME : Rank.LATE, slackMillis);
--- a/core/src/main/java/org/jujubefork/core/workflow/WaitingStepsLog.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WaitingStepsLog.java
@@ -61,7 +61,7 @@
         addAll(fields, "tasks_assigned", progress.assignedCount());
         Optional<Queue> queue = state.queueOf(job);
         if (queue.isPresent()) {
-            addWorkers(fields, Placement.candidate(job, key, queue.get(), state.now()), capacity);
+            addWorkers(fields, Placement.candidate(state, job, key, queue.get()), capacity);
         }
         addAll(fields, "reserved", capacity.reservedWorkerCount());
         addRequests(fields, state, key, progress.advice());
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -20,6 +20,10 @@
  * @param finished the jobs that have ended and whose final status is stored or being written, by
  *     identifier
  * @param workers the workers, by identifier
+ * @param policies the scheduling policies that the settings of this entry select
+ * @param evacuations the zones in which operators want no starts
+ * @param teamLedger what each team has used and waits for
+ * @param durations how long tasks really take
  * @param commitQueue the changes to write to the store
  * @param adviceRequests the requests to the advice service
  * @param teamBuckets the token buckets that measure the teams against their shares
@@ -42,6 +46,10 @@
         PMap<String, Job> jobs,
         PMap<String, FinishedJob> finished,
         PMap<String, WorkerNode> workers,
+        SchedulingPolicies policies,
+        Evacuations evacuations,
+        TeamLedger teamLedger,
+        LearnedDurations durations,
         CommitQueue commitQueue,
         AdviceRequests adviceRequests,
         TeamTokenBuckets teamBuckets,
@@ -51,8 +59,21 @@
         boolean placementDue,
         long lastPlacementAt,
         long lastFleetCheckAt) {
-    /** Returns the state of an entry that has just started. */
+    /** Returns the state of an entry that has just started, with the default policies. */
     public static WorkflowState initial(String entry, int processorMillicores) {
+        return initial(entry, processorMillicores, SchedulingPolicies.DEFAULT, Evacuations.NONE);
+    }
+
+    /**
+     * Returns the state of an entry that has just started.
+     *
+     * @param evacuations no evacuated zones, with the bound that the settings give
+     */
+    public static WorkflowState initial(
+            String entry,
+            int processorMillicores,
+            SchedulingPolicies policies,
+            Evacuations evacuations) {
         return new WorkflowState(
                 0,
                 0,
@@ -64,6 +85,10 @@
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
+                policies,
+                evacuations,
+                TeamLedger.EMPTY,
+                LearnedDurations.NONE,
                 CommitQueue.NONE,
                 AdviceRequests.of(entry),
                 TeamTokenBuckets.NONE,
@@ -202,6 +227,27 @@
         return withWorkers(workers.plus(worker.id(), worker));
     }
 
+    /** Returns a copy with {@code other} as the evacuations. */
+    public WorkflowState with(Evacuations other) {
+        Builder next = new Builder(this);
+        next.evacuations = other;
+        return next.build();
+    }
+
+    /** Returns a copy with {@code other} as the ledger of the teams. */
+    public WorkflowState with(TeamLedger other) {
+        Builder next = new Builder(this);
+        next.teamLedger = other;
+        return next.build();
+    }
+
+    /** Returns a copy with {@code other} as the learned durations. */
+    public WorkflowState with(LearnedDurations other) {
+        Builder next = new Builder(this);
+        next.durations = other;
+        return next.build();
+    }
+
     /** Returns a copy with {@code other} as the commit queue. */
     public WorkflowState with(CommitQueue other) {
         Builder next = new Builder(this);
@@ -285,6 +331,10 @@
         private PMap<String, Job> jobs;
         private PMap<String, FinishedJob> finished;
         private PMap<String, WorkerNode> workers;
+        private SchedulingPolicies policies;
+        private Evacuations evacuations;
+        private TeamLedger teamLedger;
+        private LearnedDurations durations;
         private CommitQueue commitQueue;
         private AdviceRequests adviceRequests;
         private TeamTokenBuckets teamBuckets;
@@ -306,6 +356,10 @@
             this.jobs = from.jobs();
             this.finished = from.finished();
             this.workers = from.workers();
+            this.policies = from.policies();
+            this.evacuations = from.evacuations();
+            this.teamLedger = from.teamLedger();
+            this.durations = from.durations();
             this.commitQueue = from.commitQueue();
             this.adviceRequests = from.adviceRequests();
             this.teamBuckets = from.teamBuckets();
@@ -329,6 +383,10 @@
                     jobs,
                     finished,
                     workers,
+                    policies,
+                    evacuations,
+                    teamLedger,
+                    durations,
                     commitQueue,
                     adviceRequests,
                     teamBuckets,
--- a/core/src/test/java/org/jujubefork/core/workflow/ReservingGangs.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/ReservingGangs.java
@@ -33,7 +33,7 @@
     private void addKinds(Job job, CellConfiguration.Queue queue, Set<String> kinds) {
         for (int occurrence : job.occurrences().keySet()) {
             Urgency.Standing standing =
-                    Urgency.standing(job, job.occurrences().get(occurrence), queue, state.now());
+                    Urgency.standing(state, job, job.occurrences().get(occurrence), queue);
             boolean reserves =
                     standing.rank().reservesCapacity()
                             && standing.slackMillis() <= MAX_SLACK_MILLIS;
--- a/core/src/test/java/org/jujubefork/core/workflow/StalledStepReport.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/StalledStepReport.java
@@ -76,8 +76,7 @@
         }
         addWorkerCauses(job, queue.get(), progress, needsAdvice, causes);
         Urgency.Standing standing =
-                Urgency.standing(
-                        job, job.occurrences().get(step.occurrence()), queue.get(), state.now());
+                Urgency.standing(state, job, job.occurrences().get(step.occurrence()), queue.get());
         if (causes.isEmpty()) {
             causes.add("capacity");
         }
--- a/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
@@ -18,6 +18,8 @@
                     "l", "h", "/l", "s", 1, 3, 3_000, 2, 400, true, Optional.empty());
 
     private static final long NOW_MILLIS = 5_000;
+    private static final WorkflowState STATE =
+            WorkflowState.initial("e0", 1_000).withTime(NOW_MILLIS);
 
     private static Placement.Candidate candidate(
             String id, CellConfiguration.Queue queue, long acceptedAt, boolean withinShare) {
@@ -46,7 +48,7 @@
                 step,
                 StepProgress.of(step),
                 queue,
-                Urgency.standing(job, job.occurrences().get(0), queue, NOW_MILLIS));
+                Urgency.standing(STATE, job, job.occurrences().get(0), queue));
     }
 
     /**
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -8,7 +8,9 @@
 import java.util.function.Consumer;
 import org.jujubefork.config.settings.HostPort;
 import org.jujubefork.core.workflow.CellConfiguration;
+import org.jujubefork.core.workflow.Evacuations;
 import org.jujubefork.core.workflow.LeaderRecord;
+import org.jujubefork.core.workflow.SchedulingPolicies;
 import org.jujubefork.core.workflow.WorkerNode;
 import org.jujubefork.core.workflow.WorkflowEffect;
 import org.jujubefork.core.workflow.WorkflowEffect.LogEvent;
@@ -71,6 +73,7 @@
      * @param workers calls to the workers
      * @param adviceClient calls to the advice service
      * @param logWriter receives the log events
+     * @param policies the scheduling policies
      */
     public record Setup(
             String entry,
@@ -80,7 +83,8 @@
             WorkflowStore store,
             WorkerApi workers,
             AdviceClient adviceClient,
-            LogEventWriter logWriter) {}
+            LogEventWriter logWriter,
+            SchedulingPolicies policies) {}
 
     private final Setup setup;
     private final ReducerLoop<WorkflowState, WorkflowEvent, WorkflowEffect> loop;
@@ -95,7 +99,11 @@
         this.loop =
                 ReducerLoop.of(
                         new ReducerLoop.Setup<>(
-                                WorkflowState.initial(setup.entry(), setup.processorMillicores()),
+                                WorkflowState.initial(
+                                        setup.entry(),
+                                        setup.processorMillicores(),
+                                        setup.policies(),
+                                        Evacuations.NONE),
                                 WorkflowDaemon::reduce,
                                 now -> new WorkflowEvent.Tick(now, System.currentTimeMillis()),
                                 MAX_TICK_INTERVAL_MILLIS,
--- a/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
@@ -26,6 +26,7 @@
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration;
 import org.jujubefork.core.workflow.LeaderRecord;
+import org.jujubefork.core.workflow.SchedulingPolicies;
 import org.jujubefork.core.workflow.SilentWorkers;
 import org.jujubefork.core.workflow.StepDefinition;
 import org.jujubefork.core.workflow.StepKey;
@@ -254,7 +255,15 @@
             throws IOException {
         return WorkflowDaemon.start(
                 new WorkflowDaemon.Setup(
-                        "e", 1_000, address, Clock.SYSTEM, store, workers, advice, logWriter));
+                        "e",
+                        1_000,
+                        address,
+                        Clock.SYSTEM,
+                        store,
+                        workers,
+                        advice,
+                        logWriter,
+                        SchedulingPolicies.DEFAULT));
     }
 
     private static PrintStream noOutput() {
