Start nothing in evacuated zones

Cause: operators need a way to keep starts away from the workers of a zone, and every entry has to know the evacuations before it starts a task, also after a takeover.

Change: the reducer keeps the evacuated zones and the age of this view. Workers of an evacuated zone, and all workers while the view is too old, are not open for starts. What a read shows is applied in the same event: tasks that are assigned and not started are released. A view adds every zone that it shows and removes only zones that were known before its read was sent, so that neither a late watch response nor the read of a claim hides an evacuation. The claim's read counts as confirmed when the claim was sent. A pause discards the confirmation. New jobs of a service whose zones are all evacuated are rejected. Cold workers are used after warm ones.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceCandidates.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceCandidates.java
@@ -37,13 +37,20 @@
         }
     }
 
+    /** Workers with a free place first, and warm ones among them before cold ones. */
+    private static final Comparator<Option> WARM_WITH_PLACES_FIRST =
+            Comparator.comparing((Option o) -> o.freePlaces() == 0)
+                    .thenComparing(o -> o.node().listing().coldLeftMillis() > 0);
+
     /** Workers with the most free places first, so that a gang finds entire workers. */
     private static final Comparator<Option> FOR_GANGS =
-            Comparator.comparingLong((Option o) -> -o.freePlaces()).thenComparing(Option::spread);
+            WARM_WITH_PLACES_FIRST
+                    .thenComparing(o -> -o.freePlaces())
+                    .thenComparing(Option::spread);
 
     /** Workers with a free place first; the others spread the load of concurrent steps. */
     private static final Comparator<Option> FOR_SINGLE_TASKS =
-            Comparator.comparing((Option o) -> o.freePlaces() == 0).thenComparing(Option::spread);
+            WARM_WITH_PLACES_FIRST.thenComparing(Option::spread);
 
     private AdviceCandidates() {}
 
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceChoice.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceChoice.java
@@ -129,6 +129,6 @@
         }
         return capacity.hasEligibleWorker(candidate)
                 ? WaitReason.ADVICE_NOT_REQUESTED
-                : WaitReason.NO_WORKER;
+                : capacity.noWorkerReason(candidate);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -142,7 +142,7 @@
         Leadership leadership = state.leadership();
         long revision = leadership.leaderRecord().map(LeaderRecord::revision).orElse(0L);
         long term = leadership.leaderRecord().map(LeaderRecord::term).orElse(0L) + 1;
-        return WorkflowTransition.of(state.with(leadership.withClaim(true, 0)))
+        return WorkflowTransition.of(state.with(leadership.withClaimSent(state.now())))
                 .with(new WorkflowEffect.Claim(revision, term))
                 .with(
                         WorkflowEffect.LogEvent.of(
@@ -295,6 +295,7 @@
                                         next.workers().size(),
                                         "silent",
                                         next.commitQueue().storedSilentWorkers().size()));
+        result = result.then(s -> ZoneEvacuation.readByClaim(s, won.snapshot().evacuations()));
         // The shutdown may have begun while the claim was in flight.
         return next.leadership().resigning() ? result.then(Election::resign) : result;
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -41,7 +41,8 @@
                                 previousNode.withListing(previousNode.listing(), false));
             }
         }
-        return result.withState(state.withWorkers(workers).withPlacementDue(true));
+        return result.withState(state.withWorkers(workers).withPlacementDue(true))
+                .then(s -> ZoneEvacuation.noteUnknownZones(state, s));
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -19,6 +19,9 @@
     /** Retry-after time when the store does not answer. */
     private static final long STORE_RETRY_AFTER_MILLIS = 1_000;
 
+    /** Retry-after time when all workers of the service are in evacuated zones. */
+    private static final long EVACUATED_RETRY_AFTER_MILLIS = 5_000;
+
     /** Bounds of a retry-after time that is derived from the backlog. */
     private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
 
@@ -54,6 +57,9 @@
         if (queue.isEmpty()) {
             return new Decision.Accept();
         }
+        if (ZoneEvacuation.isServiceEvacuated(state, queue.get().service())) {
+            return new Decision.Reject("zones-evacuated", EVACUATED_RETRY_AFTER_MILLIS, false);
+        }
         long waitMillis =
                 state.backlogs().expectedWaitMillis(queue.get().service(), queue.get().priority());
         if (!withinShare && state.backlogs().hasBacklog(queue.get().service())) {
--- a/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Leadership.java
@@ -22,6 +22,7 @@
  * @param resigning whether this entry is shutting down and must not lead again
  * @param successionPosition the position of this entry among those that replace the leader, -1 if
  *     the leader has not announced it
+ * @param claimSentAt when the newest attempt to become the leader was sent
  * @param confirmableSince only answers to store reads sent at or after this time confirm the leader
  */
 public record Leadership(
@@ -37,11 +38,12 @@
         long nextClaimAt,
         boolean resigning,
         int successionPosition,
+        long claimSentAt,
         long confirmableSince) {
     /** Leadership as known to an entry that has not read the store yet. */
     public static final Leadership NONE =
             new Leadership(
-                    false, Optional.empty(), -1, -1, -1, -1, -1, -1, false, 0, false, -1, -1);
+                    false, Optional.empty(), -1, -1, -1, -1, -1, -1, false, 0, false, -1, 0, -1);
 
     /**
      * Returns a copy after the store returned {@code leader} for a read that was sent at {@code
@@ -144,6 +146,15 @@
         return next.build();
     }
 
+    /** Returns a copy after an attempt to become the leader was sent at {@code at}. */
+    public Leadership withClaimSent(long at) {
+        Builder next = new Builder(this);
+        next.claimInFlight = true;
+        next.nextClaimAt = 0;
+        next.claimSentAt = at;
+        return next.build();
+    }
+
     /** Returns a copy in which this entry no longer leads. */
     public Leadership withLeadershipLost() {
         Builder next = new Builder(this);
@@ -172,6 +183,7 @@
         private long nextClaimAt;
         private boolean resigning;
         private int successionPosition;
+        private long claimSentAt;
         private long confirmableSince;
 
         Builder(Leadership from) {
@@ -187,6 +199,7 @@
             this.nextClaimAt = from.nextClaimAt();
             this.resigning = from.resigning();
             this.successionPosition = from.successionPosition();
+            this.claimSentAt = from.claimSentAt();
             this.confirmableSince = from.confirmableSince();
         }
 
@@ -204,6 +217,7 @@
                     nextClaimAt,
                     resigning,
                     successionPosition,
+                    claimSentAt,
                     confirmableSince);
         }
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -27,6 +27,9 @@
      */
     private static final double REMOTE_DATA_PENALTY = 10;
 
+    /** Score penalty for a cold worker, so that all warm workers go before it. */
+    private static final double COLD_PENALTY = 2 * REMOTE_DATA_PENALTY;
+
     /**
      * Maximum fraction of the usable workers of a service that may be reserved for gangs that do
      * not fit yet.
@@ -52,6 +55,7 @@
     private final Map<String, Resources> freeByWorker = new HashMap<>();
     private final Map<StepKey, Map<String, Integer>> newTasksByStep = new HashMap<>();
     private final Map<String, WorkerNode> usableWorkers = new HashMap<>();
+    private final List<WorkerNode> evacuatedWorkers = new ArrayList<>();
     private final Set<String> reservedWorkers = new HashSet<>();
     private final List<Candidate> unplacedCandidates = new ArrayList<>();
     private final Map<String, Resources> capacityByService = new HashMap<>();
@@ -80,6 +84,9 @@
                 result.capacityByService.merge(service, node.listing().capacity(), Resources::plus);
                 result.allocatedByService.merge(
                         service, node.listing().capacity().minus(freeCapacity), Resources::plus);
+            } else if (state.evacuations().covers(node.listing().zone())
+                    && node.isUsable(state.now())) {
+                result.evacuatedWorkers.add(node);
             }
         }
         return result;
@@ -124,7 +131,7 @@
             return teamLimitReason(candidate, count);
         }
         if (runnableWorkers(candidate).isEmpty()) {
-            return hasEligibleWorker(candidate) ? WaitReason.NO_TICKET : WaitReason.NO_WORKER;
+            return hasEligibleWorker(candidate) ? WaitReason.NO_TICKET : noWorkerReason(candidate);
         }
         if (!fitsWhenIdle(candidate)) {
             return WaitReason.TOO_FEW_WORKERS;
@@ -172,6 +179,13 @@
         return usableWorkers.values().stream().anyMatch(n -> isEligible(candidate, n));
     }
 
+    /** Returns why no usable worker could run the step. */
+    WaitReason noWorkerReason(Candidate candidate) {
+        return evacuatedWorkers.stream().anyMatch(n -> isEligible(candidate, n))
+                ? WaitReason.ZONE_EVACUATED
+                : WaitReason.NO_WORKER;
+    }
+
     /** Returns how many tasks of the step have to start at the same time. */
     private static int concurrentTasks(Candidate candidate) {
         return candidate.definition().gang() ? candidate.definition().taskCount() : 1;
@@ -340,7 +354,9 @@
      */
     Optional<List<String>> allocateAll(Candidate candidate, int count) {
         if (candidate.definition().sameRack()) {
-            for (String allowedRacks : racks()) {
+            Set<String> racks = new LinkedHashSet<>();
+            usableWorkers.values().forEach(n -> racks.add(rackOf(n)));
+            for (String allowedRacks : racks) {
                 Optional<List<String>> inRack = allocateAll(candidate, count, Set.of(allowedRacks));
                 if (inRack.isPresent()) {
                     return inRack;
@@ -364,12 +380,6 @@
         return Optional.of(assignedWorkers);
     }
 
-    private Set<String> racks() {
-        Set<String> racks = new LinkedHashSet<>();
-        usableWorkers.values().forEach(n -> racks.add(rackOf(n)));
-        return racks;
-    }
-
     private static String rackOf(WorkerNode node) {
         return node.listing().rack();
     }
@@ -419,6 +429,7 @@
         Resources remainingCapacity =
                 freeByWorker.get(node.id()).minus(candidate.definition().chargedCapacity());
         double score = remainingCapacity.dominantShareOf(node.listing().capacity());
+        score += node.listing().coldLeftMillis() > 0 ? COLD_PENALTY : 0;
         String rack = candidate.definition().dataRack();
         return rack.isEmpty() || rack.equals(rackOf(node)) ? score : score + REMOTE_DATA_PENALTY;
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -393,7 +393,7 @@
      * Releases the capacity of the tasks of {@code key} that are assigned to {@code workers} and
      * have not been started, so that they are placed again.
      */
-    private static WorkflowTransition unassign(
+    static WorkflowTransition unassign(
             WorkflowState state, StepKey key, Predicate<String> workers) {
         WorkflowTransition result = WorkflowTransition.of(state.withPlacementDue(true));
         PVector<Task> tasks = state.jobs().get(key.job()).progress(key).tasks();
--- a/core/src/main/java/org/jujubefork/core/workflow/WaitReason.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WaitReason.java
@@ -27,6 +27,8 @@
     TEAM_LIMIT_UNKNOWN_USAGE,
     /** No usable worker of the service has the required label and size. */
     NO_WORKER,
+    /** Only workers in evacuated zones could run the step. */
+    ZONE_EVACUATED,
     /** Usable workers could run the step, but it has a ticket for none of them. */
     NO_TICKET,
     /** The workers that may run the gang cannot hold all of its tasks even when they are idle. */
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -35,6 +35,8 @@
      * @param rack the rack that the labels name, empty if they name none
      * @param born the start of the process that wrote the record, in Unix milliseconds; 0 if the
      *     record does not tell
+     * @param coldLeftMillis how long the worker will still be slow after its start, in
+     *     milliseconds; 0 for a warm worker
      */
     public record Listing(
             String id,
@@ -45,16 +47,40 @@
             Resources capacity,
             List<String> labels,
             String rack,
-            long born) {
+            long born,
+            long coldLeftMillis) {
         /** Copies the labels. */
         public Listing {
             labels = List.copyOf(labels);
         }
 
+        /** Creates the record of a warm worker. */
+        public Listing(
+                String id,
+                String service,
+                String address,
+                String zone,
+                boolean draining,
+                Resources capacity,
+                List<String> labels,
+                String rack,
+                long born) {
+            this(id, service, address, zone, draining, capacity, labels, rack, born, 0);
+        }
+
         /** Returns a copy of a record that the incarnation {@code newBorn} has written. */
         public Listing withBorn(long newBorn) {
             return new Listing(
-                    id, service, address, zone, draining, capacity, labels, rack, newBorn);
+                    id,
+                    service,
+                    address,
+                    zone,
+                    draining,
+                    capacity,
+                    labels,
+                    rack,
+                    newBorn,
+                    coldLeftMillis);
         }
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.PVector;
 
@@ -39,6 +40,16 @@
     record ConfigurationRead(long at, long sentAt, Optional<CellConfiguration> configuration)
             implements WorkflowEvent {}
 
+    /**
+     * A watch of the store has returned the operators' requests to evacuate zones, changed or not.
+     *
+     * @param at when the answer arrived
+     * @param sentAt when the read was sent; it shows all requests that were written before
+     * @param zones all requests, by zone
+     */
+    record EvacuationsRead(long at, long sentAt, PMap<String, EvacuationRequest> zones)
+            implements WorkflowEvent {}
+
     /**
      * The store has returned the record of the leader.
      *
@@ -361,17 +372,29 @@
      * @param finished the jobs that have ended
      * @param fleet the workers on which earlier leaders may have started runs
      * @param silentWorkers the newest record of silent workers
+     * @param evacuations the requests to evacuate zones, by zone; empty in deployments without
+     *     evacuations
      */
     record Snapshot(
             List<Job> jobs,
             List<FinishedJob> finished,
             List<WorkerNode.Listing> fleet,
-            SilentWorkers silentWorkers) {
+            SilentWorkers silentWorkers,
+            PMap<String, EvacuationRequest> evacuations) {
         /** Copies the lists. */
         public Snapshot {
             jobs = List.copyOf(jobs);
             finished = List.copyOf(finished);
             fleet = List.copyOf(fleet);
         }
+
+        /** Creates the contents of a store without requests to evacuate zones. */
+        public Snapshot(
+                List<Job> jobs,
+                List<FinishedJob> finished,
+                List<WorkerNode.Listing> fleet,
+                SilentWorkers silentWorkers) {
+            this(jobs, finished, fleet, silentWorkers, HashTreePMap.empty());
+        }
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -36,6 +36,7 @@
         return switch (event) {
             case Tick e -> tick(state.withWallTime(e.wallMillis()));
             case WorkflowEvent.ConfigurationRead e -> configurationRead(state, e);
+            case WorkflowEvent.EvacuationsRead e -> ZoneEvacuation.read(state, e);
             case WorkflowEvent.LeaderRead e -> Election.leaderRead(state, e);
             case WorkflowEvent.LeaderSignalReceived e -> Election.leaderSignalReceived(state, e);
             case WorkflowEvent.ClaimCompleted e -> Election.claimCompleted(state, e);
@@ -54,10 +55,11 @@
     }
 
     /**
-     * Discards the store's confirmation of the leadership after a pause, so that the store has to
-     * confirm the leadership before the next command. Another entry may lead by now, and a worker
-     * that has restarted does not know the fencing token of that leader, so it would accept a
-     * command of this entry. When a VM was suspended, only the wall clock shows the pause.
+     * Discards the store's confirmations of the leadership and of the evacuations after a pause, so
+     * that the store has to confirm the leadership before the next command. Another entry may lead
+     * by now, and a worker that has restarted does not know the fencing token of that leader, so it
+     * would accept a command of this entry. When a VM was suspended, only the wall clock shows the
+     * pause.
      */
     private static WorkflowState detectPause(WorkflowState state, Tick tick) {
         long gapMillis = tick.at() - state.now();
@@ -67,6 +69,7 @@
                 gapMillis > MAX_TICK_GAP_MILLIS || Math.abs(wallGapMillis) > MAX_TICK_GAP_MILLIS;
         return hasWallTime && paused
                 ? state.with(state.leadership().withoutConfirmation(tick.at()))
+                        .with(state.evacuations().withoutConfirmation(tick.at()))
                 : state;
     }
 
@@ -75,7 +78,8 @@
         if (!result.state().leadership().leads()) {
             return result;
         }
-        return result.then(Schedules::makeOccurrencesDue)
+        return result.then(ZoneEvacuation::noteFreshness)
+                .then(Schedules::makeOccurrencesDue)
                 .then(WorkflowReducer::checkFleetIfDue)
                 .then(CallHandler::rejectUnsent)
                 .then(CommitWriter::forgetOldJobs)
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -108,11 +108,12 @@
 
     /**
      * Returns whether new tasks may start on {@code worker}: it can take them, the store records it
-     * as a worker in use, and its leases end in time if it is lost.
+     * as a worker in use, its zone is not evacuated, and its leases end in time if it is lost.
      */
     boolean isOpenForStarts(WorkerNode worker) {
         return commitQueue.isOpenForStarts(worker.id())
                 && worker.isUsable(now)
+                && evacuations.allowsStarts(worker.listing().zone(), now)
                 && Fleet.areLeasesBounded(this, worker);
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
 import org.jujubefork.core.workflow.WorkflowEvent.CommandOutcome;
@@ -26,13 +27,14 @@
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, Long> startedAt = new HashMap<>();
     private final List<WorkflowEffect.Commit> commits = new ArrayList<>();
-    private WorkflowState state = WorkflowState.initial("e0", 1_000);
+    private WorkflowState state;
     private long now = 100_000;
     private long revision = 10;
     private long nextRequestId = 1;
     private int takenAdviceRequestCount;
 
-    private LeaderFixture(CellConfiguration configuration) {
+    private LeaderFixture(CellConfiguration configuration, Evacuations evacuations) {
+        state = WorkflowState.initial("e0", 1_000, SchedulingPolicies.DEFAULT, evacuations);
         post(new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
     }
 
@@ -41,15 +43,25 @@
      * store.
      */
     static LeaderFixture leading(CellConfiguration configuration, WorkflowEvent.Snapshot snapshot) {
-        LeaderFixture fixture = new LeaderFixture(configuration);
-        fixture.tick();
-        LeaderRecord record = new LeaderRecord("e0", "e0", 2, fixture.revision, true);
-        fixture.post(
-                new WorkflowEvent.ClaimCompleted(
-                        fixture.now, new WorkflowEvent.ClaimResult.Won(record, snapshot)));
+        LeaderFixture fixture = following(configuration, Evacuations.NONE);
+        fixture.winClaim(snapshot);
         return fixture;
     }
 
+    /** Returns a fixture whose entry has the configuration and does not lead yet. */
+    static LeaderFixture following(CellConfiguration configuration, Evacuations evacuations) {
+        return new LeaderFixture(configuration, evacuations);
+    }
+
+    /** Lets the entry claim leadership, and win with {@code snapshot} read from the store. */
+    void winClaim(WorkflowEvent.Snapshot snapshot) {
+        tick();
+        LeaderRecord record = new LeaderRecord("e0", "e0", 2, revision, true);
+        post(
+                new WorkflowEvent.ClaimCompleted(
+                        now, new WorkflowEvent.ClaimResult.Won(record, snapshot)));
+    }
+
     static CellConfiguration configuration(double weight) {
         return configuration(weight, Resources.ZERO);
     }
@@ -193,9 +205,14 @@
 
     /** Reports a worker list that contains {@code ids}, of which {@code draining} drains. */
     void listDraining(String draining, String... ids) {
+        list(Stream.of(ids).map(id -> worker(id, id.equals(draining))).toList());
+    }
+
+    /** Reports {@code workers} as the worker list. */
+    void list(List<WorkerNode.Listing> workers) {
         PMap<String, WorkerNode.Listing> listings = HashTreePMap.empty();
-        for (String id : ids) {
-            listings = listings.plus(id, worker(id, id.equals(draining)));
+        for (WorkerNode.Listing worker : workers) {
+            listings = listings.plus(worker.id(), worker);
         }
         post(new WorkflowEvent.WorkersListed(now, listings));
     }
