Follow the operators' requests to evacuate zones on the platform

Cause: the reducer knows evacuations, but no entry read them from the store.

Change: the setting evacuationMillis, which the template sets where the platform states bounds.evac_ms, widens the watch of op/config to op/ and adds a read of op/evacuate/ to a claim that has won. Without it the calls to the store are the same as before. A configuration that cannot be used does not hide the requests. The simulation leaves the watch of a leader without an answer at times.

--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedEntry.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedEntry.java
@@ -20,6 +20,7 @@
     int boot;
 
     long frozenUntil;
+    long evacuationWatchSilentUntil;
     boolean partitionedFromStore;
 
     /** Whether the process runs. */
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedEvacuations.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedEvacuations.java
@@ -50,6 +50,13 @@
         requests.remove(zone);
     }
 
+    /** Leaves the watch calls of the leader without an answer for {@code millis}. */
+    void silenceWatchOfLeader(long millis) {
+        simulation
+                .leading()
+                .ifPresent(e -> e.evacuationWatchSilentUntil = simulation.now() + millis);
+    }
+
     private PMap<String, EvacuationRequest> view() {
         PMap<String, EvacuationRequest> view = HashTreePMap.empty();
         for (Map.Entry<String, Written> request : requests.entrySet()) {
@@ -86,7 +93,11 @@
     }
 
     private void answerWatch(SimulatedEntry entry, int boot, long sentAt) {
-        if (simulation.storeDown || entry.partitionedFromStore || simulation.randomly(0.02)) {
+        boolean isSilent =
+                simulation.storeDown
+                        || entry.partitionedFromStore
+                        || entry.evacuationWatchSilentUntil > simulation.now();
+        if (isSilent || simulation.randomly(0.02)) {
             simulation.after(WATCH_RETRY_MILLIS, () -> watch(entry, boot));
             return;
         }
--- a/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
@@ -68,6 +68,9 @@
             simulation.after(
                     Math.min(startMillis + durationMillis, FAULT_PHASE_MILLIS),
                     () -> simulation.evacuations.withdraw(zone));
+            simulation.after(
+                    simulation.random.nextInt((int) FAULT_PHASE_MILLIS),
+                    () -> simulation.evacuations.silenceWatchOfLeader(MAX_EVACUATION_MILLIS));
         }
         play(simulation);
     }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import org.jujubefork.config.settings.HostPort;
-import org.jujubefork.core.workflow.CellConfiguration;
 import org.jujubefork.core.workflow.Evacuations;
 import org.jujubefork.core.workflow.LeaderRecord;
 import org.jujubefork.core.workflow.SchedulingPolicies;
@@ -35,6 +34,9 @@
     /** How long a watch call for the configuration waits for a change. */
     private static final Duration CONFIGURATION_WATCH_WAIT = Duration.ofMillis(1_200);
 
+    /** Minimum number of watch calls within the maximum age of the view of the evacuations. */
+    private static final int WATCHES_PER_EVACUATION_AGE = 3;
+
     /** How long a follower's watch call for the leader's record waits for a change. */
     private static final Duration LEADER_WATCH_WAIT = Duration.ofMillis(1_000);
 
@@ -74,6 +76,7 @@
      * @param adviceClient calls to the advice service
      * @param logWriter receives the log events
      * @param policies the scheduling policies
+     * @param evacuations no evacuated zones, with the bound that the settings give
      */
     public record Setup(
             String entry,
@@ -84,7 +87,8 @@
             WorkerApi workers,
             AdviceClient adviceClient,
             LogEventWriter logWriter,
-            SchedulingPolicies policies) {}
+            SchedulingPolicies policies,
+            Evacuations evacuations) {}
 
     private final Setup setup;
     private final ReducerLoop<WorkflowState, WorkflowEvent, WorkflowEffect> loop;
@@ -103,7 +107,7 @@
                                         setup.entry(),
                                         setup.processorMillicores(),
                                         setup.policies(),
-                                        Evacuations.NONE),
+                                        setup.evacuations()),
                                 WorkflowDaemon::reduce,
                                 now -> new WorkflowEvent.Tick(now, System.currentTimeMillis()),
                                 MAX_TICK_INTERVAL_MILLIS,
@@ -140,7 +144,7 @@
                                 setup.logWriter()),
                         this::onLeaderChanged);
         loop.start(effects);
-        executor.execute(this::watchConfiguration);
+        executor.execute(this::watchOperators);
         executor.execute(this::watchLeader);
         executor.execute(this::renewLease);
         executor.execute(this::watchWorkers);
@@ -240,21 +244,37 @@
         }
     }
 
-    private void watchConfiguration() {
-        WorkflowStore.Watch<Optional<CellConfiguration>> watch = setup.store().watchConfiguration();
+    private void watchOperators() {
+        WorkflowStore.Watch<OperatorRecords> watch = setup.store().watchOperators();
+        Duration maxWait = operatorsWatchWait(setup.evacuations());
         repeat(
                 "store-configuration",
                 previousFailed -> {
                     long sentAt = now();
-                    Optional<CellConfiguration> configuration =
-                            watch.next(
-                                    previousFailed
-                                            ? WATCH_WAIT_AFTER_FAILURE
-                                            : CONFIGURATION_WATCH_WAIT);
-                    loop.post(new WorkflowEvent.ConfigurationRead(now(), sentAt, configuration));
+                    OperatorRecords records =
+                            watch.next(previousFailed ? WATCH_WAIT_AFTER_FAILURE : maxWait);
+                    records.evacuations()
+                            .ifPresent(
+                                    zones ->
+                                            loop.post(
+                                                    new WorkflowEvent.EvacuationsRead(
+                                                            now(), sentAt, zones)));
+                    loop.post(
+                            new WorkflowEvent.ConfigurationRead(
+                                    now(), sentAt, records.usableConfiguration()));
                 });
     }
 
+    /**
+     * Returns how long a watch call waits for a change. The view of the evacuations is up to two
+     * waits old, and must not reach its maximum age because of a single slow answer.
+     */
+    private static Duration operatorsWatchWait(Evacuations evacuations) {
+        Duration maxWait =
+                Duration.ofMillis(evacuations.maxAgeMillis() / WATCHES_PER_EVACUATION_AGE);
+        return maxWait.compareTo(CONFIGURATION_WATCH_WAIT) < 0 ? maxWait : CONFIGURATION_WATCH_WAIT;
+    }
+
     private void watchLeader() {
         WorkflowStore.Watch<Optional<LeaderRecord>> watch = setup.store().watchLeader();
         repeat(
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowStore.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowStore.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Optional;
-import org.jujubefork.core.workflow.CellConfiguration;
 import org.jujubefork.core.workflow.LeaderRecord;
 import org.jujubefork.core.workflow.WorkerNode;
 import org.jujubefork.core.workflow.WorkflowEffect;
@@ -19,7 +18,8 @@
 public interface WorkflowStore {
     /**
      * Tries to make {@code entry} the leader by replacing the leader's record, and on success reads
-     * the stored jobs and workers.
+     * the stored jobs and workers and, in deployments with evacuations, the requests to evacuate
+     * zones. A claim whose reads fail counts as not won.
      *
      * @param claim the revision that the replaced record must have, and the new term
      * @param entry the name of the entry that claims leadership
@@ -37,10 +37,10 @@
     Watch<Optional<LeaderRecord>> watchLeader();
 
     /**
-     * Returns a new watch on the operators' configuration. Its value is empty if the configuration
-     * does not exist or has not changed since the previous call.
+     * Returns a new watch on the operators' configuration and, in deployments with evacuations, on
+     * their requests to evacuate zones.
      */
-    Watch<Optional<CellConfiguration>> watchConfiguration();
+    Watch<OperatorRecords> watchOperators();
 
     /** Returns a new watch on the list of workers, by identifier. */
     Watch<PMap<String, WorkerNode.Listing>> watchWorkers();
--- a/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
@@ -25,6 +25,7 @@
 import org.jujubefork.config.settings.HostPort;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration;
+import org.jujubefork.core.workflow.Evacuations;
 import org.jujubefork.core.workflow.LeaderRecord;
 import org.jujubefork.core.workflow.SchedulingPolicies;
 import org.jujubefork.core.workflow.SilentWorkers;
@@ -116,11 +117,11 @@
         }
 
         @Override
-        public Watch<Optional<CellConfiguration>> watchConfiguration() {
+        public Watch<OperatorRecords> watchOperators() {
             return maxWait -> {
                 failures.check("watch-configuration");
                 sleep(maxWait);
-                return Optional.of(configuration());
+                return OperatorRecords.of(Optional.of(configuration()));
             };
         }
 
@@ -263,7 +264,8 @@
                         workers,
                         advice,
                         logWriter,
-                        SchedulingPolicies.DEFAULT));
+                        SchedulingPolicies.DEFAULT,
+                        Evacuations.NONE));
     }
 
     private static PrintStream noOutput() {
