Show operators the evacuated zones

Cause: operators could not see whether an evacuation is known and when a zone is empty.

An entry that does not lead names the leader.

--- a/client/src/main/java/org/jujubefork/client/api/ApiClient.java
+++ b/client/src/main/java/org/jujubefork/client/api/ApiClient.java
@@ -144,6 +144,15 @@
         return call(ApiCall.get(ApiPaths.STATUS), StatusView.class);
     }
 
+    /** Returns the evacuated zones as the responding entry on the platform knows them. */
+    public EvacuationsView evacuations()
+            throws ApiException,
+                    NotReachableException,
+                    InvalidMessageException,
+                    InterruptedException {
+        return call(ApiCall.get(ApiPaths.EVACUATIONS), EvacuationsView.class);
+    }
+
     /** Returns the workers of all shards whose owners responded. */
     public WorkersView workers()
             throws ApiException,
--- a/client/src/main/java/org/jujubefork/client/api/ApiPaths.java
+++ b/client/src/main/java/org/jujubefork/client/api/ApiPaths.java
@@ -14,6 +14,9 @@
     /** Reads or changes the configuration texts. */
     public static final String CONFIG = "/v1/admin/config";
 
+    /** Shows the evacuated zones; served by entries on the platform. */
+    public static final String EVACUATIONS = "/v1/evacuations";
+
     /** Status of the cell as seen by one entry. */
     public static final String STATUS = "/v1/admin/status";
 
--- a/ctl/src/main/java/org/jujubefork/ctl/operator/Jujubectl.java
+++ b/ctl/src/main/java/org/jujubefork/ctl/operator/Jujubectl.java
@@ -12,6 +12,7 @@
                             ConfigCommands.specs(),
                             KeyAndTeamCommands.specs(),
                             ViewCommands.specs(),
+                            EvacuationCommand.specs(),
                             TraceCommand.specs())
                     .flatMap(List::stream)
                     .toList();
--- a/ctl/src/test/java/org/jujubefork/ctl/operator/JujubectlTest.java
+++ b/ctl/src/test/java/org/jujubefork/ctl/operator/JujubectlTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import org.jujubefork.client.api.ApplyResult;
 import org.jujubefork.client.api.DrainView;
+import org.jujubefork.client.api.EvacuationsView;
 import org.jujubefork.client.api.ExplainView;
 import org.jujubefork.client.api.MissingShardsView;
 import org.jujubefork.client.api.RejectedView;
@@ -69,6 +70,26 @@
         return file.toString();
     }
 
+    /** Guards against figures of a follower, which knows no tasks, that pass as those of a zone. */
+    @Test
+    public void evacuationsNameTheLeader() {
+        cell.setAnswers(
+                Map.of(
+                        "GET /v1/evacuations",
+                        new EvacuationsView(
+                                "e1",
+                                true,
+                                false,
+                                "10.0.0.1:7420",
+                                true,
+                                List.of(new EvacuationsView.ZoneView("z-a", 1_500, 0, 0, 0)))));
+        SimulatedCell.Result result = run("evacuations", "--daemon", cell.address());
+        assertEquals(result.code(), ExitCode.OK, result.err());
+        assertTrue(result.out().contains("10.0.0.1:7420"), result.out());
+        assertTrue(result.out().contains("z-a"), result.out());
+        assertEquals(run("evacuations").code(), ExitCode.USAGE);
+    }
+
     @Test
     public void everyCommandHasHelp() {
         for (CommandSpec spec : Jujubectl.program().commands()) {
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.EvacuatedZone;
 import org.jujubefork.core.workflow.Job;
 import org.jujubefork.core.workflow.WaitReason;
 import org.jujubefork.core.workflow.WaitingSteps;
@@ -177,9 +178,26 @@
                 "team",
                 state,
                 WorkflowMetrics::cpuByTeam);
+        gauge(
+                "jujube_evacuated_zones",
+                "Zones in which no task is started.",
+                state,
+                s -> s.evacuations().zones().size());
+        labelledGauge(
+                "jujube_evacuated_zone_tasks",
+                "Runs in an evacuated zone that may be active, by zone.",
+                "zone",
+                state,
+                WorkflowMetrics::tasksByEvacuatedZone);
         registerWaitingGauges(state, now);
     }
 
+    private static Map<String, Double> tasksByEvacuatedZone(WorkflowState state) {
+        Map<String, Double> tasks = new HashMap<>();
+        EvacuatedZone.of(state).forEach(z -> tasks.put(z.zone(), (double) z.running()));
+        return tasks;
+    }
+
     private void registerWaitingGauges(Supplier<WorkflowState> state, LongSupplier now) {
         labelledGauge(
                 "jujube_waiting_steps",
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.Evacuations;
+import org.jujubefork.core.workflow.TaskKey;
 import org.jujubefork.core.workflow.WaitReason;
 import org.jujubefork.core.workflow.WaitingSteps;
 import org.jujubefork.core.workflow.WorkerNode;
@@ -93,4 +95,38 @@
         assertLine(page, "jujube_unreached_workers 1.0");
         assertLine(page, "jujube_reserved_workers 3.0");
     }
+
+    /** Guards against an evacuated zone whose running tasks operators can't see. */
+    @Test
+    public void evacuatedZonesAreShownWithTheirTasks() throws IOException {
+        WorkflowMetrics metrics = WorkflowMetrics.create();
+        WorkerNode.Listing worker =
+                new WorkerNode.Listing(
+                        "w", "s", "w:1", "z", false, Resources.of(1, 1, 0), List.of(), "", 0);
+        WorkerNode.Charge started =
+                new WorkerNode.Charge(1, Resources.of(1, 1, 0), Optional.of("t"), 5, false, 5);
+        Evacuations evacuations = Evacuations.notRead(5_000);
+        WorkflowState state =
+                WorkflowState.initial("e", 1_000)
+                        .with(
+                                WorkerNode.listed(worker)
+                                        .withCharge(new TaskKey("j", 0, 0, 0), started))
+                        .with(
+                                new Evacuations(
+                                        HashTreePMap.<String, Long>empty()
+                                                .plus("z", 7L)
+                                                .plus("y", 8L),
+                                        HashTreePMap.empty(),
+                                        true,
+                                        9,
+                                        9,
+                                        evacuations.maxAgeMillis(),
+                                        false));
+        metrics.registerStateGauges(() -> state, () -> 4_000);
+        String page = metricsPage(metrics);
+        assertLine(page, "jujube_evacuated_zones 2.0");
+        assertLine(page, "jujube_evacuated_zone_tasks{zone=\"z\"} 1.0");
+        assertLine(page, "jujube_evacuated_zone_tasks{zone=\"y\"} 0.0");
+        assertLine(page, "jujube_waiting_steps{reason=\"zone-evacuated\"} 0.0");
+    }
 }
