Move service tasks out of evacuated zones

Cause: tasks of services would stay in an evacuated zone for as long as they run, although their step states how many of them may be missing.

Change: after each placement pass the leader stops tasks of services in evacuated zones, as long as no more tasks of the step than may_miss are unavailable for any cause and another worker has room. A pause that the monotonic clock shows no longer discards the view of the evacuations, because its age includes the pause.

--- a/core/src/main/java/org/jujubefork/core/workflow/StepDefinition.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/StepDefinition.java
@@ -21,6 +21,8 @@
  * @param writesCheckpoints whether the tasks write checkpoints from which they can resume
  * @param service whether the tasks run until the job is cancelled
  * @param usesIdleCpu whether the tasks use only CPU time that other tasks leave idle
+ * @param mayMiss how many tasks of a service the system may make unavailable at the same time, 0
+ *     for steps that are no services
  */
 public record StepDefinition(
         int taskCount,
@@ -35,7 +37,8 @@
         boolean speculative,
         boolean writesCheckpoints,
         boolean service,
-        boolean usesIdleCpu) {
+        boolean usesIdleCpu,
+        int mayMiss) {
     /** Checks that there is at least one task and that the task size is not negative. */
     public StepDefinition {
         if (taskCount < 1) {
@@ -48,6 +51,60 @@
         dependencies = List.copyOf(dependencies);
         requireNonNull(requiredLabel, "requiredLabel");
         requireNonNull(dataRack, "dataRack");
+        if (mayMiss < 0 || (mayMiss > 0 && !service)) {
+            throw new IllegalArgumentException("mayMiss is " + mayMiss + ", service: " + service);
+        }
+    }
+
+    /** Creates a step of which the system may make no task unavailable. */
+    public StepDefinition(
+            int taskCount,
+            Resources size,
+            long estimateMillis,
+            List<Integer> dependencies,
+            boolean gang,
+            boolean sameRack,
+            String requiredLabel,
+            String dataRack,
+            int maxPerWorker,
+            boolean speculative,
+            boolean writesCheckpoints,
+            boolean service,
+            boolean usesIdleCpu) {
+        this(
+                taskCount,
+                size,
+                estimateMillis,
+                dependencies,
+                gang,
+                sameRack,
+                requiredLabel,
+                dataRack,
+                maxPerWorker,
+                speculative,
+                writesCheckpoints,
+                service,
+                usesIdleCpu,
+                0);
+    }
+
+    /** Returns a copy with {@code other} as the number of tasks that a service may miss. */
+    public StepDefinition withMayMiss(int other) {
+        return new StepDefinition(
+                taskCount,
+                size,
+                estimateMillis,
+                dependencies,
+                gang,
+                sameRack,
+                requiredLabel,
+                dataRack,
+                maxPerWorker,
+                speculative,
+                writesCheckpoints,
+                service,
+                usesIdleCpu,
+                other);
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -262,6 +262,8 @@
      *     that command
      * @param stopping whether a stop command was sent
      * @param sentAt when the newest command was sent, -1 if none was sent
+     * @param fullSpeed whether the worker has reported the run at full speed; recorded only for
+     *     tasks of services that can be moved
      */
     public record Charge(
             long runNumber,
@@ -269,10 +271,27 @@
             Optional<String> team,
             long confirmedAt,
             boolean stopping,
-            long sentAt) {
+            long sentAt,
+            boolean fullSpeed) {
+        /** Creates the charge of a run that was not reported at full speed. */
+        public Charge(
+                long runNumber,
+                Resources size,
+                Optional<String> team,
+                long confirmedAt,
+                boolean stopping,
+                long sentAt) {
+            this(runNumber, size, team, confirmedAt, stopping, sentAt, false);
+        }
+
         /** Returns a copy whose newest command was confirmed at {@code at}. */
         public Charge withConfirmation(long at) {
-            return new Charge(runNumber, size, team, at, stopping, sentAt);
+            return new Charge(runNumber, size, team, at, stopping, sentAt, fullSpeed);
+        }
+
+        /** Returns a copy whose run was reported at full speed. */
+        Charge withFullSpeed() {
+            return new Charge(runNumber, size, team, confirmedAt, stopping, sentAt, true);
         }
 
         /** Returns a copy with a stop command sent at {@code at}. */
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
@@ -93,7 +93,9 @@
                     runningRun != null
                             && runningRun.runNumber() == taskAndCharge.getValue().runNumber();
             if (isReported) {
-                result = result.then(s -> confirmRun(s, event.worker(), key));
+                result =
+                        result.then(s -> confirmRun(s, event.worker(), key))
+                                .then(s -> ServiceMoves.noteSpeed(s, event.worker(), runningRun));
             } else if (isMissing(taskAndCharge.getValue(), event.sentAt())) {
                 long missingRun = taskAndCharge.getValue().runNumber();
                 result = result.then(s -> runMissing(s, event.worker(), key, missingRun));
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowReducer.java
@@ -67,10 +67,13 @@
         boolean hasWallTime = state.wallMillis() > 0;
         boolean paused =
                 gapMillis > MAX_TICK_GAP_MILLIS || Math.abs(wallGapMillis) > MAX_TICK_GAP_MILLIS;
-        return hasWallTime && paused
-                ? state.with(state.leadership().withoutConfirmation(tick.at()))
-                        .with(state.evacuations().withoutConfirmation(tick.at()))
-                : state;
+        if (!hasWallTime || !paused) {
+            return state;
+        }
+        // The age of the view of the evacuations includes a pause that the monotonic clock shows.
+        boolean isHidden = Math.abs(wallGapMillis - gapMillis) > MAX_TICK_GAP_MILLIS;
+        WorkflowState next = state.with(state.leadership().withoutConfirmation(tick.at()));
+        return isHidden ? next.with(next.evacuations().withoutConfirmation(tick.at())) : next;
     }
 
     private static WorkflowTransition tick(WorkflowState state) {
@@ -114,7 +117,9 @@
         boolean intervalPassed =
                 state.now() - state.lastPlacementAt() >= state.minPlacementIntervalMillis();
         return state.hasConfirmedLeadership() && isDue && intervalPassed
-                ? Placement.run(state.withPlacementDone()).then(AdviceDispatcher::dispatch)
+                ? Placement.run(state.withPlacementDone())
+                        .then(ServiceMoves::moveDue)
+                        .then(AdviceDispatcher::dispatch)
                 : WorkflowTransition.of(state);
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/EvacuationFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/EvacuationFixture.java
@@ -1,8 +1,10 @@
 package org.jujubefork.core.workflow;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.jujubefork.core.model.Resources;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -19,6 +21,10 @@
     private PMap<String, EvacuationRequest> requests = HashTreePMap.empty();
     private long nextRevision = 100;
     private boolean watchSilent;
+    private int confirmedStops;
+
+    /** Workers that report their runs at half speed. */
+    final Set<String> slowWorkers = new HashSet<>();
 
     private EvacuationFixture(LeaderFixture leader) {
         this.leader = leader;
@@ -147,10 +153,7 @@
     /** Returns the runs that were started on {@code worker} and not stopped. */
     List<WorkflowEvent.RunningRun> runs(String worker) {
         List<WorkflowEvent.WorkerCommand> stopped =
-                leader.effects.stream()
-                        .filter(WorkflowEffect.Stop.class::isInstance)
-                        .map(e -> ((WorkflowEffect.Stop) e).command())
-                        .toList();
+                stops().stream().map(WorkflowEffect.Stop::command).toList();
         return leader.starts().stream()
                 .map(WorkflowEffect.Start::command)
                 .filter(c -> c.worker().equals(worker))
@@ -161,10 +164,38 @@
                                                 s ->
                                                         s.task().equals(c.task())
                                                                 && s.runNumber() == c.runNumber()))
-                .map(c -> new WorkflowEvent.RunningRun(c.task(), c.runNumber(), "", 100))
+                .map(
+                        c ->
+                                new WorkflowEvent.RunningRun(
+                                        c.task(),
+                                        c.runNumber(),
+                                        "",
+                                        slowWorkers.contains(worker) ? 50 : 100))
                 .toList();
     }
 
+    /** Returns the stop commands that were sent. */
+    List<WorkflowEffect.Stop> stops() {
+        return leader.effects.stream()
+                .filter(WorkflowEffect.Stop.class::isInstance)
+                .map(WorkflowEffect.Stop.class::cast)
+                .toList();
+    }
+
+    /** Confirms the stop commands that were sent since the last call of this method. */
+    void confirmStops() {
+        List<WorkflowEffect.Stop> all = stops();
+        for (WorkflowEffect.Stop stop : all.subList(confirmedStops, all.size())) {
+            leader.post(
+                    new WorkflowEvent.CommandCompleted(
+                            leader.now(),
+                            stop.leaderFence(),
+                            stop.command(),
+                            WorkflowEvent.CommandOutcome.OK));
+        }
+        confirmedStops = all.size();
+    }
+
     /** Submits a job whose acceptance is stored. */
     void submit(String id, WorkflowDefinition definition) {
         leader.submit(id, definition);
--- a/core/src/test/java/org/jujubefork/core/workflow/TestSteps.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/TestSteps.java
@@ -27,6 +27,13 @@
         return step(1, size, 0, List.of(), false, true);
     }
 
+    /** Returns a step of {@code taskCount} service tasks. */
+    static StepDefinition persistent(int taskCount, Resources size, int mayMiss) {
+        return new StepDefinition(
+                taskCount, size, 0, List.of(), false, false, "", "", 0, false, false, true, false,
+                mayMiss);
+    }
+
     private static StepDefinition step(
             int taskCount,
             Resources size,
--- a/entry/src/main/java/org/jujubefork/entry/workflow/RecordCodec.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/RecordCodec.java
@@ -279,7 +279,7 @@
         return Resources.of(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
     }
 
-    /** Writes {@code definition} to {@code packer}. */
+    /** Writes {@code definition} to {@code packer}, as the last value of the record or message. */
     public static void packDefinition(MessagePacker packer, WorkflowDefinition definition)
             throws IOException {
         packer.packString(definition.payload());
@@ -290,6 +290,7 @@
         for (StepDefinition step : definition.steps()) {
             packStepDefinition(packer, step);
         }
+        packMayMiss(packer, definition);
     }
 
     private static void packStepDefinition(MessagePacker packer, StepDefinition step)
@@ -312,6 +313,34 @@
         packer.packBoolean(step.usesIdleCpu());
     }
 
+    /**
+     * Writes how many tasks each step may miss, if any step states it. Decoders of earlier versions
+     * ignore what follows the steps.
+     */
+    private static void packMayMiss(MessagePacker packer, WorkflowDefinition definition)
+            throws IOException {
+        if (definition.steps().stream().allMatch(s -> s.mayMiss() == 0)) {
+            return;
+        }
+        packer.packArrayHeader(definition.steps().size());
+        for (StepDefinition step : definition.steps()) {
+            packer.packInt(step.mayMiss());
+        }
+    }
+
+    private static List<StepDefinition> unpackMayMiss(
+            MessageUnpacker unpacker, List<StepDefinition> steps) throws IOException {
+        if (!unpacker.hasNext()) {
+            return steps;
+        }
+        unpacker.unpackArrayHeader();
+        List<StepDefinition> result = new ArrayList<>();
+        for (StepDefinition step : steps) {
+            result.add(step.withMayMiss(unpacker.unpackInt()));
+        }
+        return result;
+    }
+
     /** Reads a definition that {@link #packDefinition} has written. */
     public static WorkflowDefinition unpackDefinition(MessageUnpacker unpacker) throws IOException {
         String payload = unpacker.unpackString();
@@ -324,7 +353,11 @@
             steps.add(unpackStepDefinition(unpacker));
         }
         return new WorkflowDefinition(
-                payload, steps, scheduledCount, firstDueMillis, intervalMillis);
+                payload,
+                unpackMayMiss(unpacker, steps),
+                scheduledCount,
+                firstDueMillis,
+                intervalMillis);
     }
 
     private static StepDefinition unpackStepDefinition(MessageUnpacker unpacker)
--- a/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/RecordCodecTest.java
@@ -66,6 +66,54 @@
                     3,
                     4);
 
+    /** Guards against records that an entry of an earlier version can't read, or has written. */
+    @Test
+    public void servicesKeepHowManyTasksTheyMayMiss() throws IOException {
+        for (int mayMiss : List.of(0, 1, 200)) {
+            StepDefinition step =
+                    new StepDefinition(
+                            3,
+                            Resources.of(1, 2, 3),
+                            4,
+                            List.of(),
+                            false,
+                            false,
+                            "",
+                            "",
+                            0,
+                            false,
+                            false,
+                            true,
+                            false,
+                            mayMiss);
+            Job job = job(step);
+            byte[] record = RecordCodec.encodeJob(job);
+            assertEquals(RecordCodec.decodeJob(record), job);
+            // The record of an earlier version ends with the last step.
+            byte[] old = RecordCodec.encodeJob(job(step.withMayMiss(0)));
+            assertEquals(Arrays.copyOf(record, old.length), old);
+            assertEquals(record.length == old.length, mayMiss == 0);
+            Call submit = new Call.Submit("q", "t", "id", job.definition());
+            LinkMessage forward = new LinkMessage.Forward(1, submit);
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            forward.writeTo(new DataOutputStream(bytes));
+            assertEquals(
+                    LinkMessage.readFrom(
+                            new DataInputStream(new ByteArrayInputStream(bytes.toByteArray()))),
+                    forward);
+        }
+    }
+
+    private static Job job(StepDefinition step) {
+        return Job.submitted(
+                        "id",
+                        "queue",
+                        "team",
+                        new WorkflowDefinition("p", List.of(step), 0, 0, 0),
+                        new Job.Acceptance(7, 0, 1_700_000_000_000L, true))
+                .asStored();
+    }
+
     @Test
     public void jobAndProgressRoundTrip() throws IOException {
         Job job =
