--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -35,6 +35,8 @@
      * @param rack the rack that the labels name, empty if they name none
      * @param born the start of the process that wrote the record, in Unix milliseconds; 0 if the
      *     record does not tell
+     * @param coldLeftMillis how long the worker will still be slow after its start, in
+     *     milliseconds; 0 for a warm worker
      */
     public record Listing(
             String id,
@@ -45,16 +47,40 @@
             Resources capacity,
             List<String> labels,
             String rack,
-            long born) {
+            long born,
+            long coldLeftMillis) {
         /** Copies the labels. */
         public Listing {
             labels = List.copyOf(labels);
         }
 
+        /** Creates the record of a warm worker. */
+        public Listing(
+                String id,
+                String service,
+                String address,
+                String zone,
+                boolean draining,
+                Resources capacity,
+                List<String> labels,
+                String rack,
+                long born) {
+            this(id, service, address, zone, draining, capacity, labels, rack, born, 0);
+        }
+
         /** Returns a copy of a record that the incarnation {@code newBorn} has written. */
         public Listing withBorn(long newBorn) {
             return new Listing(
-                    id, service, address, zone, draining, capacity, labels, rack, newBorn);
+                    id,
+                    service,
+                    address,
+                    zone,
+                    draining,
+                    capacity,
+                    labels,
+                    rack,
+                    newBorn,
+                    coldLeftMillis);
         }
     }
 
@@ -236,6 +262,8 @@
      *     that command
      * @param stopping whether a stop command was sent
      * @param sentAt when the newest command was sent, -1 if none was sent
+     * @param fullSpeed whether the worker has reported the run at full speed; recorded only for
+     *     tasks of services that can be moved
      */
     public record Charge(
             long runNumber,
@@ -243,10 +271,27 @@
             Optional<String> team,
             long confirmedAt,
             boolean stopping,
-            long sentAt) {
+            long sentAt,
+            boolean fullSpeed) {
+        /** Creates the charge of a run that was not reported at full speed. */
+        public Charge(
+                long runNumber,
+                Resources size,
+                Optional<String> team,
+                long confirmedAt,
+                boolean stopping,
+                long sentAt) {
+            this(runNumber, size, team, confirmedAt, stopping, sentAt, false);
+        }
+
         /** Returns a copy whose newest command was confirmed at {@code at}. */
         public Charge withConfirmation(long at) {
-            return new Charge(runNumber, size, team, at, stopping, sentAt);
+            return new Charge(runNumber, size, team, at, stopping, sentAt, fullSpeed);
+        }
+
+        /** Returns a copy whose run was reported at full speed. */
+        Charge withFullSpeed() {
+            return new Charge(runNumber, size, team, confirmedAt, stopping, sentAt, true);
         }
 
         /** Returns a copy with a stop command sent at {@code at}. */
