Add the order of waiting work by the cost of its delay

Within a rank, waiting steps were served by priority and time of acceptance, so neither slack nor size counted: work with 10 s of slack went before work of a lower priority that became late in 200 ms.

The policy "delay-cost" gives each step the time of its turn: its latest start without a loss plus the time by which it yields (priority, size, lateness). The same value orders placement and the advice requests. Steps with ample slack leave a fraction of the capacity to urgent arrivals; the fraction follows from the short urgent work of the last second. OrderPolicy holds the functions; the policy "acceptance" is composed of the ones used until now.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -21,7 +21,7 @@
      * further request for a step must not delay the first request of another one, or steps whose
      * queue is less urgent would get no tickets while the fleet is full.
      */
-    private static final Comparator<AdviceRequest> DISPATCH_ORDER =
+    static final Comparator<AdviceRequest> BY_RANK_AND_PRIORITY =
             Comparator.comparing(AdviceRequest::purpose)
                     .thenComparing(AdviceRequest::rank)
                     .thenComparing(AdviceRequest::priority);
@@ -34,27 +34,32 @@
             Placement.Candidate candidate,
             List<String> workers,
             Purpose purpose) {
-        return enqueue(state, candidate.key(), workers, candidate.rank(), purpose);
+        return enqueue(state, candidate, workers, candidate.rank(), purpose);
     }
 
     /**
      * Queues a request for new tickets for {@code workers}, on which capacity is already allocated.
      */
     static WorkflowState renewTickets(WorkflowState state, StepKey key, List<String> workers) {
-        return enqueue(state, key, workers, Urgency.Rank.ON_TIME, Purpose.RENEWAL);
+        Job job = state.jobs().get(key.job());
+        return state.queueOf(job)
+                .map(q -> Placement.candidate(state, job, key, q))
+                .map(c -> enqueue(state, c, workers, Urgency.Rank.ON_TIME, Purpose.RENEWAL))
+                .orElse(state);
     }
 
     private static WorkflowState enqueue(
             WorkflowState state,
-            StepKey key,
+            Placement.Candidate candidate,
             List<String> workers,
             Urgency.Rank rank,
             Purpose purpose) {
-        Job job = state.jobs().get(key.job());
-        Optional<CellConfiguration.Queue> queue = state.queueOf(job);
-        if (queue.isEmpty() || queue.get().advice().isEmpty() || workers.isEmpty()) {
+        CellConfiguration.Queue queue = candidate.queue();
+        if (queue.advice().isEmpty() || workers.isEmpty()) {
             return state;
         }
+        StepKey key = candidate.key();
+        Job job = state.jobs().get(key.job());
         List<String> candidates =
                 workers.subList(
                         0, Math.min(workers.size(), AdviceCandidates.MAX_WORKERS_PER_REQUEST));
@@ -64,9 +69,10 @@
                         key,
                         candidates,
                         rank,
-                        queue.get().priority(),
+                        queue.priority(),
+                        DelayCost.of(candidate),
                         purpose,
-                        costMillis(queue.get(), candidates.size()),
+                        costMillis(queue, candidates.size()),
                         state.now());
         return state.with(
                         job.with(
@@ -90,7 +96,7 @@
         Optional<AdviceRequest> overdue = overdueRequest(state);
         overdue.ifPresent(loads::holdEntryFor);
         WorkflowTransition result = WorkflowTransition.of(state);
-        for (AdviceRequest request : inDispatchOrder(state.adviceRequests(), overdue)) {
+        for (AdviceRequest request : inDispatchOrder(state, overdue)) {
             if (loads.isFull()) {
                 return result;
             }
@@ -146,9 +152,9 @@
     }
 
     private static List<AdviceRequest> inDispatchOrder(
-            AdviceRequests requests, Optional<AdviceRequest> overdue) {
-        List<AdviceRequest> ordered = new ArrayList<>(requests.pending());
-        ordered.sort(DISPATCH_ORDER);
+            WorkflowState state, Optional<AdviceRequest> overdue) {
+        List<AdviceRequest> ordered = new ArrayList<>(state.adviceRequests().pending());
+        ordered.sort(state.policies().order().requests().at(state.now()));
         overdue.ifPresent(
                 r -> {
                     ordered.remove(r);
--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceRequests.java
@@ -61,6 +61,7 @@
      * @param workers the workers for which tickets are requested
      * @param rank the rank of the step when the request was queued
      * @param priority the priority of its queue, 0 is the most urgent
+     * @param delayCost the cost of delaying the step
      * @param purpose why the tickets are requested
      * @param costMillis the time that the service needs to process the request
      * @param queuedAt when the request was queued, in milliseconds of the monotonic clock
@@ -70,6 +71,7 @@
             List<String> workers,
             Urgency.Rank rank,
             int priority,
+            DelayCost delayCost,
             Purpose purpose,
             long costMillis,
             long queuedAt) {
@@ -81,7 +83,14 @@
         /** Returns a copy that names {@code other} for {@code otherPurpose}. */
         AdviceRequest with(List<String> other, Purpose otherPurpose, long otherCostMillis) {
             return new AdviceRequest(
-                    step, other, rank, priority, otherPurpose, otherCostMillis, queuedAt);
+                    step,
+                    other,
+                    rank,
+                    priority,
+                    delayCost,
+                    otherPurpose,
+                    otherCostMillis,
+                    queuedAt);
         }
 
         boolean isShort() {
--- /dev/null
+++ b/core/src/main/java/org/jujubefork/core/workflow/OrderPolicy.java
@@ -0,0 +1,25 @@
+package org.jujubefork.core.workflow;
+
+/**
+ * An order of waiting work. The same order decides which step is placed next, which step asks for
+ * advice next, how much capacity other work leaves free, and which job is admitted.
+ *
+ * @param waiting the order in which steps are placed
+ * @param requests the order in which advice requests are sent
+ * @param reserve how much capacity must be free before a step may use it
+ */
+record OrderPolicy(WaitingOrder waiting, RequestOrder requests, FreeReserve reserve) {
+    /** Rank, priority, then time of acceptance. */
+    static final OrderPolicy ACCEPTANCE =
+            new OrderPolicy(
+                    Urgency.byUrgency()::compare,
+                    now -> AdviceDispatcher.BY_RANK_AND_PRIORITY,
+                    (candidate, arrivals, capacity) -> candidate.rank().minFreeFraction());
+
+    /** The cost of delay. */
+    static final OrderPolicy DELAY_COST =
+            new OrderPolicy(
+                    DelayCost.order()::compare,
+                    DelayCost::requestOrder,
+                    UrgentArrivals::minFreeFraction);
+}
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -49,6 +49,8 @@
 
     private final TeamUsage teamUsage;
     private final StoppingTasks stoppingTasks;
+    private final FreeReserve reserve;
+    private final Memoized<UrgentArrivals> urgentArrivals;
     private final Map<String, Resources> freeByWorker = new HashMap<>();
     private final Map<StepKey, Map<String, Integer>> newTasksByStep = new HashMap<>();
     private final Map<String, WorkerNode> usableWorkers = new HashMap<>();
@@ -66,6 +68,8 @@
     private PassCapacity(WorkflowState state) {
         this.teamUsage = TeamUsage.of(state);
         this.stoppingTasks = StoppingTasks.of(state);
+        this.reserve = state.policies().order().reserve();
+        this.urgentArrivals = new Memoized<>(() -> UrgentArrivals.of(state));
     }
 
     static PassCapacity of(WorkflowState state) {
@@ -99,12 +103,14 @@
     }
 
     /**
-     * Returns whether {@code service} has the minimum fraction of free capacity that {@code rank}
-     * requires.
+     * Returns whether the service of {@code candidate} has the fraction of free capacity that must
+     * be free before its tasks start.
      */
-    boolean hasRequiredFreeCapacity(String service, Urgency.Rank rank) {
-        return rank.minFreeFraction() == 0
-                || allocatedFraction(service) <= 1 - rank.minFreeFraction();
+    boolean hasRequiredFreeCapacity(Candidate candidate) {
+        String service = candidate.queue().service();
+        long capacity = capacityByService.getOrDefault(service, Resources.ZERO).cpuMillis();
+        double minFraction = reserve.minFreeFraction(candidate, urgentArrivals, capacity);
+        return minFraction == 0 || allocatedFraction(service) <= 1 - minFraction;
     }
 
     private double allocatedFraction(String service) {
@@ -135,6 +141,13 @@
                 : WaitReason.NO_ROOM;
     }
 
+    /** Records that {@code candidate} leaves free capacity to more urgent work. */
+    void recordHeldBack(Candidate candidate) {
+        if (candidate.rank().reservesCapacity()) {
+            recordUnplaced(candidate);
+        }
+    }
+
     private WaitReason teamLimitReason(Candidate candidate, int count) {
         return teamUsage.isLimitedByUnknownUsage(
                         candidate.job().team(), capacityOf(candidate, count))
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -55,7 +55,7 @@
                                                     addCandidates(
                                                             s, job, recovered, waits, candidates)));
         }
-        candidates.sort(result.state().policies().order());
+        candidates.sort(result.state().policies().order().waiting());
         PassCapacity capacity = PassCapacity.of(result.state());
         for (Candidate candidate : candidates) {
             result =
@@ -158,8 +158,9 @@
             waits.add(key, candidate.progress(), WaitReason.NOT_STORED);
             return WorkflowTransition.of(next);
         }
-        if (!capacity.hasRequiredFreeCapacity(candidate.queue().service(), candidate.rank())) {
+        if (!capacity.hasRequiredFreeCapacity(candidate)) {
             waits.add(key, candidate.progress(), WaitReason.MIN_FREE_CAPACITY);
+            capacity.recordHeldBack(candidate);
             return WorkflowTransition.of(next);
         }
         WorkflowTransition placed =
--- a/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -13,7 +13,7 @@
  * @param retry when a rejected caller may return
  */
 public record SchedulingPolicies(
-        WaitingOrder order, TeamShare share, DurationModel durations, RetryDelay retry) {
+        OrderPolicy order, TeamShare share, DurationModel durations, RetryDelay retry) {
     /** The name of the policy that is in force if the settings select no order. */
     public static final String DEFAULT_ORDER = "acceptance";
 
@@ -26,8 +26,8 @@
     /** The name of the policy that is in force if the settings select no retry delay. */
     public static final String DEFAULT_RETRY = "uniform";
 
-    private static final Map<String, WaitingOrder> ORDERS =
-            Map.of(DEFAULT_ORDER, Urgency.byUrgency()::compare);
+    private static final Map<String, OrderPolicy> ORDERS =
+            Map.of(DEFAULT_ORDER, OrderPolicy.ACCEPTANCE, "delay-cost", OrderPolicy.DELAY_COST);
     private static final Map<String, TeamShare> SHARES =
             Map.of(DEFAULT_SHARE, (state, job) -> job.acceptance().withinShare());
     private static final Map<String, DurationModel> DURATIONS =
--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -78,8 +78,13 @@
      * @param rank its rank
      * @param slackMillis how long the step can wait without making its job late, negative if the
      *     job is late already
+     * @param objectiveMillis the target completion time of its job after the acceptance
+     * @param remainingWork the estimated CPU time of the tasks of its occurrence that have not been
+     *     started, in millicores times milliseconds
+     * @param at when this was determined, in milliseconds of the monotonic clock
      */
-    record Standing(Rank rank, double slackMillis) {}
+    record Standing(
+            Rank rank, double slackMillis, double objectiveMillis, long remainingWork, long at) {}
 
     /**
      * Returns the urgency of the occurrence of {@code job} whose steps have the progress {@code
@@ -90,13 +95,38 @@
         double objectiveMillis = objectiveMillis(job.definition(), queue);
         double completionMillis = now - job.acceptedAt() + remainingMillis(job, steps, queue, now);
         double slackMillis = objectiveMillis - completionMillis;
+        return new Standing(
+                rank(state, job, completionMillis, objectiveMillis),
+                slackMillis,
+                objectiveMillis,
+                remainingWork(job, steps),
+                now);
+    }
+
+    private static Rank rank(
+            WorkflowState state, Job job, double completionMillis, double objectiveMillis) {
         if (completionMillis > MAX_OBJECTIVE_FACTOR * objectiveMillis) {
-            return new Standing(Rank.TOO_LATE, slackMillis);
+            return Rank.TOO_LATE;
         }
         if (!state.policies().share().isWithinShare(state, job)) {
-            return new Standing(Rank.OVER_SHARE, slackMillis);
+            return Rank.OVER_SHARE;
         }
-        return new Standing(slackMillis >= 0 ? Rank.ON_TIME : Rank.LATE, slackMillis);
+        return completionMillis <= objectiveMillis ? Rank.ON_TIME : Rank.LATE;
+    }
+
+    private static long remainingWork(Job job, List<StepProgress> steps) {
+        long work = 0;
+        for (int i = 0; i < steps.size(); i++) {
+            StepDefinition step = job.definition().steps().get(i);
+            long openTasks = steps.get(i).waitingCount() + steps.get(i).assignedCount();
+            work += openTasks * step.size().cpuMillis() * step.estimateMillis();
+        }
+        return work;
+    }
+
+    /** Returns how long a new job can wait without becoming late, in milliseconds. */
+    static double initialSlackMillis(WorkflowDefinition job, Queue queue) {
+        return objectiveMillis(job, queue) - minMillis(job, queue) - RESULT_POLL_MILLIS;
     }
 
     /** Returns the shortest time in which the remaining steps can complete, in milliseconds. */
@@ -129,14 +159,18 @@
         if (job.scheduledCount() > 0 || job.steps().stream().anyMatch(StepDefinition::service)) {
             return Double.POSITIVE_INFINITY;
         }
+        double millis =
+                queue.objectiveFactor() * minMillis(job, queue) + queue.objectiveBaseMillis();
+        return millis > 0 ? millis : Double.POSITIVE_INFINITY;
+    }
+
+    /** Returns the shortest time in which a job can complete if no task waits for capacity. */
+    private static double minMillis(WorkflowDefinition job, Queue queue) {
         double[] stepMillis = new double[job.steps().size()];
         for (int i = 0; i < stepMillis.length; i++) {
             stepMillis[i] = job.steps().get(i).estimateMillis() + adviceMillis(queue);
         }
-        double millis =
-                queue.objectiveFactor() * criticalPathMillis(job.steps(), stepMillis)
-                        + queue.objectiveBaseMillis();
-        return millis > 0 ? millis : Double.POSITIVE_INFINITY;
+        return criticalPathMillis(job.steps(), stepMillis);
     }
 
     private static double adviceMillis(Queue queue) {
