Admit by the position in the order and spread the returns of rejected callers

Admission counted all waiting work of the same or a more urgent priority, also work that goes behind the job in the order delay-cost, and rejected jobs that free workers could run. Rejected callers of one reason all returned at once.

With delay-cost, only work before the job delays it, and a job is accepted if free workers have places for all tasks of a step that it can start. The retry delay "spread" adds 1 s for each priority level and an offset from the job's identifier; a job over its share returns when its team has a token again. Log events and a metric show the policies in force, and the order value of waiting and rejected jobs.

--- a/core/src/main/java/org/jujubefork/core/workflow/CallHandler.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CallHandler.java
@@ -100,7 +100,9 @@
                                 "reason",
                                 reject.reason(),
                                 "retry_after_ms",
-                                reject.retryAfterMillis()));
+                                reject.retryAfterMillis(),
+                                "order_value_ms",
+                                reject.orderValueMillis().map(Object::toString).orElse("none")));
     }
 
     private static WorkflowTransition accepted(
@@ -154,7 +156,8 @@
                                                 job.id(),
                                                 job.queue(),
                                                 job.team(),
-                                                JobAdmission.rejectStoreUnreachable()));
+                                                JobAdmission.rejectStoreUnreachable(
+                                                        s, job.queue(), job.id())));
             }
         }
         return result;
--- a/core/src/main/java/org/jujubefork/core/workflow/DelayCost.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/DelayCost.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.workflow;
 
 import java.util.Comparator;
+import java.util.Optional;
 import org.jujubefork.core.workflow.AdviceRequests.AdviceRequest;
 import org.jujubefork.core.workflow.Placement.Candidate;
 import org.jujubefork.core.workflow.Urgency.Rank;
@@ -96,11 +97,10 @@
         return now <= latestStart ? onTimeValue : lateValue;
     }
 
-    /**
-     * Returns the value at {@code now} relative to {@code now} for a log event, in milliseconds.
-     */
-    long loggedValueAt(long now) {
-        return Math.round(valueAt(now) - now);
+    /** Returns the value of {@code candidate} relative to the present time, in milliseconds. */
+    static Optional<Long> loggedValue(Candidate candidate) {
+        long now = candidate.standing().at();
+        return Optional.of(Math.round(of(candidate).valueAt(now) - now));
     }
 
     /** Returns the group at {@code now}; all steps of a lesser group go first. */
--- a/core/src/main/java/org/jujubefork/core/workflow/Election.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Election.java
@@ -294,7 +294,8 @@
                                         "workers",
                                         next.workers().size(),
                                         "silent",
-                                        next.commitQueue().storedSilentWorkers().size()));
+                                        next.commitQueue().storedSilentWorkers().size()))
+                        .with(policiesLine(next));
         // The shutdown may have begun while the claim was in flight.
         return next.leadership().resigning() ? result.then(Election::resign) : result;
     }
@@ -341,4 +342,19 @@
                         WorkflowEffect.LogEvent.of(
                                 "resign", state.term(), "jobs", state.jobs().size()));
     }
+
+    private static WorkflowEffect policiesLine(WorkflowState state) {
+        SchedulingPolicies.Names names = state.policies().names();
+        return WorkflowEffect.LogEvent.of(
+                "scheduling-policies",
+                state.term(),
+                "order",
+                names.order(),
+                "share",
+                names.share(),
+                "durations",
+                names.durations(),
+                "retry",
+                names.retry());
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.jujubefork.core.workflow.CellConfiguration.Queue;
+import org.jujubefork.core.workflow.RetryDelay.Rejection;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
 
 /**
@@ -19,11 +20,6 @@
     /** Retry-after time when the store does not answer. */
     private static final long STORE_RETRY_AFTER_MILLIS = 1_000;
 
-    /** Bounds of a retry-after time that is derived from the backlog. */
-    private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
-
-    private static final long MAX_RETRY_AFTER_MILLIS = 10_000;
-
     /** The decision on a submitted job. */
     sealed interface Decision {
         /** The job is accepted. */
@@ -36,8 +32,14 @@
          * @param retryAfterMillis the time after which the caller may retry
          * @param overloaded whether too much work is waiting; otherwise the entry cannot accept any
          *     job
+         * @param orderValueMillis the value of the job in the order of waiting work relative to the
+         *     present time, if the order has values
          */
-        record Reject(String reason, long retryAfterMillis, boolean overloaded)
+        record Reject(
+                String reason,
+                long retryAfterMillis,
+                boolean overloaded,
+                Optional<Long> orderValueMillis)
                 implements Decision {}
     }
 
@@ -45,33 +47,86 @@
 
     static Decision decide(WorkflowState state, Call.Submit submit, boolean withinShare) {
         if (state.commitQueue().isStalled(state.now())) {
-            return rejectStoreUnreachable();
-        }
-        if (state.jobs().size() >= MAX_JOB_COUNT) {
-            return new Decision.Reject("too-many-jobs", FULL_RETRY_AFTER_MILLIS, true);
+            return rejectStoreUnreachable(state, submit.queue(), submit.job());
         }
         Optional<Queue> queue = state.configuration().flatMap(c -> c.queue(submit.queue()));
-        if (queue.isEmpty()) {
-            return new Decision.Accept();
+        if (state.jobs().size() >= MAX_JOB_COUNT) {
+            return new Decision.Reject(
+                    "too-many-jobs",
+                    retryAfterMillis(
+                            state,
+                            new Rejection(
+                                    FULL_RETRY_AFTER_MILLIS, 0, priority(queue), submit.job())),
+                    true,
+                    Optional.empty());
         }
-        long waitMillis =
-                state.backlogs().expectedWaitMillis(queue.get().service(), queue.get().priority());
-        if (!withinShare && state.backlogs().hasBacklog(queue.get().service())) {
-            return new Decision.Reject("beyond-share", retryAfterMillis(waitMillis), true);
+        return queue.isEmpty()
+                ? new Decision.Accept()
+                : state.policies()
+                        .order()
+                        .admission()
+                        .decide(state, submit, queue.get(), withinShare);
+    }
+
+    /** Decides by the work of the same or a more urgent priority that waits for capacity. */
+    static Decision decideByPriority(
+            WorkflowState state, Call.Submit submit, Queue queue, boolean withinShare) {
+        long waitMillis = state.backlogs().expectedWaitMillis(queue.service(), queue.priority());
+        if (!withinShare && state.backlogs().hasBacklog(queue.service())) {
+            return overShare(state, submit, queue, waitMillis, Optional.empty());
         }
-        double objectiveMillis = Urgency.objectiveMillis(submit.definition(), queue.get());
+        double objectiveMillis = Urgency.objectiveMillis(submit.definition(), queue);
         if (waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis) {
-            return new Decision.Reject("too-late", retryAfterMillis(waitMillis), true);
+            return tooLate(state, submit, queue, waitMillis, Optional.empty());
         }
         return new Decision.Accept();
     }
 
-    /** Returns the rejection of a job because the store does not answer. */
-    static Decision.Reject rejectStoreUnreachable() {
-        return new Decision.Reject("store-silent", STORE_RETRY_AFTER_MILLIS, false);
+    /** Returns the rejection of a job that could not be served in time. */
+    static Decision.Reject tooLate(
+            WorkflowState state,
+            Call.Submit submit,
+            Queue queue,
+            long waitMillis,
+            Optional<Long> orderValueMillis) {
+        Rejection rejection = new Rejection(waitMillis, 0, queue.priority(), submit.job());
+        return new Decision.Reject(
+                "too-late", retryAfterMillis(state, rejection), true, orderValueMillis);
+    }
+
+    /** Returns the rejection of a job of a team that is over its share. */
+    static Decision.Reject overShare(
+            WorkflowState state,
+            Call.Submit submit,
+            Queue queue,
+            long waitMillis,
+            Optional<Long> orderValueMillis) {
+        double weight =
+                state.configuration()
+                        .flatMap(c -> c.team(submit.team()))
+                        .map(CellConfiguration.Team::weight)
+                        .orElse(0.0);
+        long shareWaitMillis =
+                state.teamBuckets().millisUntilToken(submit.team(), weight, state.now());
+        Rejection rejection =
+                new Rejection(waitMillis, shareWaitMillis, queue.priority(), submit.job());
+        return new Decision.Reject(
+                "beyond-share", retryAfterMillis(state, rejection), true, orderValueMillis);
+    }
+
+    /** Returns the rejection of {@code job} because the store does not answer. */
+    static Decision.Reject rejectStoreUnreachable(WorkflowState state, String queue, String job) {
+        int priority = priority(state.configuration().flatMap(c -> c.queue(queue)));
+        Rejection rejection = new Rejection(STORE_RETRY_AFTER_MILLIS, 0, priority, job);
+        return new Decision.Reject(
+                "store-silent", retryAfterMillis(state, rejection), false, Optional.empty());
+    }
+
+    private static int priority(Optional<Queue> queue) {
+        return queue.map(Queue::priority).orElse(0);
     }
 
-    private static long retryAfterMillis(long waitMillis) {
-        return Math.clamp(waitMillis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
+    private static long retryAfterMillis(WorkflowState state, Rejection rejection) {
+        return state.policies().retry().retryAfterMillis(rejection);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -160,7 +160,7 @@
     }
 
     /** Returns whether {@code taskCount} more tasks keep the team within its limit. */
-    private boolean isWithinTeamLimit(Candidate candidate, int taskCount) {
+    boolean isWithinTeamLimit(Candidate candidate, int taskCount) {
         return teamUsage.isWithinLimit(candidate.job().team(), capacityOf(candidate, taskCount));
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -11,9 +11,24 @@
  * @param share whether a job counts as within the share of its team
  * @param durations how long a task is expected to run
  * @param retry when a rejected caller may return
+ * @param names the names by which the policies were selected
  */
 public record SchedulingPolicies(
-        OrderPolicy order, TeamShare share, DurationModel durations, RetryDelay retry) {
+        OrderPolicy order,
+        TeamShare share,
+        DurationModel durations,
+        RetryDelay retry,
+        Names names) {
+    /**
+     * The names of the selected policies, as they appear in log events and metrics.
+     *
+     * @param order the name of the order
+     * @param share the name of the share
+     * @param durations the name of the duration model
+     * @param retry the name of the retry delay
+     */
+    public record Names(String order, String share, String durations, String retry) {}
+
     /** The name of the policy that is in force if the settings select no order. */
     public static final String DEFAULT_ORDER = "acceptance";
 
@@ -33,7 +48,7 @@
     private static final Map<String, DurationModel> DURATIONS =
             Map.of(DEFAULT_DURATIONS, (learned, queue, estimateMillis) -> estimateMillis);
     private static final Map<String, RetryDelay> RETRIES =
-            Map.of(DEFAULT_RETRY, (waitMillis, priority, job) -> waitMillis);
+            Map.of(DEFAULT_RETRY, RetryDelay::uniform, "spread", SpreadRetry::retryAfterMillis);
 
     /** Returns the names of the orders, sorted. */
     public static List<String> orders() {
@@ -74,7 +89,8 @@
                 policy(ORDERS, order),
                 policy(SHARES, share),
                 policy(DURATIONS, durations),
-                policy(RETRIES, retry));
+                policy(RETRIES, retry),
+                new Names(order, share, durations, retry));
     }
 
     private static <T> T policy(Map<String, T> policies, String name) {
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamTokenBuckets.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamTokenBuckets.java
@@ -45,12 +45,26 @@
         if (weight <= 0) {
             return new Acquisition(this, true);
         }
-        double maxTokens = Math.max(1, weight * BURST_SECONDS);
-        Bucket previous = buckets.getOrDefault(team, new Bucket(maxTokens, now));
-        double refill = (now - previous.updatedAt()) * weight / MILLIS_PER_SECOND;
-        double tokens = Math.min(maxTokens, previous.tokens() + refill);
+        double tokens = tokens(team, weight, now);
         boolean withinShare = tokens >= 1;
         Bucket next = new Bucket(withinShare ? tokens - 1 : tokens, now);
         return new Acquisition(new TeamTokenBuckets(buckets.plus(team, next)), withinShare);
     }
+
+    private double tokens(String team, double weight, long now) {
+        double maxTokens = Math.max(1, weight * BURST_SECONDS);
+        Bucket previous = buckets.getOrDefault(team, new Bucket(maxTokens, now));
+        double refill = (now - previous.updatedAt()) * weight / MILLIS_PER_SECOND;
+        return Math.min(maxTokens, previous.tokens() + refill);
+    }
+
+    /**
+     * Returns the time until a token for a job of {@code team} is available, in milliseconds.
+     *
+     * @param now the time in milliseconds of the monotonic clock
+     */
+    public long millisUntilToken(String team, double weight, long now) {
+        double missing = weight <= 0 ? 0 : 1 - tokens(team, weight, now);
+        return missing <= 0 ? 0 : (long) Math.ceil(missing * MILLIS_PER_SECOND / weight);
+    }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/WaitingStepsLog.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WaitingStepsLog.java
@@ -61,7 +61,10 @@
         addAll(fields, "tasks_assigned", progress.assignedCount());
         Optional<Queue> queue = state.queueOf(job);
         if (queue.isPresent()) {
-            addWorkers(fields, Placement.candidate(state, job, key, queue.get()), capacity);
+            Candidate candidate = Placement.candidate(state, job, key, queue.get());
+            addWorkers(fields, candidate, capacity);
+            Optional<Long> value = state.policies().order().value().apply(candidate);
+            value.ifPresent(v -> addAll(fields, "order_value_ms", v));
         }
         addAll(fields, "reserved", capacity.reservedWorkerCount());
         addRequests(fields, state, key, progress.advice());
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -13,6 +13,7 @@
 import java.util.function.ToDoubleFunction;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.Job;
+import org.jujubefork.core.workflow.SchedulingPolicies;
 import org.jujubefork.core.workflow.WaitReason;
 import org.jujubefork.core.workflow.WaitingSteps;
 import org.jujubefork.core.workflow.WorkerNode;
@@ -177,9 +178,25 @@
                 "team",
                 state,
                 WorkflowMetrics::cpuByTeam);
+        labelledGauge(
+                "jujube_scheduling_policy",
+                "1 for each scheduling policy in force.",
+                "policy",
+                state,
+                WorkflowMetrics::policiesInForce);
         registerWaitingGauges(state, now);
     }
 
+    /** Returns 1 for each policy in force, by what it decides and its name. */
+    private static Map<String, Double> policiesInForce(WorkflowState state) {
+        SchedulingPolicies.Names names = state.policies().names();
+        return Map.of(
+                "order:" + names.order(), 1.0,
+                "share:" + names.share(), 1.0,
+                "durations:" + names.durations(), 1.0,
+                "retry:" + names.retry(), 1.0);
+    }
+
     private void registerWaitingGauges(Supplier<WorkflowState> state, LongSupplier now) {
         labelledGauge(
                 "jujube_waiting_steps",
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -63,6 +63,7 @@
         String page = metricsPage(metrics);
         assertLine(page, "jujube_leads 0.0");
         assertLine(page, "jujube_configuration_age_seconds 5.0");
+        assertLine(page, "jujube_scheduling_policy{policy=\"order:acceptance\"} 1.0");
     }
 
     @Test
