--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -33,8 +33,9 @@
     private long nextRequestId = 1;
     private int takenAdviceRequestCount;
 
-    private LeaderFixture(CellConfiguration configuration, Evacuations evacuations) {
-        state = WorkflowState.initial("e0", 1_000, SchedulingPolicies.DEFAULT, evacuations);
+    private LeaderFixture(
+            CellConfiguration configuration, SchedulingPolicies policies, Evacuations evacuations) {
+        state = WorkflowState.initial("e0", 1_000, policies, evacuations);
         post(new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
     }
 
@@ -43,14 +44,22 @@
      * store.
      */
     static LeaderFixture leading(CellConfiguration configuration, WorkflowEvent.Snapshot snapshot) {
-        LeaderFixture fixture = following(configuration, Evacuations.NONE);
+        return leading(configuration, snapshot, SchedulingPolicies.DEFAULT);
+    }
+
+    /** Returns a fixture whose entry leads under {@code policies} and has read {@code snapshot}. */
+    static LeaderFixture leading(
+            CellConfiguration configuration,
+            WorkflowEvent.Snapshot snapshot,
+            SchedulingPolicies policies) {
+        LeaderFixture fixture = new LeaderFixture(configuration, policies, Evacuations.NONE);
         fixture.winClaim(snapshot);
         return fixture;
     }
 
     /** Returns a fixture whose entry has the configuration and does not lead yet. */
     static LeaderFixture following(CellConfiguration configuration, Evacuations evacuations) {
-        return new LeaderFixture(configuration, evacuations);
+        return new LeaderFixture(configuration, SchedulingPolicies.DEFAULT, evacuations);
     }
 
     /** Lets the entry claim leadership, and win with {@code snapshot} read from the store. */
@@ -306,12 +315,17 @@
 
     /** Submits a job and returns the number of the request. */
     long submit(String id, WorkflowDefinition definition) {
+        return submit(QUEUE, TEAM, id, definition);
+    }
+
+    /** Submits a job of {@code team} to {@code queue} and returns the number of the request. */
+    long submit(String queue, String team, String id, WorkflowDefinition definition) {
         long requestId = nextRequestId++;
         post(
                 new WorkflowEvent.CallArrived(
                         now,
                         requestId,
-                        new WorkflowEvent.Call.Submit(QUEUE, TEAM, id, definition)));
+                        new WorkflowEvent.Call.Submit(queue, team, id, definition)));
         return requestId;
     }
 
