Move the fair share of teams out of the cell's scheduler

The placement of workflows is to share capacity between teams by the same rule. The ratio of use to fair share moves from LaneRanker and FleetUsage to FairShare in the new package core.fairshare, together with QueueOrder and QueueOrders, which select an order by name. No decision changes.

--- a/core/src/main/java/org/jujubefork/core/placement/QueueOrder.java
+++ b/core/src/main/java/org/jujubefork/core/fairshare/QueueOrder.java
@@ -1,4 +1,4 @@
-package org.jujubefork.core.placement;
+package org.jujubefork.core.fairshare;
 
 /** Ranks the teams that have queued work in a lane; the team with the lowest rank goes first. */
 @FunctionalInterface
--- a/core/src/main/java/org/jujubefork/core/placement/QueueOrders.java
+++ b/core/src/main/java/org/jujubefork/core/fairshare/QueueOrders.java
@@ -1,4 +1,4 @@
-package org.jujubefork.core.placement;
+package org.jujubefork.core.fairshare;
 
 import java.util.Map;
 import java.util.Optional;
--- a/core/src/main/java/org/jujubefork/core/placement/FleetUsage.java
+++ b/core/src/main/java/org/jujubefork/core/placement/FleetUsage.java
@@ -3,6 +3,7 @@
 import org.jujubefork.core.configuration.Configuration;
 import org.jujubefork.core.configuration.Team;
 import org.jujubefork.core.control.State;
+import org.jujubefork.core.fairshare.FairShare;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TeamId;
 
@@ -40,7 +41,8 @@
     public static double weightedShare(State state, TeamId team, Resources extra) {
         double weight =
                 state.configuration().flatMap(c -> c.team(team)).map(Team::weight).orElse(1.0);
-        return of(state, team).plus(extra).dominantShareOf(capacity(state)) / weight;
+        return FairShare.weightedShare(
+                of(state, team).plus(extra).dominantShareOf(capacity(state)), weight);
     }
 
     /**
@@ -49,6 +51,6 @@
      */
     public static double fairShare(State state) {
         double weights = state.configuration().map(Configuration::totalWeight).orElse(0.0);
-        return weights > 0 ? 1 / weights : 1;
+        return new FairShare(weights).entitledWeightedShare();
     }
 }
--- a/core/src/main/java/org/jujubefork/core/placement/LaneRanker.java
+++ b/core/src/main/java/org/jujubefork/core/placement/LaneRanker.java
@@ -5,6 +5,9 @@
 import org.jujubefork.core.configuration.KindPolicy;
 import org.jujubefork.core.configuration.Team;
 import org.jujubefork.core.control.State;
+import org.jujubefork.core.fairshare.FairShare;
+import org.jujubefork.core.fairshare.QueueOrder;
+import org.jujubefork.core.fairshare.QueueOrders;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.model.TeamId;
 import org.jujubefork.core.model.WorkKind;
@@ -15,13 +18,15 @@
  *
  * @param configuration the active configuration
  * @param capacity the total capacity of the fleet
- * @param totalWeight the sum of the weights of all teams
+ * @param fairShare the fair share among all teams
  */
-record LaneRanker(Configuration configuration, Resources capacity, double totalWeight) {
+record LaneRanker(Configuration configuration, Resources capacity, FairShare fairShare) {
     static LaneRanker of(State state) {
         Configuration configuration = state.configuration().orElseThrow();
         return new LaneRanker(
-                configuration, FleetUsage.capacity(state), configuration.totalWeight());
+                configuration,
+                FleetUsage.capacity(state),
+                new FairShare(configuration.totalWeight()));
     }
 
     /**
@@ -30,14 +35,9 @@
      */
     double rank(State state, TeamId team, QueuedWork head) {
         double weight = configuration.team(team).map(Team::weight).orElse(1.0);
-        double weightedShare = FleetUsage.of(state, team).dominantShareOf(capacity) / weight;
+        double share = FleetUsage.of(state, team).dominantShareOf(capacity);
         return queueOrder(head.kind())
-                .rank(
-                        new QueueOrder.TeamView(
-                                weightedShare,
-                                weightedShare * totalWeight,
-                                head.waitingSinceMillis(),
-                                state.nowMillis() - head.waitingSinceMillis()));
+                .rank(fairShare.view(share, weight, head.waitingSinceMillis(), state.nowMillis()));
     }
 
     private QueueOrder queueOrder(WorkKind kind) {
