Add the share policy "work" with a ledger of the teams' use

The policy "jobs" counts the jobs that a team submits, once, when they are accepted. It rejects small jobs beside free workers and cannot tell a team that uses much from one that submits often.

With "work", TeamLedger holds the decayed use of each team, advanced once in each placement pass by at most one tick. ShareRounds places first the steps of teams below their share and judges each step again at its turn; work beyond a share goes after it and keeps no capacity idle. Admission rejects a team far above its share while teams below theirs wait. The policy "jobs" keeps no ledger and decides as before.

--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.workflow;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
 
@@ -54,11 +55,14 @@
         if (queue.isEmpty()) {
             return new Decision.Accept();
         }
-        long waitMillis =
-                state.backlogs().expectedWaitMillis(queue.get().service(), queue.get().priority());
-        if (!withinShare && state.backlogs().hasBacklog(queue.get().service())) {
-            return new Decision.Reject("beyond-share", retryAfterMillis(waitMillis), true);
+        TeamShare share = state.policies().share();
+        OptionalLong shareDelay =
+                share.rejectionDelayMillis(state, submit.team(), queue.get(), withinShare);
+        if (shareDelay.isPresent()) {
+            return new Decision.Reject(
+                    "beyond-share", retryAfterMillis(shareDelay.getAsLong()), true);
         }
+        long waitMillis = share.expectedWaitMillis(state, submit.team(), queue.get());
         double objectiveMillis = Urgency.objectiveMillis(submit.definition(), queue.get());
         if (waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis) {
             return new Decision.Reject("too-late", retryAfterMillis(waitMillis), true);
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -47,6 +47,7 @@
      */
     private static final double MAX_RESERVATION_SLACK_MILLIS = 5_000;
 
+    private final TeamShare share;
     private final TeamUsage teamUsage;
     private final StoppingTasks stoppingTasks;
     private final Map<String, Resources> freeByWorker = new HashMap<>();
@@ -54,8 +55,7 @@
     private final Map<String, WorkerNode> usableWorkers = new HashMap<>();
     private final Set<String> reservedWorkers = new HashSet<>();
     private final List<Candidate> unplacedCandidates = new ArrayList<>();
-    private final Map<String, Resources> capacityByService = new HashMap<>();
-    private final Map<String, Resources> allocatedByService = new HashMap<>();
+    private final ServiceCapacities services = new ServiceCapacities();
     private Resources maxFree = Resources.ZERO;
 
     /** The candidate that {@link #runnableWorkers} belongs to; steps are placed one by one. */
@@ -64,6 +64,7 @@
     private List<WorkerNode> runnableWorkers = List.of();
 
     private PassCapacity(WorkflowState state) {
+        this.share = state.policies().share();
         this.teamUsage = TeamUsage.of(state);
         this.stoppingTasks = StoppingTasks.of(state);
     }
@@ -76,10 +77,7 @@
                 result.usableWorkers.put(node.id(), node);
                 result.freeByWorker.put(node.id(), freeCapacity);
                 result.maxFree = result.maxFree.max(freeCapacity);
-                String service = node.listing().service();
-                result.capacityByService.merge(service, node.listing().capacity(), Resources::plus);
-                result.allocatedByService.merge(
-                        service, node.listing().capacity().minus(freeCapacity), Resources::plus);
+                result.services.add(node.listing(), freeCapacity);
             }
         }
         return result;
@@ -103,14 +101,8 @@
      * requires.
      */
     boolean hasRequiredFreeCapacity(String service, Urgency.Rank rank) {
-        return rank.minFreeFraction() == 0
-                || allocatedFraction(service) <= 1 - rank.minFreeFraction();
-    }
-
-    private double allocatedFraction(String service) {
-        Resources capacity = capacityByService.getOrDefault(service, Resources.ZERO);
-        Resources allocated = allocatedByService.getOrDefault(service, Resources.ZERO);
-        return allocated.dominantShareOf(capacity);
+        double minFreeFraction = share.minFreeFraction(rank);
+        return minFreeFraction == 0 || services.allocatedFraction(service) <= 1 - minFreeFraction;
     }
 
     /**
@@ -167,6 +159,17 @@
         return reservedPlaces > 0 && (count == 1 || reservedPlaces + otherPlaces >= count);
     }
 
+    /** Returns whether the step may start now: no single worker need have room for its tasks. */
+    boolean mayFit(Candidate candidate) {
+        int count = concurrentTasks(candidate);
+        boolean needsTicket = candidate.queue().advice().isPresent();
+        return !(needsTicket && candidate.progress().advice().tickets().isEmpty())
+                && candidate.job().stored()
+                && candidate.definition().chargedCapacity().fitsIn(maxFree)
+                && capacityOf(candidate, count).fitsIn(services.free(candidate.queue().service()))
+                && isWithinTeamLimit(candidate, count);
+    }
+
     /** Returns whether a usable worker could run the step, with or without a ticket. */
     boolean hasEligibleWorker(Candidate candidate) {
         return usableWorkers.values().stream().anyMatch(n -> isEligible(candidate, n));
@@ -189,11 +192,19 @@
         return false;
     }
 
+    /** Returns the steps that were not placed in this pass for lack of free capacity. */
+    List<Candidate> unplacedCandidates() {
+        return Collections.unmodifiableList(unplacedCandidates);
+    }
+
+    /** Returns what the teams have running, including the allocations of this pass. */
+    TeamUsage teamUsage() {
+        return teamUsage;
+    }
+
     /** Returns the backlogs of the steps that were not placed in this pass. */
-    ServiceBacklogs backlogs() {
-        Map<String, Long> cpu = new HashMap<>();
-        capacityByService.forEach((s, r) -> cpu.put(s, r.cpuMillis()));
-        return ServiceBacklogs.of(unplacedCandidates, cpu);
+    ServiceBacklogs backlogs(TeamLedger ledger) {
+        return ServiceBacklogs.of(unplacedCandidates, ledger, services.cpuMillis());
     }
 
     /**
@@ -209,7 +220,7 @@
     void reserveWorkers(Candidate candidate) {
         if (!candidate.rank().reservesCapacity()
                 || candidate.standing().slackMillis() > MAX_RESERVATION_SLACK_MILLIS
-                || allocatedFraction(candidate.queue().service())
+                || services.allocatedFraction(candidate.queue().service())
                         < MIN_ALLOCATED_FRACTION_FOR_RESERVATION
                 || !isWithinTeamLimit(candidate, concurrentTasks(candidate))
                 || !fitsWhenIdle(candidate)) {
@@ -427,7 +438,7 @@
         Resources size = candidate.definition().chargedCapacity().times(sign);
         freeByWorker.merge(worker, size, Resources::minus);
         teamUsage.add(candidate.job().team(), size);
-        allocatedByService.merge(candidate.queue().service(), size, Resources::plus);
+        services.allocate(candidate.queue().service(), size);
         newTasksByStep
                 .computeIfAbsent(candidate.key(), k -> new HashMap<>())
                 .merge(worker, sign, Integer::sum);
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -57,19 +57,11 @@
         }
         candidates.sort(result.state().policies().order());
         PassCapacity capacity = PassCapacity.of(result.state());
-        for (Candidate candidate : candidates) {
-            result =
-                    result.then(
-                            s ->
-                                    FailureIsolation.isolate(
-                                            s,
-                                            candidate.key(),
-                                            waits,
-                                            () -> place(s, candidate, capacity, waits)));
-        }
+        ShareRounds rounds = new ShareRounds(capacity, waits, Placement::place);
+        result = result.then(s -> rounds.placeAll(s, candidates));
         WorkflowState placed =
                 result.state()
-                        .with(capacity.backlogs())
+                        .with(capacity.backlogs(result.state().teamLedger()))
                         .with(waits.build(capacity.reservedWorkerCount()));
         return result.withState(placed).then(s -> WaitingStepsLog.writeIfDue(s, capacity));
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -29,7 +29,11 @@
     private static final Map<String, WaitingOrder> ORDERS =
             Map.of(DEFAULT_ORDER, Urgency.byUrgency()::compare);
     private static final Map<String, TeamShare> SHARES =
-            Map.of(DEFAULT_SHARE, (state, job) -> job.acceptance().withinShare());
+            Map.of(
+                    DEFAULT_SHARE,
+                    (state, job) -> job.acceptance().withinShare(),
+                    "work",
+                    new WorkShare());
     private static final Map<String, DurationModel> DURATIONS =
             Map.of(DEFAULT_DURATIONS, (learned, queue, estimateMillis) -> estimateMillis);
     private static final Map<String, RetryDelay> RETRIES =
--- a/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
@@ -46,12 +46,15 @@
      * Returns the backlogs that consist of the steps in {@code unplaced}. Steps of teams over their
      * share and steps that are too late are excluded, because they delay no other work.
      *
+     * @param ledger what the teams use
      * @param capacities the CPU capacity of the usable workers of each service in millicores
      */
-    static ServiceBacklogs of(List<Candidate> unplaced, Map<String, Long> capacities) {
+    static ServiceBacklogs of(
+            List<Candidate> unplaced, TeamLedger ledger, Map<String, Long> capacities) {
         Map<String, Map<Integer, Long>> work = new HashMap<>();
         for (Candidate candidate : unplaced) {
-            if (candidate.rank().reservesCapacity()) {
+            if (candidate.rank().reservesCapacity()
+                    && !ledger.isOverShare(candidate.job().team())) {
                 work.computeIfAbsent(candidate.queue().service(), s -> new HashMap<>())
                         .merge(candidate.queue().priority(), candidate.waitingWork(), Long::sum);
             }
--- a/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
@@ -48,6 +48,7 @@
                         .with(commitQueue(workers, silent, unremovedJobs, finished))
                         .with(state.adviceRequests().cleared())
                         .with(WaitingSteps.NONE)
+                        .with(TeamLedger.EMPTY)
                         .with(new Recovery(state.now(), false))
                         .withPlacementDue(true);
         return adoptRecordedRuns(next, silent);
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamUsage.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamUsage.java
@@ -31,6 +31,11 @@
         return result;
     }
 
+    /** Returns what {@code team} has running. */
+    Resources of(String team) {
+        return usageByTeam.getOrDefault(team, Resources.ZERO);
+    }
+
     /** Adds {@code size}, which may be negative, to the usage of {@code team}. */
     void add(String team, Resources size) {
         usageByTeam.merge(team, size, Resources::plus);
@@ -60,8 +65,7 @@
                         .flatMap(c -> c.team(team))
                         .map(CellConfiguration.Team::limit)
                         .orElse(Resources.ZERO);
-        Resources usage =
-                usageByTeam.getOrDefault(team, Resources.ZERO).plus(unknownUsage).plus(added);
+        Resources usage = of(team).plus(unknownUsage).plus(added);
         return isWithinLimit(usage.cpuMillis(), limit.cpuMillis())
                 && isWithinLimit(usage.memoryMb(), limit.memoryMb())
                 && isWithinLimit(usage.accelerators(), limit.accelerators());
