--- a/core/src/main/java/org/jujubefork/core/workflow/ShareRounds.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/ShareRounds.java
@@ -1,8 +1,13 @@
 package org.jujubefork.core.workflow;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 import org.jujubefork.core.workflow.Placement.Candidate;
 
@@ -63,15 +68,45 @@
                 result = result.then(s -> place(s, candidate));
             }
         }
-        beyondShare.sort(
-                Comparator.comparing((Candidate c) -> !c.job().acceptance().withinShare())
-                        .thenComparing(state.policies().order()));
-        result = placeInOrder(result, beyondShare);
+        beyondShare.sort(state.policies().order());
+        result = placeByShare(result, beyondShare.stream().filter(c -> isWithinRate(c)).toList());
+        result = placeByShare(result, beyondShare.stream().filter(c -> !isWithinRate(c)).toList());
         result = placeInOrder(result, tooLate);
         TeamLedger ledger = result.state().teamLedger().withWaiting(capacity.unplacedCandidates());
         return result.withState(result.state().with(ledger)).then(s -> logIfDue(s, beyondShare));
     }
 
+    private static boolean isWithinRate(Candidate candidate) {
+        return candidate.job().acceptance().withinShare();
+    }
+
+    /**
+     * Places the steps of the team that is least over its share first; a placement can make another
+     * team the next one. The steps of one team keep their order.
+     */
+    private WorkflowTransition placeByShare(WorkflowTransition before, List<Candidate> candidates) {
+        Map<String, Deque<Candidate>> byTeam = new LinkedHashMap<>();
+        for (Candidate candidate : candidates) {
+            byTeam.computeIfAbsent(candidate.job().team(), t -> new ArrayDeque<>()).add(candidate);
+        }
+        WorkflowTransition result = before;
+        while (!byTeam.isEmpty()) {
+            TeamLedger ledger = result.state().teamLedger();
+            String team =
+                    Collections.min(byTeam.keySet(), Comparator.comparingDouble(ledger::rank));
+            Deque<Candidate> steps = byTeam.get(team);
+            // The order of the teams stays as it is until a placement changes the ledger.
+            while (!steps.isEmpty() && result.state().teamLedger() == ledger) {
+                Candidate candidate = steps.poll();
+                result = result.then(s -> place(s, candidate));
+            }
+            if (steps.isEmpty()) {
+                byTeam.remove(team);
+            }
+        }
+        return result;
+    }
+
     private static boolean isBeyondShare(WorkflowState state, Candidate candidate) {
         return candidate.rank() == Urgency.Rank.OVER_SHARE
                 || !state.policies().share().isWithinShare(state, candidate.job());
@@ -111,8 +146,7 @@
                 ledger.teamsOverShare().stream()
                         .map(t -> "%s:%.2f".formatted(t, ledger.shareRatio(t)))
                         .collect(Collectors.joining(","));
-        long overRate =
-                beyondShare.stream().filter(c -> !c.job().acceptance().withinShare()).count();
+        long overRate = beyondShare.stream().filter(c -> !isWithinRate(c)).count();
         return WorkflowTransition.of(state.with(ledger.withLoggedAt(state.now())))
                 .with(
                         WorkflowEffect.LogEvent.of(
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamAccount.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamAccount.java
@@ -6,12 +6,14 @@
  * @param weight the weight of the team
  * @param usedWork the decayed work that the team has used
  * @param runningMillicores the CPU allocated to its tasks, in millicores
+ * @param waitingWork the estimated work of its waiting tasks
  * @param activeAt when it last had allocated or waiting work, in milliseconds of the monotonic
  *     clock
  */
-public record TeamAccount(double weight, double usedWork, long runningMillicores, long activeAt) {
+public record TeamAccount(
+        double weight, double usedWork, long runningMillicores, double waitingWork, long activeAt) {
     /** The account of a team that has used nothing. */
-    static final TeamAccount UNUSED = new TeamAccount(0, 0, 0, Long.MIN_VALUE / 2);
+    static final TeamAccount UNUSED = new TeamAccount(0, 0, 0, 0, Long.MIN_VALUE / 2);
 
     /**
      * Half-life of the used work: a few run times of a task, so that the share holds over the run
@@ -46,6 +48,7 @@
                 newWeight,
                 projectedWork(remainder(intervalMillis), millicores),
                 millicores,
+                waitingWork,
                 activeAt);
     }
 
@@ -60,17 +63,24 @@
 
     /** Returns a copy whose used work is at most {@code maxWork}. */
     TeamAccount withUsedAtMost(double maxWork) {
-        return new TeamAccount(weight, Math.min(usedWork, maxWork), runningMillicores, activeAt);
+        return new TeamAccount(
+                weight, Math.min(usedWork, maxWork), runningMillicores, waitingWork, activeAt);
     }
 
     /** Returns a copy with {@code millicores} allocated. */
     TeamAccount withRunning(long millicores) {
-        return new TeamAccount(weight, usedWork, millicores, activeAt);
+        return new TeamAccount(weight, usedWork, millicores, waitingWork, activeAt);
+    }
+
+    /** Returns a copy with {@code work} waiting at {@code now}. */
+    TeamAccount withWaiting(double work, long now) {
+        long newActiveAt = runningMillicores > 0 || work > 0 ? now : activeAt;
+        return new TeamAccount(weight, usedWork, runningMillicores, work, newActiveAt);
     }
 
-    /** Returns a copy that was active at {@code at}. */
-    TeamAccount activeAt(long at) {
-        return new TeamAccount(weight, usedWork, runningMillicores, at);
+    /** Returns the projected use and the waiting work. */
+    double projectedLoad() {
+        return projectedUse() + waitingWork;
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamLedger.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamLedger.java
@@ -1,13 +1,16 @@
 package org.jujubefork.core.workflow;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToLongFunction;
 import org.jujubefork.core.fairshare.FairShare;
+import org.jujubefork.core.fairshare.QueueOrder;
+import org.jujubefork.core.fairshare.QueueOrders;
 import org.jujubefork.core.workflow.Placement.Candidate;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -28,13 +31,13 @@
  */
 public record TeamLedger(
         PMap<String, TeamAccount> accounts,
-        PMap<String, PMap<String, Long>> waiting,
+        Map<String, Map<String, Long>> waiting,
         Totals totals,
         long updatedAt,
         long loggedAt) {
     /** No team has used anything. */
     public static final TeamLedger EMPTY =
-            new TeamLedger(HashTreePMap.empty(), HashTreePMap.empty(), Totals.NONE, 0, 0);
+            new TeamLedger(HashTreePMap.empty(), Map.of(), Totals.NONE, 0, 0);
 
     /**
      * Upper bound of the used work as a multiple of the fair share of what runs. It bounds the time
@@ -42,18 +45,34 @@
      */
     static final double MAX_USED_RATIO = 2.5;
 
+    private static final QueueOrder.TeamView UNUSED_VIEW = new QueueOrder.TeamView(0, 0, 0, 0);
+
     /** Ratio above which a team is over its share; the margin covers rounding. */
     private static final double MAX_RATIO_WITHIN_SHARE = 1.01;
 
+    /** Makes the map of the waiting work unmodifiable. */
+    public TeamLedger {
+        waiting = Collections.unmodifiableMap(waiting);
+    }
+
     /**
      * Sums over the active teams.
      *
      * @param use their projected use
+     * @param load their projected use and waiting work
      * @param weight their weights
      * @param runningMillicores the CPU allocated to their running tasks, in millicores
      */
-    record Totals(double use, double weight, long runningMillicores) {
-        static final Totals NONE = new Totals(0, 0, 0);
+    record Totals(double use, double load, double weight, long runningMillicores) {
+        static final Totals NONE = new Totals(0, 0, 0, 0);
+
+        private Totals plus(TeamAccount account) {
+            return new Totals(
+                    use + account.projectedUse(),
+                    load + account.projectedLoad(),
+                    weight + account.weight(),
+                    runningMillicores + account.runningMillicores());
+        }
     }
 
     /** Returns whether the policy in force keeps the ledger and a team has a weight. */
@@ -110,37 +129,32 @@
         if (!isKept()) {
             return this;
         }
-        PMap<String, PMap<String, Long>> next = HashTreePMap.empty();
-        Set<String> waitingTeams = new HashSet<>();
+        Map<String, Map<String, Long>> byService = new HashMap<>();
+        Map<String, Long> byTeam = new HashMap<>();
         for (Candidate candidate : candidates) {
-            String service = candidate.queue().service();
             String team = candidate.job().team();
-            PMap<String, Long> byTeam = next.getOrDefault(service, HashTreePMap.empty());
-            long work = byTeam.getOrDefault(team, 0L) + candidate.waitingWork();
-            next = next.plus(service, byTeam.plus(team, work));
-            waitingTeams.add(team);
+            byService
+                    .computeIfAbsent(candidate.queue().service(), s -> new HashMap<>())
+                    .merge(team, candidate.waitingWork(), Long::sum);
+            byTeam.merge(team, candidate.waitingWork(), Long::sum);
         }
-        return withActive(next, waitingTeams);
+        return withWaiting(byService, byTeam);
     }
 
-    private TeamLedger withActive(PMap<String, PMap<String, Long>> work, Set<String> waitingTeams) {
-        PMap<String, TeamAccount> next = accounts;
-        double use = 0;
-        double weight = 0;
-        long running = 0;
+    private TeamLedger withWaiting(
+            Map<String, Map<String, Long>> byService, Map<String, Long> byTeam) {
+        PMap<String, TeamAccount> next = HashTreePMap.empty();
+        Totals sum = Totals.NONE;
         for (Map.Entry<String, TeamAccount> teamAndAccount : accounts.entrySet()) {
-            TeamAccount account = teamAndAccount.getValue();
-            if (account.runningMillicores() > 0 || waitingTeams.contains(teamAndAccount.getKey())) {
-                account = account.activeAt(updatedAt);
-                next = next.plus(teamAndAccount.getKey(), account);
-            }
+            String team = teamAndAccount.getKey();
+            TeamAccount account =
+                    teamAndAccount.getValue().withWaiting(byTeam.getOrDefault(team, 0L), updatedAt);
+            next = next.plus(team, account);
             if (account.isActive(updatedAt)) {
-                use += account.projectedUse();
-                weight += account.weight();
-                running += account.runningMillicores();
+                sum = sum.plus(account);
             }
         }
-        return new TeamLedger(next, work, new Totals(use, weight, running), updatedAt, loggedAt);
+        return new TeamLedger(next, byService, sum, updatedAt, loggedAt);
     }
 
     /** Returns a copy in which {@code millicores} are allocated to {@code team}. */
@@ -150,9 +164,11 @@
             return this;
         }
         TeamAccount next = account.withRunning(millicores);
+        double addedUse = next.projectedUse() - account.projectedUse();
         Totals nextTotals =
                 new Totals(
-                        totals.use() + next.projectedUse() - account.projectedUse(),
+                        totals.use() + addedUse,
+                        totals.load() + addedUse,
                         totals.weight(),
                         totals.runningMillicores() + millicores - account.runningMillicores());
         return new TeamLedger(accounts.plus(team, next), waiting, nextTotals, updatedAt, loggedAt);
@@ -168,11 +184,37 @@
      * has no weight.
      */
     public double shareRatio(String team) {
+        return view(team, TeamAccount::projectedUse, totals.use()).shareRatio();
+    }
+
+    /**
+     * Returns the ratio of the use and the waiting work of {@code team} to its fair share of those
+     * of all teams; 0 if it has neither or has no weight.
+     */
+    double loadRatio(String team) {
+        return view(team, TeamAccount::projectedLoad, totals.load()).shareRatio();
+    }
+
+    /**
+     * Returns the rank of {@code team} in the weighted fair order; the lowest goes first. Waiting
+     * work counts, so that a team with a long burst goes after one that is just over its share.
+     */
+    double rank(String team) {
+        return QueueOrders.WEIGHTED_FAIR.rank(
+                view(team, TeamAccount::projectedLoad, totals.load()));
+    }
+
+    private QueueOrder.TeamView view(
+            String team, ToDoubleFunction<TeamAccount> amount, double total) {
         TeamAccount account = accounts.get(team);
-        return account == null || totals.use() <= 0
-                ? 0
+        return account == null || total <= 0
+                ? UNUSED_VIEW
                 : new FairShare(totals.weight())
-                        .shareRatio(account.projectedUse() / totals.use(), account.weight());
+                        .view(
+                                amount.applyAsDouble(account) / total,
+                                account.weight(),
+                                updatedAt,
+                                updatedAt);
     }
 
     /** Returns whether {@code team} uses more than its share. */
@@ -191,7 +233,7 @@
     }
 
     private boolean anyOtherWaits(String service, String team, Predicate<String> condition) {
-        for (String other : waiting.getOrDefault(service, HashTreePMap.empty()).keySet()) {
+        for (String other : waiting.getOrDefault(service, Map.of()).keySet()) {
             if (!other.equals(team) && condition.test(other)) {
                 return true;
             }
@@ -208,7 +250,7 @@
         if (account == null) {
             return 0;
         }
-        long work = waiting.getOrDefault(service, HashTreePMap.empty()).getOrDefault(team, 0L);
+        long work = waiting.getOrDefault(service, Map.of()).getOrDefault(team, 0L);
         double fairMillicores = totals.runningMillicores() * entitledFraction(account.weight());
         double millicores = Math.max(fairMillicores, account.runningMillicores());
         return millicores <= 0 ? 0 : (long) (work / millicores);
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkShare.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkShare.java
@@ -13,7 +13,8 @@
  */
 final class WorkShare implements TeamShare {
     /**
-     * Ratio of use to fair share above which jobs are rejected while teams below their share wait.
+     * Ratio of use and waiting work to the fair share above which jobs of a team over its share are
+     * rejected while teams below theirs wait.
      */
     private static final double MAX_ACCEPTED_RATIO = 1.5;
 
@@ -60,9 +61,10 @@
     public OptionalLong rejectionDelayMillis(
             WorkflowState state, String team, Queue queue, boolean withinRate) {
         TeamLedger ledger = state.teamLedger();
-        double ratio = ledger.shareRatio(team);
-        boolean exceeds = withinRate ? ratio > MAX_ACCEPTED_RATIO : ledger.isOverShare(team);
-        return exceeds && ledger.isAwaitedBelowShare(queue.service(), team)
+        double ratio = ledger.loadRatio(team);
+        return ledger.isOverShare(team)
+                        && ratio > MAX_ACCEPTED_RATIO
+                        && ledger.isAwaitedBelowShare(queue.service(), team)
                 ? OptionalLong.of(TeamAccount.millisToFairShare(ratio))
                 : OptionalLong.empty();
     }
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -17,6 +17,10 @@
     static final String SERVICE = "s";
     static final String QUEUE = "q";
     static final String TEAM = "t";
+
+    /** When a fixture starts, in milliseconds of the monotonic clock. */
+    static final long START_MILLIS = 100_000;
+
     private static final long TICK_MILLIS = 20;
     private static final long FIRST_INCARNATION = 7;
     private static final long WALL_OFFSET_MILLIS = 1_700_000_000_000L;
@@ -26,13 +30,15 @@
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, Long> startedAt = new HashMap<>();
     private final List<WorkflowEffect.Commit> commits = new ArrayList<>();
-    private WorkflowState state = WorkflowState.initial("e0", 1_000);
-    private long now = 100_000;
+    private WorkflowState state;
+    private long now;
     private long revision = 10;
     private long nextRequestId = 1;
     private int takenAdviceRequestCount;
 
-    private LeaderFixture(CellConfiguration configuration) {
+    private LeaderFixture(CellConfiguration configuration, WorkflowState initial) {
+        state = initial;
+        now = initial.now();
         post(new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
     }
 
@@ -41,9 +47,19 @@
      * store.
      */
     static LeaderFixture leading(CellConfiguration configuration, WorkflowEvent.Snapshot snapshot) {
-        LeaderFixture fixture = new LeaderFixture(configuration);
+        WorkflowState initial = WorkflowState.initial("e0", 1_000).withTime(START_MILLIS);
+        return leading(configuration, snapshot, initial, 2);
+    }
+
+    /** Returns a fixture whose entry starts with {@code initial} and has become the leader. */
+    static LeaderFixture leading(
+            CellConfiguration configuration,
+            WorkflowEvent.Snapshot snapshot,
+            WorkflowState initial,
+            long term) {
+        LeaderFixture fixture = new LeaderFixture(configuration, initial);
         fixture.tick();
-        LeaderRecord record = new LeaderRecord("e0", "e0", 2, fixture.revision, true);
+        LeaderRecord record = new LeaderRecord("e0", "e0", term, fixture.revision, true);
         fixture.post(
                 new WorkflowEvent.ClaimCompleted(
                         fixture.now, new WorkflowEvent.ClaimResult.Won(record, snapshot)));
@@ -289,12 +305,17 @@
 
     /** Submits a job and returns the number of the request. */
     long submit(String id, WorkflowDefinition definition) {
+        return submit(TEAM, id, definition);
+    }
+
+    /** Submits a job of {@code team} and returns the number of the request. */
+    long submit(String team, String id, WorkflowDefinition definition) {
         long requestId = nextRequestId++;
         post(
                 new WorkflowEvent.CallArrived(
                         now,
                         requestId,
-                        new WorkflowEvent.Call.Submit(QUEUE, TEAM, id, definition)));
+                        new WorkflowEvent.Call.Submit(QUEUE, team, id, definition)));
         return requestId;
     }
 
