Let teams exceed their share by chance, and bound waiting beyond the rate

A team that stays within its share on average is over it at the peaks of its random arrivals and then yielded to every team below. It now counts as over its share from 1.25 times the share on. Jobs beyond the rate of their team were accepted although they would wait behind all others: admission now counts the own waiting work for them, too, and rejects them first.

--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -62,7 +62,7 @@
             return new Decision.Reject(
                     "beyond-share", retryAfterMillis(shareDelay.getAsLong()), true);
         }
-        long waitMillis = share.expectedWaitMillis(state, submit.team(), queue.get());
+        long waitMillis = share.expectedWaitMillis(state, submit.team(), queue.get(), withinShare);
         double objectiveMillis = Urgency.objectiveMillis(submit.definition(), queue.get());
         if (waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis) {
             return new Decision.Reject("too-late", retryAfterMillis(waitMillis), true);
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamLedger.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamLedger.java
@@ -47,8 +47,11 @@
 
     private static final QueueOrder.TeamView UNUSED_VIEW = new QueueOrder.TeamView(0, 0, 0, 0);
 
-    /** Ratio above which a team is over its share; the margin covers rounding. */
-    private static final double MAX_RATIO_WITHIN_SHARE = 1.01;
+    /**
+     * Ratio above which a team is over its share. The margin covers the random arrivals of a team
+     * that stays within its share on average; without it, such a team yields at each of its peaks.
+     */
+    private static final double MAX_RATIO_WITHIN_SHARE = 1.25;
 
     /** Makes the map of the waiting work unmodifiable. */
     public TeamLedger {
@@ -63,7 +66,7 @@
      * @param weight their weights
      * @param runningMillicores the CPU allocated to their running tasks, in millicores
      */
-    record Totals(double use, double load, double weight, long runningMillicores) {
+    public record Totals(double use, double load, double weight, long runningMillicores) {
         static final Totals NONE = new Totals(0, 0, 0, 0);
 
         private Totals plus(TeamAccount account) {
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamShare.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamShare.java
@@ -25,8 +25,11 @@
     /**
      * Returns how long a new job of {@code team} in {@code queue} would wait for capacity, in
      * milliseconds.
+     *
+     * @param withinRate whether the team submits at most its weight in jobs per second
      */
-    default long expectedWaitMillis(WorkflowState state, String team, Queue queue) {
+    default long expectedWaitMillis(
+            WorkflowState state, String team, Queue queue, boolean withinRate) {
         return state.backlogs().expectedWaitMillis(queue.service(), queue.priority());
     }
 
@@ -39,7 +42,7 @@
     default OptionalLong rejectionDelayMillis(
             WorkflowState state, String team, Queue queue, boolean withinRate) {
         return !withinRate && state.backlogs().hasBacklog(queue.service())
-                ? OptionalLong.of(expectedWaitMillis(state, team, queue))
+                ? OptionalLong.of(expectedWaitMillis(state, team, queue, withinRate))
                 : OptionalLong.empty();
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkShare.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkShare.java
@@ -48,11 +48,12 @@
         return rank == Urgency.Rank.OVER_SHARE ? 0 : rank.minFreeFraction();
     }
 
-    /** A team over its share also waits for its own work, which is not part of the backlog. */
+    /** A job that yields also waits for its own work, which is not part of the backlog. */
     @Override
-    public long expectedWaitMillis(WorkflowState state, String team, Queue queue) {
-        long backlogMillis = TeamShare.super.expectedWaitMillis(state, team, queue);
-        return state.teamLedger().isOverShare(team)
+    public long expectedWaitMillis(
+            WorkflowState state, String team, Queue queue, boolean withinRate) {
+        long backlogMillis = TeamShare.super.expectedWaitMillis(state, team, queue, withinRate);
+        return !withinRate || state.teamLedger().isOverShare(team)
                 ? backlogMillis + state.teamLedger().ownWaitMillis(queue.service(), team)
                 : backlogMillis;
     }
@@ -62,7 +63,8 @@
             WorkflowState state, String team, Queue queue, boolean withinRate) {
         TeamLedger ledger = state.teamLedger();
         double ratio = ledger.loadRatio(team);
-        return ledger.isOverShare(team)
+        boolean yields = !withinRate || ledger.isOverShare(team);
+        return yields
                         && ratio > MAX_ACCEPTED_RATIO
                         && ledger.isAwaitedBelowShare(queue.service(), team)
                 ? OptionalLong.of(TeamAccount.millisToFairShare(ratio))
