--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -159,7 +159,10 @@
         return reservedPlaces > 0 && (count == 1 || reservedPlaces + otherPlaces >= count);
     }
 
-    /** Returns whether the step may start now: no single worker need have room for its tasks. */
+    /**
+     * Returns whether the tasks of the step may fit into the free capacity now; an estimate that
+     * does not look at each worker.
+     */
     boolean mayFit(Candidate candidate) {
         int count = concurrentTasks(candidate);
         boolean needsTicket = candidate.queue().advice().isPresent();
