--- a/core/src/main/java/org/jujubefork/core/workflow/DelayCostAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/DelayCostAdmission.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.JobAdmission.Decision;
 import org.jujubefork.core.workflow.Placement.Candidate;
@@ -27,14 +28,17 @@
         DelayCost cost = DelayCost.of(first.get());
         long waitMillis = state.backlogs().waitMillisBefore(queue.service(), cost, state.now());
         boolean isTooLate = waitMillis > usefulSlackMillis(first.get().standing());
-        // Work of a team over its share starts only after the work that waits.
-        boolean isOverShare = first.get().rank() == Urgency.Rank.OVER_SHARE;
-        if (!(isTooLate || isOverShare) || hasRoom(state, steps)) {
+        OptionalLong shareDelay =
+                state.policies()
+                        .share()
+                        .rejectionDelayMillis(state, submit.team(), queue, withinShare);
+        if (!(isTooLate || shareDelay.isPresent()) || hasRoom(state, steps)) {
             return new Decision.Accept();
         }
         Optional<Long> orderValueMillis = DelayCost.loggedValue(first.get());
-        return isOverShare
-                ? JobAdmission.overShare(state, submit, queue, waitMillis, orderValueMillis)
+        return shareDelay.isPresent()
+                ? JobAdmission.overShare(
+                        state, submit, queue, shareDelay.getAsLong(), orderValueMillis)
                 : JobAdmission.tooLate(state, submit, queue, waitMillis, orderValueMillis);
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -1,6 +1,7 @@
 package org.jujubefork.core.workflow;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.RetryDelay.Rejection;
 import org.jujubefork.core.workflow.WorkflowEvent.Call;
@@ -87,10 +88,13 @@
     /** Decides by the work of the same or a more urgent priority that waits for capacity. */
     static Decision decideByPriority(
             WorkflowState state, Call.Submit submit, Queue queue, boolean withinShare) {
-        long waitMillis = state.backlogs().expectedWaitMillis(queue.service(), queue.priority());
-        if (!withinShare && state.backlogs().hasBacklog(queue.service())) {
-            return overShare(state, submit, queue, waitMillis, Optional.empty());
+        TeamShare share = state.policies().share();
+        OptionalLong shareDelay =
+                share.rejectionDelayMillis(state, submit.team(), queue, withinShare);
+        if (shareDelay.isPresent()) {
+            return overShare(state, submit, queue, shareDelay.getAsLong(), Optional.empty());
         }
+        long waitMillis = share.expectedWaitMillis(state, submit.team(), queue, withinShare);
         double objectiveMillis = Urgency.objectiveMillis(submit.definition(), queue);
         if (waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis) {
             return tooLate(state, submit, queue, waitMillis, Optional.empty());
--- a/core/src/main/java/org/jujubefork/core/workflow/OrderPolicy.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/OrderPolicy.java
@@ -26,7 +26,7 @@
             new OrderPolicy(
                     Urgency.byUrgency()::compare,
                     now -> AdviceDispatcher.BY_RANK_AND_PRIORITY,
-                    (candidate, arrivals, capacity) -> candidate.rank().minFreeFraction(),
+                    (candidate, arrivals, capacity) -> 0,
                     JobAdmission::decideByPriority,
                     candidate -> Optional.empty());
 
--- a/core/src/main/java/org/jujubefork/core/workflow/UrgentArrivals.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/UrgentArrivals.java
@@ -66,13 +66,12 @@
     }
 
     /**
-     * Returns the fraction of the capacity that must be free before {@code candidate} starts: that
-     * of its rank, and for a step with ample slack also the reserve for more urgent queues. A gang
-     * does not yield, because it has to collect many workers before its slack is used up.
+     * Returns the fraction of the capacity that {@code candidate} leaves to more urgent queues; 0
+     * unless it has ample slack. A gang does not yield, because it has to collect many workers
+     * before its slack is used up.
      */
     static double minFreeFraction(
             Candidate candidate, Supplier<UrgentArrivals> arrivals, long capacityMillicores) {
-        double ofRank = candidate.rank().minFreeFraction();
         boolean yields =
                 Double.isFinite(candidate.standing().slackMillis())
                         && candidate.standing().slackMillis() > AMPLE_SLACK_MILLIS
@@ -80,14 +79,11 @@
                         && candidate.queue().priority() > 0
                         && capacityMillicores > 0;
         if (!yields) {
-            return ofRank;
+            return 0;
         }
         double urgent = arrivals.get().moreUrgentThan(candidate.queue());
-        return Math.max(
-                ofRank,
-                Math.min(
-                        MAX_FREE_FRACTION,
-                        RESERVED_FRACTION_OF_ARRIVALS * urgent / capacityMillicores));
+        return Math.min(
+                MAX_FREE_FRACTION, RESERVED_FRACTION_OF_ARRIVALS * urgent / capacityMillicores);
     }
 
     /** Returns the CPU of the arrivals in queues that are more urgent, in millicores. */
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -18,6 +18,10 @@
     static final String SERVICE = "s";
     static final String QUEUE = "q";
     static final String TEAM = "t";
+
+    /** When a fixture starts, in milliseconds of the monotonic clock. */
+    static final long START_MILLIS = 100_000;
+
     private static final long TICK_MILLIS = 20;
     private static final long FIRST_INCARNATION = 7;
     private static final long WALL_OFFSET_MILLIS = 1_700_000_000_000L;
@@ -28,14 +32,14 @@
     private final Map<String, Long> startedAt = new HashMap<>();
     private final List<WorkflowEffect.Commit> commits = new ArrayList<>();
     private WorkflowState state;
-    private long now = 100_000;
+    private long now;
     private long revision = 10;
     private long nextRequestId = 1;
     private int takenAdviceRequestCount;
 
-    private LeaderFixture(
-            CellConfiguration configuration, SchedulingPolicies policies, Evacuations evacuations) {
-        state = WorkflowState.initial("e0", 1_000, policies, evacuations);
+    private LeaderFixture(CellConfiguration configuration, WorkflowState initial) {
+        state = initial;
+        now = initial.now();
         post(new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
     }
 
@@ -52,20 +56,38 @@
             CellConfiguration configuration,
             WorkflowEvent.Snapshot snapshot,
             SchedulingPolicies policies) {
-        LeaderFixture fixture = new LeaderFixture(configuration, policies, Evacuations.NONE);
-        fixture.winClaim(snapshot);
+        return leading(configuration, snapshot, initial(policies, Evacuations.NONE), 2);
+    }
+
+    private static WorkflowState initial(SchedulingPolicies policies, Evacuations evacuations) {
+        return WorkflowState.initial("e0", 1_000, policies, evacuations).withTime(START_MILLIS);
+    }
+
+    /** Returns a fixture whose entry starts with {@code initial} and has become the leader. */
+    static LeaderFixture leading(
+            CellConfiguration configuration,
+            WorkflowEvent.Snapshot snapshot,
+            WorkflowState initial,
+            long term) {
+        LeaderFixture fixture = new LeaderFixture(configuration, initial);
+        fixture.winClaim(snapshot, term);
         return fixture;
     }
 
     /** Returns a fixture whose entry has the configuration and does not lead yet. */
     static LeaderFixture following(CellConfiguration configuration, Evacuations evacuations) {
-        return new LeaderFixture(configuration, SchedulingPolicies.DEFAULT, evacuations);
+        return new LeaderFixture(
+                configuration, initial(SchedulingPolicies.DEFAULT, evacuations));
     }
 
     /** Lets the entry claim leadership, and win with {@code snapshot} read from the store. */
     void winClaim(WorkflowEvent.Snapshot snapshot) {
+        winClaim(snapshot, 2);
+    }
+
+    private void winClaim(WorkflowEvent.Snapshot snapshot, long term) {
         tick();
-        LeaderRecord record = new LeaderRecord("e0", "e0", 2, revision, true);
+        LeaderRecord record = new LeaderRecord("e0", "e0", term, revision, true);
         post(
                 new WorkflowEvent.ClaimCompleted(
                         now, new WorkflowEvent.ClaimResult.Won(record, snapshot)));
