Learn the durations of tasks for each queue

The policy 'learned' of the setting 'durations' fits the durations of a queue's newest runs to their estimates in logarithms. The slope decides how far an estimate counts; the median of all samples gives the typical time. Queues with fewer than 8 samples use the declared estimate, as does the policy 'declared'. Urgency and Candidate.waitingWork take their times from the duration model. The numbers of runs move to RunNumbers, which also tells whether the leader of this term has started a run. LearnedSize shares the bounded samples and the percentile rank.

Verified with UrgencyTest, JobAdmissionTest, WorkerHealthTest and the new LearnedDurationsTest in module core.

--- a/core/src/main/java/org/jujubefork/core/placement/LearnedSize.java
+++ b/core/src/main/java/org/jujubefork/core/placement/LearnedSize.java
@@ -2,6 +2,7 @@
 
 import java.util.function.ToLongFunction;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.model.Samples;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
 
@@ -49,8 +50,7 @@
         if (peaks.size() == MAX_PEAK_COUNT && peaks.get(0).equals(peak)) {
             return new LearnedSize(peaks.minus(0).plus(peak), estimate);
         }
-        PVector<Resources> retained = peaks.size() < MAX_PEAK_COUNT ? peaks : peaks.minus(0);
-        PVector<Resources> all = retained.plus(peak);
+        PVector<Resources> all = Samples.append(peaks, peak, MAX_PEAK_COUNT);
         return new LearnedSize(
                 all,
                 new Resources(
@@ -94,6 +94,6 @@
 
     private static long percentile(PVector<Resources> all, ToLongFunction<Resources> component) {
         long[] sorted = all.stream().mapToLong(component).sorted().toArray();
-        return sorted[(int) Math.ceil(PERCENTILE_FRACTION * sorted.length) - 1];
+        return sorted[Samples.percentileIndex(PERCENTILE_FRACTION, sorted.length)];
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -59,7 +59,7 @@
         if (!withinShare && state.backlogs().hasBacklog(queue.get().service())) {
             return new Decision.Reject("beyond-share", retryAfterMillis(waitMillis), true);
         }
-        double objectiveMillis = Urgency.objectiveMillis(submit.definition(), queue.get());
+        double objectiveMillis = Urgency.objectiveMillis(state, submit.definition(), queue.get());
         if (waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis) {
             return new Decision.Reject("too-late", retryAfterMillis(waitMillis), true);
         }
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -14,25 +14,32 @@
 
 /** Decides which tasks run on which workers, and starts them. */
 public final class Placement {
-    /** A step that has tasks to place. */
+    /**
+     * A step that has tasks to place.
+     *
+     * @param key its key
+     * @param job its job
+     * @param definition the step as the caller defined it
+     * @param progress its progress
+     * @param queue the queue of the job
+     * @param standing how urgent it is
+     * @param expectedMillis the expected duration of each of its tasks
+     */
     record Candidate(
             StepKey key,
             Job job,
             StepDefinition definition,
             StepProgress progress,
             Queue queue,
-            Urgency.Standing standing) {
+            Urgency.Standing standing,
+            long expectedMillis) {
         Urgency.Rank rank() {
             return standing.rank();
         }
 
-        /**
-         * Returns the estimated CPU time of the waiting tasks, in millicores times milliseconds.
-         */
+        /** Returns the expected CPU time of the waiting tasks, in millicores times milliseconds. */
         long waitingWork() {
-            return progress.waitingCount()
-                    * definition.size().cpuMillis()
-                    * definition.estimateMillis();
+            return progress.waitingCount() * definition.size().cpuMillis() * expectedMillis;
         }
     }
 
@@ -138,7 +145,14 @@
     static Candidate candidate(WorkflowState state, Job job, StepKey key, Queue queue) {
         List<StepProgress> steps = job.occurrences().get(key.occurrence());
         Urgency.Standing standing = Urgency.standing(state, job, steps, queue);
-        return new Candidate(key, job, job.step(key), steps.get(key.step()), queue, standing);
+        StepDefinition definition = job.step(key);
+        long expectedMillis =
+                state.policies()
+                        .durations()
+                        .expectedMillis(
+                                state.durations(), queue.name(), definition.estimateMillis());
+        return new Candidate(
+                key, job, definition, steps.get(key.step()), queue, standing, expectedMillis);
     }
 
     private static WorkflowTransition place(
@@ -211,7 +225,7 @@
                             candidate,
                             i,
                             worker.get(),
-                            nextRunNumber(next, candidate, task.runNumber()));
+                            RunNumbers.next(next, candidate.job(), task.runNumber()));
             anyAssigned = true;
         }
         return anyAssigned ? startAssigned(next, candidate.key()) : WorkflowTransition.of(next);
@@ -238,7 +252,7 @@
             return WorkflowTransition.of(state);
         }
         long lastRunNumber = tasks.stream().mapToLong(Task::runNumber).max().orElse(0);
-        long runNumber = nextRunNumber(state, candidate, lastRunNumber);
+        long runNumber = RunNumbers.next(state, candidate.job(), lastRunNumber);
         WorkflowState next = state;
         for (int i = 0; i < tasks.size(); i++) {
             next = assign(next, candidate, i, workers.get().get(i), runNumber);
@@ -246,19 +260,6 @@
         return startAssigned(next, candidate.key());
     }
 
-    /**
-     * Returns the number of the next run. For a job that an earlier leader accepted, it is higher
-     * than any number that an earlier leader may have used.
-     */
-    private static long nextRunNumber(
-            WorkflowState state, Candidate candidate, long lastRunNumber) {
-        long lastNumberOfEarlierTerms = (state.term() - candidate.job().term()) * RUNS_PER_TERM;
-        return Math.max(lastNumberOfEarlierTerms, lastRunNumber) + 1;
-    }
-
-    /** Number of run numbers of a task that are reserved for each term. */
-    private static final long RUNS_PER_TERM = 10_000;
-
     private static WorkflowState assign(
             WorkflowState state, Candidate candidate, int index, String worker, long runNumber) {
         TaskKey key = candidate.key().task(index);
--- a/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -10,10 +10,15 @@
  * @param order the order in which waiting steps are served
  * @param share whether a job counts as within the share of its team
  * @param durations how long a task is expected to run
+ * @param learning what is learned from the duration of a run
  * @param retry when a rejected caller may return
  */
 public record SchedulingPolicies(
-        WaitingOrder order, TeamShare share, DurationModel durations, RetryDelay retry) {
+        WaitingOrder order,
+        TeamShare share,
+        DurationModel durations,
+        DurationLearning learning,
+        RetryDelay retry) {
     /** The name of the policy that is in force if the settings select no order. */
     public static final String DEFAULT_ORDER = "acceptance";
 
@@ -30,8 +35,23 @@
             Map.of(DEFAULT_ORDER, Urgency.byUrgency()::compare);
     private static final Map<String, TeamShare> SHARES =
             Map.of(DEFAULT_SHARE, (state, job) -> job.acceptance().withinShare());
+    private static final String LEARNED_DURATIONS = "learned";
+
     private static final Map<String, DurationModel> DURATIONS =
-            Map.of(DEFAULT_DURATIONS, (learned, queue, estimateMillis) -> estimateMillis);
+            Map.of(
+                    DEFAULT_DURATIONS,
+                    (learned, queue, estimateMillis, elapsedMillis) ->
+                            estimateMillis - elapsedMillis,
+                    LEARNED_DURATIONS,
+                    LearnedDurations::remainingMillis);
+
+    private static final Map<String, DurationLearning> LEARNING =
+            Map.of(
+                    DEFAULT_DURATIONS,
+                    (learned, queue, estimateMillis, actualMillis) -> learned,
+                    LEARNED_DURATIONS,
+                    LearnedDurations::with);
+
     private static final Map<String, RetryDelay> RETRIES =
             Map.of(DEFAULT_RETRY, (waitMillis, priority, job) -> waitMillis);
 
@@ -74,6 +94,7 @@
                 policy(ORDERS, order),
                 policy(SHARES, share),
                 policy(DURATIONS, durations),
+                policy(LEARNING, durations),
                 policy(RETRIES, retry));
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -87,8 +87,9 @@
      */
     static Standing standing(WorkflowState state, Job job, List<StepProgress> steps, Queue queue) {
         long now = state.now();
-        double objectiveMillis = objectiveMillis(job.definition(), queue);
-        double completionMillis = now - job.acceptedAt() + remainingMillis(job, steps, queue, now);
+        double objectiveMillis = objectiveMillis(state, job.definition(), queue);
+        double completionMillis =
+                now - job.acceptedAt() + remainingMillis(state, job, steps, queue);
         double slackMillis = objectiveMillis - completionMillis;
         if (completionMillis > MAX_OBJECTIVE_FACTOR * objectiveMillis) {
             return new Standing(Rank.TOO_LATE, slackMillis);
@@ -101,19 +102,29 @@
 
     /** Returns the shortest time in which the remaining steps can complete, in milliseconds. */
     private static double remainingMillis(
-            Job job, List<StepProgress> steps, Queue queue, long now) {
+            WorkflowState state, Job job, List<StepProgress> steps, Queue queue) {
+        DurationModel durations = state.policies().durations();
         List<StepDefinition> definitions = job.definition().steps();
         double[] remainingStepMillis = new double[steps.size()];
         for (int i = 0; i < remainingStepMillis.length; i++) {
             StepProgress progress = steps.get(i);
-            double estimate = definitions.get(i).estimateMillis();
+            long estimateMillis = definitions.get(i).estimateMillis();
             if (progress.isDone()) {
                 remainingStepMillis[i] = 0;
             } else if (progress.hasWaiting()) {
                 remainingStepMillis[i] =
-                        estimate + (progress.advice().received() ? 0 : adviceMillis(queue));
+                        durations.expectedMillis(state.durations(), queue.name(), estimateMillis)
+                                + (progress.advice().received() ? 0 : adviceMillis(queue));
             } else {
-                remainingStepMillis[i] = Math.max(0, estimate - (now - progress.readyAt()));
+                long elapsedMillis = state.now() - progress.readyAt();
+                remainingStepMillis[i] =
+                        Math.max(
+                                0,
+                                durations.remainingMillis(
+                                        state.durations(),
+                                        queue.name(),
+                                        estimateMillis,
+                                        elapsedMillis));
             }
         }
         return criticalPathMillis(definitions, remainingStepMillis) + RESULT_POLL_MILLIS;
@@ -125,13 +136,20 @@
      * infinite for a job without a target. Scheduled jobs and jobs with services have no target,
      * because they must run however old they are.
      */
-    static double objectiveMillis(WorkflowDefinition job, Queue queue) {
+    static double objectiveMillis(WorkflowState state, WorkflowDefinition job, Queue queue) {
         if (job.scheduledCount() > 0 || job.steps().stream().anyMatch(StepDefinition::service)) {
             return Double.POSITIVE_INFINITY;
         }
         double[] stepMillis = new double[job.steps().size()];
         for (int i = 0; i < stepMillis.length; i++) {
-            stepMillis[i] = job.steps().get(i).estimateMillis() + adviceMillis(queue);
+            long expectedMillis =
+                    state.policies()
+                            .durations()
+                            .expectedMillis(
+                                    state.durations(),
+                                    queue.name(),
+                                    job.steps().get(i).estimateMillis());
+            stepMillis[i] = expectedMillis + adviceMillis(queue);
         }
         double millis =
                 queue.objectiveFactor() * criticalPathMillis(job.steps(), stepMillis)
--- a/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
@@ -48,7 +48,8 @@
                 step,
                 StepProgress.of(step),
                 queue,
-                Urgency.standing(STATE, job, job.occurrences().get(0), queue));
+                Urgency.standing(STATE, job, job.occurrences().get(0), queue),
+                step.estimateMillis());
     }
 
     /**
