Forecast the room for new jobs from running tasks

Admission divided the waiting work by the whole capacity of the service, as if nothing ran, and rejected jobs although workers that could run them were free.

With learned durations, a placement pass makes a RoomForecast: a histogram of the expected ends of running tasks, computed at most every 200 ms or when the allocation changes by a tenth, and a table of the capacity that is free at each bound. Admission looks up the time until the waiting work of the same or a more urgent priority is done and the first step fits, with the width of gangs and the CPU limit of the team. A job whose first steps fit on free workers is not rejected. Services without a learned queue, and the policy 'declared', keep the expected wait of the backlogs.

The fit of a step on a worker moves from PassCapacity to StepFit, which the forecast shares. A new leader starts without learned durations and forecast.

Verified with LearnedDurationsTest, LearnedDurationsReplayTest, RoomForecastTest, JobAdmissionTest in module core; PlacementFailureTest, GangReservationTest and UrgencyTest passed before the last change of the refresh of the histogram.

--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -54,16 +54,33 @@
         if (queue.isEmpty()) {
             return new Decision.Accept();
         }
-        long waitMillis =
-                state.backlogs().expectedWaitMillis(queue.get().service(), queue.get().priority());
-        if (!withinShare && state.backlogs().hasBacklog(queue.get().service())) {
-            return new Decision.Reject("beyond-share", retryAfterMillis(waitMillis), true);
+        return decide(state, submit, queue.get(), withinShare);
+    }
+
+    private static Decision decide(
+            WorkflowState state, Call.Submit submit, Queue queue, boolean withinShare) {
+        long waitMillis = expectedWaitMillis(state, submit, queue);
+        boolean isBeyondShare = !withinShare && state.backlogs().hasBacklog(queue.service());
+        double objectiveMillis = Urgency.objectiveMillis(state, submit.definition(), queue);
+        boolean isTooLate = waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis;
+        if (!isBeyondShare && !isTooLate) {
+            return new Decision.Accept();
         }
-        double objectiveMillis = Urgency.objectiveMillis(state, submit.definition(), queue.get());
-        if (waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis) {
-            return new Decision.Reject("too-late", retryAfterMillis(waitMillis), true);
+        Urgency.Rank rank = withinShare ? Urgency.Rank.ON_TIME : Urgency.Rank.OVER_SHARE;
+        if (state.forecast().hasRoom(submit.definition(), submit.team(), queue, rank)) {
+            return new Decision.Accept();
         }
-        return new Decision.Accept();
+        return new Decision.Reject(
+                isBeyondShare ? "beyond-share" : "too-late", retryAfterMillis(waitMillis), true);
+    }
+
+    private static long expectedWaitMillis(WorkflowState state, Call.Submit submit, Queue queue) {
+        return state.forecast()
+                .expectedWaitMillis(submit.definition(), submit.team(), queue)
+                .orElseGet(
+                        () ->
+                                state.backlogs()
+                                        .expectedWaitMillis(queue.service(), queue.priority()));
     }
 
     /** Returns the rejection of a job because the store does not answer. */
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.PassRemainder.FreeWorker;
 import org.jujubefork.core.workflow.Placement.Candidate;
 
 /**
@@ -21,12 +22,6 @@
  * the control thread for one pass only.
  */
 final class PassCapacity {
-    /**
-     * Score penalty for a worker outside the rack of the step's data. It exceeds the highest score
-     * that remaining capacity can give.
-     */
-    private static final double REMOTE_DATA_PENALTY = 10;
-
     /**
      * Maximum fraction of the usable workers of a service that may be reserved for gangs that do
      * not fit yet.
@@ -54,6 +49,7 @@
     private final Map<String, WorkerNode> usableWorkers = new HashMap<>();
     private final Set<String> reservedWorkers = new HashSet<>();
     private final List<Candidate> unplacedCandidates = new ArrayList<>();
+    private final List<Candidate> teamLimitedCandidates = new ArrayList<>();
     private final Map<String, Resources> capacityByService = new HashMap<>();
     private final Map<String, Resources> allocatedByService = new HashMap<>();
     private Resources maxFree = Resources.ZERO;
@@ -92,10 +88,7 @@
 
     /** Returns whether the step could run on {@code node} if it had a ticket and room there. */
     static boolean isEligible(Candidate candidate, WorkerNode node) {
-        String label = candidate.definition().requiredLabel();
-        return node.listing().service().equals(candidate.queue().service())
-                && (label.isEmpty() || node.listing().labels().contains(label))
-                && candidate.definition().size().fitsIn(node.listing().capacity());
+        return StepFit.isEligible(candidate.definition(), candidate.queue(), node);
     }
 
     /**
@@ -121,6 +114,7 @@
     WaitReason recordUnplaced(Candidate candidate) {
         int count = concurrentTasks(candidate);
         if (!isWithinTeamLimit(candidate, count)) {
+            teamLimitedCandidates.add(candidate);
             return teamLimitReason(candidate, count);
         }
         if (runnableWorkers(candidate).isEmpty()) {
@@ -196,6 +190,23 @@
         return ServiceBacklogs.of(unplacedCandidates, cpu);
     }
 
+    /** Returns what this pass has left over. */
+    PassRemainder remainder() {
+        List<FreeWorker> free = new ArrayList<>();
+        for (WorkerNode node : usableWorkers.values()) {
+            Resources freeCapacity = freeByWorker.get(node.id());
+            if (freeCapacity.cpuMillis() > 0 && !reservedWorkers.contains(node.id())) {
+                free.add(new FreeWorker(node, freeCapacity));
+            }
+        }
+        return new PassRemainder(
+                unplacedCandidates,
+                teamLimitedCandidates,
+                free,
+                capacityByService,
+                allocatedByService);
+    }
+
     /**
      * Reserves workers for the rest of the pass, as many as are needed for all tasks of {@code
      * candidate} to fit. Without a reservation, small tasks would occupy capacity as soon as it
@@ -285,10 +296,7 @@
     }
 
     private static long placesIn(Candidate candidate, Resources free) {
-        int maxPerWorker = candidate.definition().maxPerWorker();
-        long maxCount = candidate.progress().tasks().size();
-        long count = candidate.definition().chargedCapacity().countIn(free, maxCount);
-        return maxPerWorker == 0 ? count : Math.min(count, maxPerWorker);
+        return StepFit.placesIn(candidate.definition(), free);
     }
 
     /**
@@ -319,7 +327,8 @@
         for (WorkerNode node : runnableWorkers(candidate)) {
             boolean isInRack = allowedRacks.isEmpty() || allowedRacks.contains(rackOf(node));
             if (isInRack && fits(candidate, node)) {
-                double score = score(candidate, node);
+                double score =
+                        StepFit.score(candidate.definition(), node, freeByWorker.get(node.id()));
                 if (score < bestScore) {
                     best = node;
                     bestScore = score;
@@ -411,18 +420,6 @@
                 + newTasksByStep.getOrDefault(candidate.key(), Map.of()).getOrDefault(node.id(), 0);
     }
 
-    /**
-     * Returns the score of a worker; the lowest score is the best. The worker with the least
-     * remaining capacity is preferred, so that other workers stay entirely free for wide gangs.
-     */
-    private double score(Candidate candidate, WorkerNode node) {
-        Resources remainingCapacity =
-                freeByWorker.get(node.id()).minus(candidate.definition().chargedCapacity());
-        double score = remainingCapacity.dominantShareOf(node.listing().capacity());
-        String rack = candidate.definition().dataRack();
-        return rack.isEmpty() || rack.equals(rackOf(node)) ? score : score + REMOTE_DATA_PENALTY;
-    }
-
     private void charge(Candidate candidate, String worker, int sign) {
         Resources size = candidate.definition().chargedCapacity().times(sign);
         freeByWorker.merge(worker, size, Resources::minus);
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -14,17 +14,7 @@
 
 /** Decides which tasks run on which workers, and starts them. */
 public final class Placement {
-    /**
-     * A step that has tasks to place.
-     *
-     * @param key its key
-     * @param job its job
-     * @param definition the step as the caller defined it
-     * @param progress its progress
-     * @param queue the queue of the job
-     * @param standing how urgent it is
-     * @param expectedMillis the expected duration of each of its tasks
-     */
+    /** A step that has tasks to place, with the expected duration of each of them. */
     record Candidate(
             StepKey key,
             Job job,
@@ -78,7 +68,8 @@
                 result.state()
                         .with(capacity.backlogs())
                         .with(waits.build(capacity.reservedWorkerCount()));
-        return result.withState(placed).then(s -> WaitingStepsLog.writeIfDue(s, capacity));
+        return result.withState(RoomForecast.update(placed, capacity))
+                .then(s -> WaitingStepsLog.writeIfDue(s, capacity));
     }
 
     /**
--- a/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -11,6 +11,7 @@
  * @param share whether a job counts as within the share of its team
  * @param durations how long a task is expected to run
  * @param learning what is learned from the duration of a run
+ * @param forecast which capacity is expected to become free when
  * @param retry when a rejected caller may return
  */
 public record SchedulingPolicies(
@@ -18,6 +19,7 @@
         TeamShare share,
         DurationModel durations,
         DurationLearning learning,
+        ForecastModel forecast,
         RetryDelay retry) {
     /** The name of the policy that is in force if the settings select no order. */
     public static final String DEFAULT_ORDER = "acceptance";
@@ -52,6 +54,13 @@
                     LEARNED_DURATIONS,
                     LearnedDurations::with);
 
+    private static final Map<String, ForecastModel> FORECASTS =
+            Map.of(
+                    DEFAULT_DURATIONS,
+                    (state, capacity) -> RoomForecast.NONE,
+                    LEARNED_DURATIONS,
+                    RoomForecast::of);
+
     private static final Map<String, RetryDelay> RETRIES =
             Map.of(DEFAULT_RETRY, (waitMillis, priority, job) -> waitMillis);
 
@@ -95,6 +104,7 @@
                 policy(SHARES, share),
                 policy(DURATIONS, durations),
                 policy(LEARNING, durations),
+                policy(FORECASTS, durations),
                 policy(RETRIES, retry));
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
@@ -48,6 +48,8 @@
                         .with(commitQueue(workers, silent, unremovedJobs, finished))
                         .with(state.adviceRequests().cleared())
                         .with(WaitingSteps.NONE)
+                        .with(LearnedDurations.NONE)
+                        .with(RoomForecast.NONE)
                         .with(new Recovery(state.now(), false))
                         .withPlacementDue(true);
         return adoptRecordedRuns(next, silent);
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowState.java
@@ -28,6 +28,7 @@
  * @param adviceRequests the requests to the advice service
  * @param teamBuckets the token buckets that measure the teams against their shares
  * @param backlogs the work that waits for free capacity
+ * @param forecast which capacity is expected to become free when
  * @param waitingSteps the steps that waited after the last placement pass
  * @param recovery whether this term has learned of all runs of earlier terms
  * @param placementDue whether a placement pass is due, because something on which placement depends
@@ -54,6 +55,7 @@
         AdviceRequests adviceRequests,
         TeamTokenBuckets teamBuckets,
         ServiceBacklogs backlogs,
+        RoomForecast forecast,
         WaitingSteps waitingSteps,
         Recovery recovery,
         boolean placementDue,
@@ -93,6 +95,7 @@
                 AdviceRequests.of(entry),
                 TeamTokenBuckets.NONE,
                 ServiceBacklogs.NONE,
+                RoomForecast.NONE,
                 WaitingSteps.NONE,
                 Recovery.NONE,
                 false,
@@ -276,6 +279,13 @@
         return next.build();
     }
 
+    /** Returns a copy with {@code other} as the forecast of free capacity. */
+    public WorkflowState with(RoomForecast other) {
+        Builder next = new Builder(this);
+        next.forecast = other;
+        return next.build();
+    }
+
     /** Returns a copy with {@code other} as the waiting steps. */
     public WorkflowState with(WaitingSteps other) {
         Builder next = new Builder(this);
@@ -339,6 +349,7 @@
         private AdviceRequests adviceRequests;
         private TeamTokenBuckets teamBuckets;
         private ServiceBacklogs backlogs;
+        private RoomForecast forecast;
         private WaitingSteps waitingSteps;
         private Recovery recovery;
         private boolean placementDue;
@@ -364,6 +375,7 @@
             this.adviceRequests = from.adviceRequests();
             this.teamBuckets = from.teamBuckets();
             this.backlogs = from.backlogs();
+            this.forecast = from.forecast();
             this.waitingSteps = from.waitingSteps();
             this.recovery = from.recovery();
             this.placementDue = from.placementDue();
@@ -391,6 +403,7 @@
                     adviceRequests,
                     teamBuckets,
                     backlogs,
+                    forecast,
                     waitingSteps,
                     recovery,
                     placementDue,
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -26,13 +26,14 @@
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, Long> startedAt = new HashMap<>();
     private final List<WorkflowEffect.Commit> commits = new ArrayList<>();
-    private WorkflowState state = WorkflowState.initial("e0", 1_000);
+    private WorkflowState state;
     private long now = 100_000;
     private long revision = 10;
     private long nextRequestId = 1;
     private int takenAdviceRequestCount;
 
-    private LeaderFixture(CellConfiguration configuration) {
+    private LeaderFixture(CellConfiguration configuration, SchedulingPolicies policies) {
+        state = WorkflowState.initial("e0", 1_000, policies, Evacuations.NONE);
         post(new WorkflowEvent.ConfigurationRead(now, now, Optional.of(configuration)));
     }
 
@@ -41,7 +42,15 @@
      * store.
      */
     static LeaderFixture leading(CellConfiguration configuration, WorkflowEvent.Snapshot snapshot) {
-        LeaderFixture fixture = new LeaderFixture(configuration);
+        return leading(configuration, snapshot, SchedulingPolicies.DEFAULT);
+    }
+
+    /** Returns a fixture like the other method, whose settings select {@code policies}. */
+    static LeaderFixture leading(
+            CellConfiguration configuration,
+            WorkflowEvent.Snapshot snapshot,
+            SchedulingPolicies policies) {
+        LeaderFixture fixture = new LeaderFixture(configuration, policies);
         fixture.tick();
         LeaderRecord record = new LeaderRecord("e0", "e0", 2, fixture.revision, true);
         fixture.post(
