Log when the durations of a queue are learned

Operators could not see whether and when a leader corrects estimates. A log event tells the factor and the weight of the estimates as soon as a queue has enough samples. UrgencyTest covers the rank by learned durations.

--- a/core/src/main/java/org/jujubefork/core/workflow/DurationSamples.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/DurationSamples.java
@@ -14,10 +14,34 @@
     private DurationSamples() {}
 
     /**
-     * Returns {@code state} with the duration of {@code endedRun} as a sample, if its start is
-     * known and it has done all of the task's work. The charge of the run must not be released yet.
+     * Adds the duration of {@code endedRun} as a sample, if its start is known and it has done all
+     * of the task's work. The charge of the run must not be released yet. Logs when the queue has
+     * enough samples.
      */
-    static WorkflowState withSample(WorkflowState state, String worker, EndedRun endedRun) {
+    static WorkflowTransition sample(WorkflowState state, String worker, EndedRun endedRun) {
+        LearnedDurations before = state.durations();
+        LearnedDurations after = withSample(state, worker, endedRun);
+        if (after == before) {
+            return WorkflowTransition.of(state);
+        }
+        WorkflowTransition sampled = WorkflowTransition.of(state.with(after));
+        String queue = state.jobs().get(endedRun.task().job()).queue();
+        return after.isLearned(queue) && !before.isLearned(queue)
+                ? sampled.with(
+                        WorkflowEffect.LogEvent.of(
+                                "durations-learned",
+                                queue,
+                                "samples",
+                                after.queues().get(queue).samples().size(),
+                                "factor_percent",
+                                Math.round(100 * after.factors().get(queue)),
+                                "estimate_weight_percent",
+                                Math.round(100 * after.estimateWeights().get(queue))))
+                : sampled;
+    }
+
+    private static LearnedDurations withSample(
+            WorkflowState state, String worker, EndedRun endedRun) {
         TaskKey key = endedRun.task();
         Job job = state.jobs().get(key.job());
         WorkerNode node = state.workers().get(worker);
@@ -26,7 +50,7 @@
                 || job == null
                 || !job.hasTask(key)
                 || !isSampled(job, endedRun)) {
-            return state;
+            return state.durations();
         }
         WorkerNode.Charge charge = node.charges().get(key);
         boolean isStartKnown =
@@ -35,18 +59,15 @@
                         && !charge.stopping()
                         && charge.sentAt() >= 0
                         && RunNumbers.isOfThisTerm(state, job, endedRun.runNumber());
-        if (!isStartKnown) {
-            return state;
-        }
-        LearnedDurations learned =
-                state.policies()
+        return isStartKnown
+                ? state.policies()
                         .learning()
                         .learn(
                                 state.durations(),
                                 job.queue(),
                                 job.step(key.stepKey()).estimateMillis(),
-                                state.now() - charge.sentAt());
-        return learned == state.durations() ? state : state.with(learned);
+                                state.now() - charge.sentAt())
+                : state.durations();
     }
 
     private static boolean isSampled(Job job, EndedRun endedRun) {
--- a/core/src/main/java/org/jujubefork/core/workflow/LearnedDurations.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/LearnedDurations.java
@@ -22,7 +22,7 @@
      * @param estimateMillis the duration that the caller has declared
      * @param actualMillis how long the run took
      */
-    LearnedDurations with(String queue, long estimateMillis, long actualMillis) {
+    public LearnedDurations with(String queue, long estimateMillis, long actualMillis) {
         if (estimateMillis <= 0 || actualMillis <= 0) {
             return this;
         }
--- a/core/src/main/java/org/jujubefork/core/workflow/RoomForecast.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/RoomForecast.java
@@ -208,11 +208,16 @@
 
     /**
      * Returns how long a task of the least urgent priority waits behind all other work, in
-     * milliseconds, by service.
+     * milliseconds, by service; infinite if the end of the wait is not foreseeable.
      */
-    public Map<String, Long> waitMillisByService() {
-        Map<String, Long> waits = new HashMap<>();
-        services.forEach((s, t) -> waits.put(s, t.waitMillis(Integer.MAX_VALUE, 1)));
+    public Map<String, Double> waitMillisByService() {
+        Map<String, Double> waits = new HashMap<>();
+        services.forEach(
+                (service, table) -> {
+                    long millis = table.waitMillis(Integer.MAX_VALUE, 1);
+                    waits.put(
+                            service, millis == RoomTable.NEVER ? Double.POSITIVE_INFINITY : millis);
+                });
         return waits;
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/RunCompletions.java
@@ -11,8 +11,12 @@
 
     /** Processes a completion that {@code worker} reported. */
     static WorkflowTransition completed(WorkflowState state, String worker, EndedRun endedRun) {
-        WorkflowState next = DurationSamples.withSample(state, worker, endedRun);
-        next = releaseCharge(next, worker, endedRun.task(), endedRun.runNumber());
+        return DurationSamples.sample(state, worker, endedRun)
+                .then(s -> ended(s, worker, endedRun));
+    }
+
+    private static WorkflowTransition ended(WorkflowState state, String worker, EndedRun endedRun) {
+        WorkflowState next = releaseCharge(state, worker, endedRun.task(), endedRun.runNumber());
         next = withHealth(next, worker, endedRun.outcome());
         Job job = next.jobs().get(endedRun.task().job());
         if (job == null || !job.hasTask(endedRun.task())) {
--- a/core/src/test/java/org/jujubefork/core/workflow/RoomForecastTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/RoomForecastTest.java
@@ -157,6 +157,13 @@
         assertTrue(leader.state().durations().isLearned(LeaderFixture.QUEUE));
         long expected = leader.state().durations().expectedMillis(LeaderFixture.QUEUE, 1_000);
         assertTrue(expected >= 1_000 && expected <= 1_100, "expected " + expected);
+        long logged =
+                leader.effects.stream()
+                        .filter(WorkflowEffect.LogEvent.class::isInstance)
+                        .map(WorkflowEffect.LogEvent.class::cast)
+                        .filter(e -> e.event().equals("durations-learned"))
+                        .count();
+        assertEquals(logged, 1);
         assertEquals(expectedWait(leader, LeaderFixture.job(16)), OptionalLong.of(0));
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/UrgencyTest.java
@@ -83,6 +83,39 @@
         assertEquals(candidate("c", QUEUE, NOW_MILLIS - 3_800, true).rank(), Urgency.Rank.TOO_LATE);
     }
 
+    /** Guards against ranks by declared estimates although the durations are known. */
+    @Test
+    public void rankFollowsLearnedDurations() {
+        LearnedDurations learned = LearnedDurations.NONE;
+        for (int i = 0; i < QueueDurations.MIN_SAMPLE_COUNT; i++) {
+            learned = learned.with(QUEUE.name(), 500, 2_000);
+        }
+        Job job =
+                Job.submitted(
+                                "j",
+                                QUEUE.name(),
+                                "",
+                                TestSteps.job(TestSteps.step(1, Resources.ZERO, 500)),
+                                new Job.Acceptance(1, NOW_MILLIS - 2_000, 0, true))
+                        .withOccurrence(0);
+        // The objective is 2 x 2,000 + 400 ms, not 2 x 500 + 400 ms.
+        assertEquals(rank(STATE.with(learned), job), Urgency.Rank.LATE);
+        WorkflowState withPolicy =
+                WorkflowState.initial(
+                                "e0",
+                                1_000,
+                                SchedulingPolicies.named(
+                                        "acceptance", "jobs", "learned", "uniform"),
+                                Evacuations.NONE)
+                        .withTime(NOW_MILLIS);
+        assertEquals(rank(withPolicy, job), Urgency.Rank.LATE);
+        assertEquals(rank(withPolicy.with(learned), job), Urgency.Rank.ON_TIME);
+    }
+
+    private static Urgency.Rank rank(WorkflowState state, Job job) {
+        return Urgency.standing(state, job, job.occurrences().get(0), QUEUE).rank();
+    }
+
     /**
      * Guards against a service whose task ends after hours and is not restarted because of its age.
      */
