Show learned durations and the forecast as metrics

Operators see the factor and the weight of the estimates of each queue, and the expected wait of each service.

Verified with WorkflowMetricsTest and LeaderEmulatorTest.

--- a/bench/src/main/java/org/jujubefork/bench/workflow/LeaderBenchmark.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/LeaderBenchmark.java
@@ -5,6 +5,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.jujubefork.core.workflow.SchedulingPolicies;
 
 /** The command that runs the emulator at several sizes of the fleet and prints the reports. */
 public final class LeaderBenchmark {
@@ -26,6 +27,7 @@
                         .addOption(option("load", "FACTOR", "factor of the load, 1 unless given"))
                         .addOption(option("slowdown", "FACTOR", "factor of the reducer's time, 0"))
                         .addOption(option("seconds", "N", "simulated time, 30 unless given"))
+                        .addOption(option("durations", "NAME", "duration model, declared"))
                         .addOption(option("seed", "N", "seed of the load, 1 unless given"));
         try {
             CommandLine line = new DefaultParser().parse(options, arguments);
@@ -42,17 +44,26 @@
                                         JobKind.WAITING_LIST,
                                         Double.parseDouble(line.getOptionValue("load", "1")),
                                         Double.parseDouble(line.getOptionValue("slowdown", "0")),
-                                        Integer.parseInt(line.getOptionValue("seconds", "30"))));
+                                        Integer.parseInt(line.getOptionValue("seconds", "30")),
+                                        policies(line)));
                 report.lines().forEach(System.out::println);
                 System.out.println();
             }
             return 0;
-        } catch (ParseException | NumberFormatException e) {
+        } catch (ParseException | IllegalArgumentException e) {
             System.err.println("error: " + e.getMessage());
             return USAGE_ERROR;
         }
     }
 
+    private static SchedulingPolicies policies(CommandLine line) {
+        return SchedulingPolicies.named(
+                SchedulingPolicies.DEFAULT_ORDER,
+                SchedulingPolicies.DEFAULT_SHARE,
+                line.getOptionValue("durations", SchedulingPolicies.DEFAULT_DURATIONS),
+                SchedulingPolicies.DEFAULT_RETRY);
+    }
+
     private static Option option(String name, String argument, String description) {
         return Option.builder().longOpt(name).hasArg().argName(argument).desc(description).get();
     }
--- a/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
@@ -11,7 +11,9 @@
 import java.util.stream.IntStream;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration;
+import org.jujubefork.core.workflow.Evacuations;
 import org.jujubefork.core.workflow.LeaderRecord;
+import org.jujubefork.core.workflow.SchedulingPolicies;
 import org.jujubefork.core.workflow.SilentWorkers;
 import org.jujubefork.core.workflow.StepKey;
 import org.jujubefork.core.workflow.TaskKey;
@@ -57,6 +59,7 @@
      * @param loadFactor factor of the rates of the kinds
      * @param slowdown factor of the measured processor time of the reducer; 0 for none
      * @param seconds how long jobs are submitted
+     * @param policies the scheduling policies of the leader
      */
     record Setup(
             long seed,
@@ -65,7 +68,8 @@
             List<JobKind> kinds,
             double loadFactor,
             double slowdown,
-            int seconds) {}
+            int seconds,
+            SchedulingPolicies policies) {}
 
     /** An action at a simulated time; {@code sequence} breaks ties. */
     private record Timer(double at, long sequence, Runnable action) {}
@@ -79,7 +83,7 @@
     private final Map<String, WorkflowDefinition> definitions = new HashMap<>();
     private final Map<String, Double> advisorsFreeAt = new HashMap<>();
     private final LeaderReport.Builder report;
-    private WorkflowState state = WorkflowState.initial("e0", 1_000);
+    private WorkflowState state;
     private double now = 1_000;
     private double nextTickAt;
     private long nextSequence;
@@ -89,6 +93,7 @@
         this.setup = setup;
         this.random = new SplittableRandom(setup.seed());
         this.report = new LeaderReport.Builder(setup);
+        this.state = WorkflowState.initial("e0", 1_000, setup.policies(), Evacuations.NONE);
     }
 
     /** Runs the emulation and returns what was measured. */
--- a/bench/src/test/java/org/jujubefork/bench/workflow/LeaderEmulatorTest.java
+++ b/bench/src/test/java/org/jujubefork/bench/workflow/LeaderEmulatorTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.Map;
+import org.jujubefork.core.workflow.SchedulingPolicies;
 import org.testng.annotations.Test;
 
 /**
@@ -17,7 +18,14 @@
         LeaderReport report =
                 LeaderEmulator.run(
                         new LeaderEmulator.Setup(
-                                1, 258, 47, JobKind.WAITING_LIST, 0.9, 0, SECONDS));
+                                1,
+                                258,
+                                47,
+                                JobKind.WAITING_LIST,
+                                0.9,
+                                0,
+                                SECONDS,
+                                SchedulingPolicies.DEFAULT));
         for (Map.Entry<String, Double> kind : report.doneFractions().entrySet()) {
             assertTrue(
                     kind.getValue() >= 0.8,
@@ -33,7 +41,15 @@
     public void waitingGangsLeaveCapacityToOtherWork() {
         LeaderReport report =
                 LeaderEmulator.run(
-                        new LeaderEmulator.Setup(1, 258, 52, JobKind.WAITING_LIST, 1.2, 0, 45));
+                        new LeaderEmulator.Setup(
+                                1,
+                                258,
+                                52,
+                                JobKind.WAITING_LIST,
+                                1.2,
+                                0,
+                                45,
+                                SchedulingPolicies.DEFAULT));
         for (Map.Entry<String, Double> kind : report.doneFractions().entrySet()) {
             assertTrue(
                     kind.getValue() >= 0.7,
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -178,6 +178,36 @@
                 state,
                 WorkflowMetrics::cpuByTeam);
         registerWaitingGauges(state, now);
+        registerDurationGauges(state);
+    }
+
+    private void registerDurationGauges(Supplier<WorkflowState> state) {
+        labelledGauge(
+                "jujube_learned_duration_factor",
+                "Typical duration of a task relative to its estimate, by queue.",
+                "queue",
+                state,
+                s -> s.durations().factors());
+        labelledGauge(
+                "jujube_learned_estimate_weight",
+                "How far estimates predict durations, from 0 to 1, by queue.",
+                "queue",
+                state,
+                s -> s.durations().estimateWeights());
+        labelledGauge(
+                "jujube_forecast_wait_seconds",
+                "Expected wait of the least urgent new work for capacity, by service.",
+                "service",
+                state,
+                WorkflowMetrics::forecastWaits);
+    }
+
+    private static Map<String, Double> forecastWaits(WorkflowState state) {
+        Map<String, Double> waits = new HashMap<>();
+        state.forecast()
+                .waitMillisByService()
+                .forEach((service, millis) -> waits.put(service, millis / MILLIS_PER_SECOND));
+        return waits;
     }
 
     private void registerWaitingGauges(Supplier<WorkflowState> state, LongSupplier now) {
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.LearnedDurations;
 import org.jujubefork.core.workflow.WaitReason;
 import org.jujubefork.core.workflow.WaitingSteps;
 import org.jujubefork.core.workflow.WorkerNode;
@@ -65,6 +66,21 @@
         assertLine(page, "jujube_configuration_age_seconds 5.0");
     }
 
+    /** Guards against learned durations that operators cannot see. */
+    @Test
+    public void learnedDurationsAreShownByQueue() throws IOException {
+        WorkflowMetrics metrics = WorkflowMetrics.create();
+        LearnedDurations learned = LearnedDurations.NONE;
+        for (int i = 0; i < 20; i++) {
+            learned = learned.with("q", 1, 2);
+        }
+        WorkflowState state = WorkflowState.initial("e", 1_000).with(learned);
+        metrics.registerStateGauges(() -> state, () -> 0);
+        String page = metricsPage(metrics);
+        assertLine(page, "jujube_learned_duration_factor{queue=\"q\"} 2.0");
+        assertLine(page, "jujube_learned_estimate_weight{queue=\"q\"} 1.0");
+    }
+
     @Test
     public void waitingStepsAreShownByReason() throws IOException {
         WorkflowMetrics metrics = WorkflowMetrics.create();
