--- a/bench/src/main/java/org/jujubefork/bench/workflow/LeaderBenchmark.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/LeaderBenchmark.java
@@ -28,6 +28,8 @@
                         .addOption(option("slowdown", "FACTOR", "factor of the reducer's time, 0"))
                         .addOption(option("seconds", "N", "simulated time, 30 unless given"))
                         .addOption(option("order", "NAME", "order of waiting work, the default"))
+                        .addOption(option("share", "NAME", "share of teams, the default"))
+                        .addOption(option("durations", "NAME", "duration model, the default"))
                         .addOption(option("retry", "NAME", "retry delay, the default"))
                         .addOption(option("seed", "N", "seed of the load, 1 unless given"));
         try {
@@ -60,8 +62,8 @@
     private static SchedulingPolicies policies(CommandLine line) {
         return SchedulingPolicies.named(
                 line.getOptionValue("order", SchedulingPolicies.DEFAULT_ORDER),
-                SchedulingPolicies.DEFAULT_SHARE,
-                SchedulingPolicies.DEFAULT_DURATIONS,
+                line.getOptionValue("share", SchedulingPolicies.DEFAULT_SHARE),
+                line.getOptionValue("durations", SchedulingPolicies.DEFAULT_DURATIONS),
                 line.getOptionValue("retry", SchedulingPolicies.DEFAULT_RETRY));
     }
 
--- a/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
@@ -94,6 +94,7 @@
         this.state = WorkflowState.initial("e0", 1_000, setup.policies(), Evacuations.NONE);
         this.random = new SplittableRandom(setup.seed());
         this.report = new LeaderReport.Builder(setup);
+        this.state = WorkflowState.initial("e0", 1_000, setup.policies(), Evacuations.NONE);
     }
 
     /** Runs the emulation and returns what was measured. */
--- a/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/JobAdmission.java
@@ -70,10 +70,22 @@
         if (ZoneEvacuation.isServiceEvacuated(state, queue.get().service())) {
             return zonesEvacuated(state, submit, queue.get());
         }
-        return state.policies()
-                .order()
-                .admission()
-                .decide(state, submit, queue.get(), withinShare);
+        Decision decision =
+                state.policies()
+                        .order()
+                        .admission()
+                        .decide(state, submit, queue.get(), withinShare);
+        return decision instanceof Decision.Reject
+                        && hasRoom(state, submit, queue.get(), withinShare)
+                ? new Decision.Accept()
+                : decision;
+    }
+
+    /** Returns whether the forecast shows room for the job now. */
+    private static boolean hasRoom(
+            WorkflowState state, Call.Submit submit, Queue queue, boolean withinShare) {
+        Urgency.Rank rank = withinShare ? Urgency.Rank.ON_TIME : Urgency.Rank.OVER_SHARE;
+        return state.forecast().hasRoom(submit.definition(), submit.team(), queue, rank);
     }
 
     /** Returns the rejection of a job whose service has workers in evacuated zones only. */
@@ -94,12 +106,17 @@
         if (shareDelay.isPresent()) {
             return overShare(state, submit, queue, shareDelay.getAsLong(), Optional.empty());
         }
-        long waitMillis = share.expectedWaitMillis(state, submit.team(), queue, withinShare);
-        double objectiveMillis = Urgency.objectiveMillis(submit.definition(), queue);
-        if (waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis) {
-            return tooLate(state, submit, queue, waitMillis, Optional.empty());
-        }
-        return new Decision.Accept();
+        long waitMillis =
+                state.forecast()
+                        .expectedWaitMillis(submit.definition(), submit.team(), queue)
+                        .orElseGet(
+                                () ->
+                                        share.expectedWaitMillis(
+                                                state, submit.team(), queue, withinShare));
+        double objectiveMillis = Urgency.objectiveMillis(state, submit.definition(), queue);
+        return waitMillis > Urgency.MAX_OBJECTIVE_FACTOR * objectiveMillis
+                ? tooLate(state, submit, queue, waitMillis, Optional.empty())
+                : new Decision.Accept();
     }
 
     /** Returns the rejection of a job that could not be served in time. */
--- a/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/PassCapacity.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.jujubefork.core.model.Resources;
+import org.jujubefork.core.workflow.PassRemainder.FreeWorker;
 import org.jujubefork.core.workflow.Placement.Candidate;
 
 /**
@@ -21,35 +22,6 @@
  * the control thread for one pass only.
  */
 final class PassCapacity {
-    /**
-     * Score penalty for a worker outside the rack of the step's data. It exceeds the highest score
-     * that remaining capacity can give.
-     */
-    private static final double REMOTE_DATA_PENALTY = 10;
-
-    /** Score penalty for a cold worker, so that all warm workers go before it. */
-    private static final double COLD_PENALTY = 2 * REMOTE_DATA_PENALTY;
-
-    /**
-     * Maximum fraction of the usable workers of a service that may be reserved for gangs that do
-     * not fit yet.
-     */
-    private static final double MAX_RESERVED_FRACTION = 0.5;
-
-    /**
-     * Fraction of the capacity of a service that must be allocated for a reservation. With more
-     * capacity free, small tasks do not keep a gang from starting, and a reservation would only
-     * keep them waiting on idle workers. Reservations leave half of the workers to other work, so
-     * the value is below one half; otherwise a reservation would soon end itself.
-     */
-    private static final double MIN_ALLOCATED_FRACTION_FOR_RESERVATION = 0.4;
-
-    /**
-     * A gang gets a reservation when it can wait no longer than this without becoming late. Before
-     * that, the capacity that a reservation keeps idle serves other work.
-     */
-    private static final double MAX_RESERVATION_SLACK_MILLIS = 5_000;
-
     private final TeamShare share;
     private final TeamUsage teamUsage;
     private final StoppingTasks stoppingTasks;
@@ -61,6 +33,7 @@
     private final List<WorkerNode> evacuatedWorkers = new ArrayList<>();
     private final Set<String> reservedWorkers = new HashSet<>();
     private final List<Candidate> unplacedCandidates = new ArrayList<>();
+    private final List<Candidate> teamLimitedCandidates = new ArrayList<>();
     private final ServiceCapacities services = new ServiceCapacities();
     private Resources maxFree = Resources.ZERO;
 
@@ -101,10 +74,7 @@
 
     /** Returns whether the step could run on {@code node} if it had a ticket and room there. */
     static boolean isEligible(Candidate candidate, WorkerNode node) {
-        String label = candidate.definition().requiredLabel();
-        return node.listing().service().equals(candidate.queue().service())
-                && (label.isEmpty() || node.listing().labels().contains(label))
-                && candidate.definition().size().fitsIn(node.listing().capacity());
+        return StepFit.isEligible(candidate.definition(), candidate.queue(), node);
     }
 
     /**
@@ -129,6 +99,7 @@
     WaitReason recordUnplaced(Candidate candidate) {
         int count = concurrentTasks(candidate);
         if (!isWithinTeamLimit(candidate, count)) {
+            teamLimitedCandidates.add(candidate);
             return teamLimitReason(candidate, count);
         }
         if (runnableWorkers(candidate).isEmpty()) {
@@ -240,6 +211,23 @@
         return ServiceBacklogs.of(unplacedCandidates, ledger, services.cpuMillis());
     }
 
+    /** Returns what this pass has left over. */
+    PassRemainder remainder() {
+        List<FreeWorker> free = new ArrayList<>();
+        for (WorkerNode node : usableWorkers.values()) {
+            Resources freeCapacity = freeByWorker.get(node.id());
+            if (freeCapacity.cpuMillis() > 0 && !reservedWorkers.contains(node.id())) {
+                free.add(new FreeWorker(node, freeCapacity));
+            }
+        }
+        return new PassRemainder(
+                unplacedCandidates,
+                teamLimitedCandidates,
+                free,
+                services.capacities(),
+                services.allocations());
+    }
+
     /**
      * Reserves workers for the rest of the pass, as many as are needed for all tasks of {@code
      * candidate} to fit. Without a reservation, small tasks would occupy capacity as soon as it
@@ -251,10 +239,8 @@
      * reservation, because free capacity on the reserved workers would not let it start.
      */
     void reserveWorkers(Candidate candidate) {
-        if (!candidate.rank().reservesCapacity()
-                || candidate.standing().slackMillis() > MAX_RESERVATION_SLACK_MILLIS
-                || services.allocatedFraction(candidate.queue().service())
-                        < MIN_ALLOCATED_FRACTION_FOR_RESERVATION
+        double allocatedFraction = services.allocatedFraction(candidate.queue().service());
+        if (!GangReservations.isDue(candidate, allocatedFraction)
                 || !isWithinTeamLimit(candidate, concurrentTasks(candidate))
                 || !fitsWhenIdle(candidate)) {
             return;
@@ -288,7 +274,7 @@
                 reservedCount += reservedWorkers.contains(node.id()) ? 1 : 0;
             }
         }
-        return Math.round(workerCount * MAX_RESERVED_FRACTION) - reservedCount;
+        return GangReservations.maxWorkers(workerCount) - reservedCount;
     }
 
     /**
@@ -329,10 +315,7 @@
     }
 
     private static long placesIn(Candidate candidate, Resources free) {
-        int maxPerWorker = candidate.definition().maxPerWorker();
-        long maxCount = candidate.progress().tasks().size();
-        long count = candidate.definition().chargedCapacity().countIn(free, maxCount);
-        return maxPerWorker == 0 ? count : Math.min(count, maxPerWorker);
+        return StepFit.placesIn(candidate.definition(), free);
     }
 
     /**
@@ -363,7 +346,8 @@
         for (WorkerNode node : runnableWorkers(candidate)) {
             boolean isInRack = allowedRacks.isEmpty() || allowedRacks.contains(rackOf(node));
             if (isInRack && fits(candidate, node)) {
-                double score = score(candidate, node);
+                double score =
+                        StepFit.score(candidate.definition(), node, freeByWorker.get(node.id()));
                 if (score < bestScore) {
                     best = node;
                     bestScore = score;
@@ -451,19 +435,6 @@
                 + newTasksByStep.getOrDefault(candidate.key(), Map.of()).getOrDefault(node.id(), 0);
     }
 
-    /**
-     * Returns the score of a worker; the lowest score is the best. The worker with the least
-     * remaining capacity is preferred, so that other workers stay entirely free for wide gangs.
-     */
-    private double score(Candidate candidate, WorkerNode node) {
-        Resources remainingCapacity =
-                freeByWorker.get(node.id()).minus(candidate.definition().chargedCapacity());
-        double score = remainingCapacity.dominantShareOf(node.listing().capacity());
-        score += node.listing().coldLeftMillis() > 0 ? COLD_PENALTY : 0;
-        String rack = candidate.definition().dataRack();
-        return rack.isEmpty() || rack.equals(rackOf(node)) ? score : score + REMOTE_DATA_PENALTY;
-    }
-
     private void charge(Candidate candidate, String worker, int sign) {
         Resources size = candidate.definition().chargedCapacity().times(sign);
         freeByWorker.merge(worker, size, Resources::minus);
--- a/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -10,6 +10,8 @@
  * @param order the order in which waiting steps are served
  * @param share whether a job counts as within the share of its team
  * @param durations how long a task is expected to run
+ * @param learning what is learned from the duration of a run
+ * @param forecast which capacity is expected to become free when
  * @param retry when a rejected caller may return
  * @param names the names by which the policies were selected
  */
@@ -17,6 +19,8 @@
         OrderPolicy order,
         TeamShare share,
         DurationModel durations,
+        DurationLearning learning,
+        ForecastModel forecast,
         RetryDelay retry,
         Names names) {
     /**
@@ -49,8 +53,30 @@
                     (state, job) -> job.acceptance().withinShare(),
                     "work",
                     new WorkShare());
+    private static final String LEARNED_DURATIONS = "learned";
+
     private static final Map<String, DurationModel> DURATIONS =
-            Map.of(DEFAULT_DURATIONS, (learned, queue, estimateMillis) -> estimateMillis);
+            Map.of(
+                    DEFAULT_DURATIONS,
+                    (learned, queue, estimateMillis, elapsedMillis) ->
+                            estimateMillis - elapsedMillis,
+                    LEARNED_DURATIONS,
+                    LearnedDurations::remainingMillis);
+
+    private static final Map<String, DurationLearning> LEARNING =
+            Map.of(
+                    DEFAULT_DURATIONS,
+                    (learned, queue, estimateMillis, actualMillis) -> learned,
+                    LEARNED_DURATIONS,
+                    LearnedDurations::with);
+
+    private static final Map<String, ForecastModel> FORECASTS =
+            Map.of(
+                    DEFAULT_DURATIONS,
+                    (state, capacity) -> RoomForecast.NONE,
+                    LEARNED_DURATIONS,
+                    RoomForecast::of);
+
     private static final Map<String, RetryDelay> RETRIES =
             Map.of(DEFAULT_RETRY, RetryDelay::uniform, "spread", SpreadRetry::retryAfterMillis);
 
@@ -93,6 +119,8 @@
                 policy(ORDERS, order),
                 policy(SHARES, share),
                 policy(DURATIONS, durations),
+                policy(LEARNING, durations),
+                policy(FORECASTS, durations),
                 policy(RETRIES, retry),
                 new Names(order, share, durations, retry));
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/ServiceCapacities.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/ServiceCapacities.java
@@ -1,5 +1,6 @@
 package org.jujubefork.core.workflow;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import org.jujubefork.core.model.Resources;
@@ -37,6 +38,16 @@
                 .minus(allocations.getOrDefault(service, Resources.ZERO));
     }
 
+    /** Returns the capacity of each service. */
+    Map<String, Resources> capacities() {
+        return Collections.unmodifiableMap(capacities);
+    }
+
+    /** Returns the allocated part of the capacity of each service. */
+    Map<String, Resources> allocations() {
+        return Collections.unmodifiableMap(allocations);
+    }
+
     /** Returns the CPU capacity of {@code service} in millicores. */
     long cpuMillis(String service) {
         return capacities.getOrDefault(service, Resources.ZERO).cpuMillis();
--- a/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Takeover.java
@@ -49,6 +49,8 @@
                         .with(state.adviceRequests().cleared())
                         .with(WaitingSteps.NONE)
                         .with(TeamLedger.EMPTY)
+                        .with(LearnedDurations.NONE)
+                        .with(RoomForecast.NONE)
                         .with(new Recovery(state.now(), false))
                         .withPlacementDue(true);
         return adoptRecordedRuns(next, silent);
--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -84,7 +84,12 @@
      * @param at when this was determined, in milliseconds of the monotonic clock
      */
     record Standing(
-            Rank rank, double slackMillis, double objectiveMillis, long remainingWork, long at) {}
+            Rank rank, double slackMillis, double objectiveMillis, long remainingWork, long at) {
+        /** Returns a copy with {@code other} as the rank. */
+        Standing with(Rank other) {
+            return new Standing(other, slackMillis, objectiveMillis, remainingWork, at);
+        }
+    }
 
     /**
      * Returns the urgency of the occurrence of {@code job} whose steps have the progress {@code
@@ -92,8 +97,9 @@
      */
     static Standing standing(WorkflowState state, Job job, List<StepProgress> steps, Queue queue) {
         long now = state.now();
-        double objectiveMillis = objectiveMillis(job.definition(), queue);
-        double completionMillis = now - job.acceptedAt() + remainingMillis(job, steps, queue, now);
+        double objectiveMillis = objectiveMillis(state, job.definition(), queue);
+        double completionMillis =
+                now - job.acceptedAt() + remainingMillis(state, job, steps, queue);
         double slackMillis = objectiveMillis - completionMillis;
         return new Standing(
                 rank(state, job, completionMillis, objectiveMillis),
@@ -125,25 +131,37 @@
     }
 
     /** Returns how long a new job can wait without becoming late, in milliseconds. */
-    static double initialSlackMillis(WorkflowDefinition job, Queue queue) {
-        return objectiveMillis(job, queue) - minMillis(job, queue) - RESULT_POLL_MILLIS;
+    static double initialSlackMillis(WorkflowState state, WorkflowDefinition job, Queue queue) {
+        return objectiveMillis(state, job, queue)
+                - minMillis(state, job, queue)
+                - RESULT_POLL_MILLIS;
     }
 
     /** Returns the shortest time in which the remaining steps can complete, in milliseconds. */
     private static double remainingMillis(
-            Job job, List<StepProgress> steps, Queue queue, long now) {
+            WorkflowState state, Job job, List<StepProgress> steps, Queue queue) {
+        DurationModel durations = state.policies().durations();
         List<StepDefinition> definitions = job.definition().steps();
         double[] remainingStepMillis = new double[steps.size()];
         for (int i = 0; i < remainingStepMillis.length; i++) {
             StepProgress progress = steps.get(i);
-            double estimate = definitions.get(i).estimateMillis();
+            long estimateMillis = definitions.get(i).estimateMillis();
             if (progress.isDone()) {
                 remainingStepMillis[i] = 0;
             } else if (progress.hasWaiting()) {
                 remainingStepMillis[i] =
-                        estimate + (progress.advice().received() ? 0 : adviceMillis(queue));
+                        durations.expectedMillis(state.durations(), queue.name(), estimateMillis)
+                                + (progress.advice().received() ? 0 : adviceMillis(queue));
             } else {
-                remainingStepMillis[i] = Math.max(0, estimate - (now - progress.readyAt()));
+                long elapsedMillis = state.now() - progress.readyAt();
+                remainingStepMillis[i] =
+                        Math.max(
+                                0,
+                                durations.remainingMillis(
+                                        state.durations(),
+                                        queue.name(),
+                                        estimateMillis,
+                                        elapsedMillis));
             }
         }
         return criticalPathMillis(definitions, remainingStepMillis) + RESULT_POLL_MILLIS;
@@ -155,20 +173,28 @@
      * infinite for a job without a target. Scheduled jobs and jobs with services have no target,
      * because they must run however old they are.
      */
-    static double objectiveMillis(WorkflowDefinition job, Queue queue) {
+    static double objectiveMillis(WorkflowState state, WorkflowDefinition job, Queue queue) {
         if (job.scheduledCount() > 0 || job.steps().stream().anyMatch(StepDefinition::service)) {
             return Double.POSITIVE_INFINITY;
         }
         double millis =
-                queue.objectiveFactor() * minMillis(job, queue) + queue.objectiveBaseMillis();
+                queue.objectiveFactor() * minMillis(state, job, queue)
+                        + queue.objectiveBaseMillis();
         return millis > 0 ? millis : Double.POSITIVE_INFINITY;
     }
 
     /** Returns the shortest time in which a job can complete if no task waits for capacity. */
-    private static double minMillis(WorkflowDefinition job, Queue queue) {
+    private static double minMillis(WorkflowState state, WorkflowDefinition job, Queue queue) {
         double[] stepMillis = new double[job.steps().size()];
         for (int i = 0; i < stepMillis.length; i++) {
-            stepMillis[i] = job.steps().get(i).estimateMillis() + adviceMillis(queue);
+            long expectedMillis =
+                    state.policies()
+                            .durations()
+                            .expectedMillis(
+                                    state.durations(),
+                                    queue.name(),
+                                    job.steps().get(i).estimateMillis());
+            stepMillis[i] = expectedMillis + adviceMillis(queue);
         }
         return criticalPathMillis(job.steps(), stepMillis);
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/UrgentArrivals.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/UrgentArrivals.java
@@ -48,7 +48,7 @@
                             ? state.queueOf(job)
                             : Optional.empty();
             if (queue.isPresent()
-                    && Urgency.initialSlackMillis(job.definition(), queue.get())
+                    && Urgency.initialSlackMillis(state, job.definition(), queue.get())
                             <= MAX_URGENT_SLACK_MILLIS
                     && state.policies().share().isWithinShare(state, job)) {
                 cpuMillis
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -76,8 +76,7 @@
 
     /** Returns a fixture whose entry has the configuration and does not lead yet. */
     static LeaderFixture following(CellConfiguration configuration, Evacuations evacuations) {
-        return new LeaderFixture(
-                configuration, initial(SchedulingPolicies.DEFAULT, evacuations));
+        return new LeaderFixture(configuration, initial(SchedulingPolicies.DEFAULT, evacuations));
     }
 
     /** Lets the entry claim leadership, and win with {@code snapshot} read from the store. */
--- a/core/src/test/java/org/jujubefork/core/workflow/LoadReplay.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LoadReplay.java
@@ -248,7 +248,8 @@
         }
         long millis = job.get().endedAtWallMillis() - LeaderFixture.wallMillis(submittedAt.get(id));
         Arrival arrival = arrivals.get(id);
-        double objective = Urgency.objectiveMillis(arrival.definition(), arrival.queue());
+        double objective =
+                Urgency.objectiveMillis(leader.state(), arrival.definition(), arrival.queue());
         if (millis <= objective) {
             return Result.ON_TIME;
         }
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -180,25 +180,39 @@
                 "team",
                 state,
                 WorkflowMetrics::cpuByTeam);
-        gauge(
-                "jujube_evacuated_zones",
-                "Zones in which no task is started.",
+        registerPolicyGauges(state);
+        registerShareGauges(state);
+        registerWaitingGauges(state, now);
+        registerDurationGauges(state);
+    }
+
+    private void registerDurationGauges(Supplier<WorkflowState> state) {
+        labelledGauge(
+                "jujube_learned_duration_factor",
+                "Typical duration of a task relative to its estimate, by queue.",
+                "queue",
                 state,
-                s -> s.evacuations().zones().size());
+                s -> s.durations().factors());
         labelledGauge(
-                "jujube_evacuated_zone_tasks",
-                "Runs in an evacuated zone that may be active, by zone.",
-                "zone",
+                "jujube_learned_estimate_weight",
+                "How far estimates predict durations, from 0 to 1, by queue.",
+                "queue",
                 state,
-                WorkflowMetrics::tasksByEvacuatedZone);
+                s -> s.durations().estimateWeights());
         labelledGauge(
-                "jujube_scheduling_policy",
-                "1 for each scheduling policy in force.",
-                "policy",
+                "jujube_forecast_wait_seconds",
+                "Expected wait of the least urgent new work for capacity, by service.",
+                "service",
                 state,
-                WorkflowMetrics::policiesInForce);
-        registerShareGauges(state);
-        registerWaitingGauges(state, now);
+                WorkflowMetrics::forecastWaits);
+    }
+
+    private static Map<String, Double> forecastWaits(WorkflowState state) {
+        Map<String, Double> waits = new HashMap<>();
+        state.forecast()
+                .waitMillisByService()
+                .forEach((service, millis) -> waits.put(service, millis / MILLIS_PER_SECOND));
+        return waits;
     }
 
     private static Map<String, Double> tasksByEvacuatedZone(WorkflowState state) {
@@ -217,6 +231,26 @@
                 "retry:" + names.retry(), 1.0);
     }
 
+    private void registerPolicyGauges(Supplier<WorkflowState> state) {
+        gauge(
+                "jujube_evacuated_zones",
+                "Zones in which no task is started.",
+                state,
+                s -> s.evacuations().zones().size());
+        labelledGauge(
+                "jujube_evacuated_zone_tasks",
+                "Runs in an evacuated zone that may be active, by zone.",
+                "zone",
+                state,
+                WorkflowMetrics::tasksByEvacuatedZone);
+        labelledGauge(
+                "jujube_scheduling_policy",
+                "1 for each scheduling policy in force.",
+                "policy",
+                state,
+                WorkflowMetrics::policiesInForce);
+    }
+
     private void registerShareGauges(Supplier<WorkflowState> state) {
         labelledGauge(
                 "jujube_team_share_ratio",
