Test an evacuation with real processes

Cause: no test covered the watch of op/ and the read of a claim against the platform's protocol.

Change: PlatformPathTest evacuates the zone of a worker, kills the leader, evacuates the other zone and lets the first one return.

--- a/standins/src/test/java/org/jujubefork/standins/platform/PlatformCell.java
+++ b/standins/src/test/java/org/jujubefork/standins/platform/PlatformCell.java
@@ -47,8 +47,15 @@
     private final JsonServer advice = JsonServer.start(PlatformCell::advise);
     private final HttpClient client = HttpClient.newHttpClient();
     private final Path directory = Files.createTempDirectory("platform-cell");
+    private final String furtherSettings;
 
     PlatformCell(int entryCount, int workerCount) throws Exception {
+        this(entryCount, workerCount, "");
+    }
+
+    /** Starts a cell; {@code furtherSettings} are added to those of each entry. */
+    PlatformCell(int entryCount, int workerCount, String furtherSettings) throws Exception {
+        this.furtherSettings = furtherSettings;
         configure(1, KEY);
         for (int i = 0; i < workerCount; i++) {
             PlatformWorker worker = new PlatformWorker("i-" + i);
@@ -99,7 +106,7 @@
                 {"name": "%s", "zone": "z", "cores": 1, "coreShare": 0.75,
                  "callers": "127.0.0.1:%d", "readiness": "127.0.0.1:%d",
                  "peers": "127.0.0.1:%d", "store": "%s", "advice": "%s",
-                 "leaderLeaseMillis": 1000, "graceSeconds": 4, "revocationMillis": 5000}
+                 "leaderLeaseMillis": 1000, "graceSeconds": 4, "revocationMillis": 5000%s}
                 """
                         .formatted(
                                 name,
@@ -107,7 +114,8 @@
                                 readiness,
                                 FreePorts.next(),
                                 kv.address(),
-                                advice.address()));
+                                advice.address(),
+                                furtherSettings));
         return new EntryVm(name, callers, readiness, settings);
     }
 
@@ -131,10 +139,13 @@
 
     /** Returns the metrics page of {@code entry}. */
     String metrics(EntryVm entry) throws IOException, InterruptedException {
+        return readinessPage(entry, "/metrics");
+    }
+
+    /** Returns a page of the readiness address of {@code entry}. */
+    String readinessPage(EntryVm entry, String path) throws IOException, InterruptedException {
         return client.send(
-                        HttpRequest.newBuilder(uri(entry.readiness, "/metrics"))
-                                .timeout(TIMEOUT)
-                                .build(),
+                        HttpRequest.newBuilder(uri(entry.readiness, path)).timeout(TIMEOUT).build(),
                         BodyHandlers.ofString())
                 .body();
     }
--- a/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
@@ -193,6 +193,62 @@
         }
     }
 
+    /**
+     * Guards against starts in an evacuated zone, also by a new leader, and against a zone that
+     * stays closed after its return.
+     */
+    @Test
+    public void evacuatedZoneGetsNoStarts() throws Exception {
+        try (PlatformCell cell = new PlatformCell(3, 2, ", \"evacuationMillis\": 5000")) {
+            PlatformWorker evacuated = cell.workers.get(1);
+            cell.kv.put(
+                    evacuated.key(),
+                    evacuated.entry("ready").replace("\"zone\":\"z\"", "\"zone\":\"y\""));
+            cell.kv.put("op/evacuate/y", "{}");
+            for (PlatformCell.EntryVm entry : cell.entries) {
+                Await.until(
+                        "evacuation at " + entry.name,
+                        () -> cell.metrics(entry).contains("jujube_evacuated_zones 1.0"));
+            }
+            PlatformCell.EntryVm leader = leader(cell);
+            runJob(cell, leader, 1);
+            Await.until(
+                    "worker of the zone",
+                    () ->
+                            cell.readinessPage(leader, "/v1/evacuations")
+                                    .contains("\"zone\":\"y\",\"evacuatedMillis\":"));
+            leader.process.kill();
+            PlatformCell.EntryVm other =
+                    cell.entries.stream().filter(e -> e != leader).findFirst().orElseThrow();
+            runJob(cell, other, 2);
+            assertEquals(evacuated.starts(), List.of());
+            cell.kv.put("op/evacuate/z", "{}");
+            Await.until(
+                    "rejection",
+                    () -> {
+                        String body = JOB.formatted(100);
+                        return cell.call(other, "POST", "/q/" + id(9), body).statusCode() == 503;
+                    });
+            cell.kv.remove("op/evacuate/y");
+            Await.until(
+                    "return of the zone",
+                    () -> cell.metrics(other).contains("jujube_evacuated_zones 1.0"));
+            runJob(cell, other, 3);
+            assertTrue(!evacuated.starts().isEmpty(), "no start after the return");
+        }
+    }
+
+    private static void runJob(PlatformCell cell, PlatformCell.EntryVm entry, int number)
+            throws Exception {
+        Await.until(
+                "acceptance",
+                () ->
+                        cell.call(entry, "POST", "/q/" + id(number), JOB.formatted(100))
+                                        .statusCode()
+                                == 200);
+        awaitState(cell, entry, number, "done");
+    }
+
     private static PlatformCell.EntryVm leader(PlatformCell cell) throws Exception {
         Await.until("leader", () -> cell.entries.stream().anyMatch(PlatformPathTest::leads));
         return cell.entries.stream().filter(PlatformPathTest::leads).findFirst().orElseThrow();
