--- a/review/standins-2/src/review2/Cell.java
+++ b/review/standins-2/src/review2/Cell.java
@@ -155,10 +155,7 @@
         values.put("bounds.revoke_ms", "5000");
         Matcher holes =
                 Pattern.compile("\\{\\{([a-z0-9_.]+)\\}\\}")
-                        .matcher(
-                                Files.readString(Path.of("deploy/settings.jsonc"))
-                                        .replaceAll(
-                                                "(?s)\\{\\{#[^}]*}}.*?\\{\\{/[^}]*}}", ""));
+                        .matcher(Files.readString(Path.of("deploy/settings.jsonc")));
         Files.writeString(
                 entry.settings,
                 holes.replaceAll(m -> Matcher.quoteReplacement(values.get(m.group(1)))));
--- a/review/standins/src/review/EntryProcess.java
+++ b/review/standins/src/review/EntryProcess.java
@@ -45,7 +45,6 @@
         this.number = number;
         String settings =
                 Files.readString(Path.of("deploy/settings.jsonc"))
-                        .replaceAll("(?s)\\{\\{#[^}]*}}.*?\\{\\{/[^}]*}}", "")
                         .replace("{{node_name}}", "edge-zone-a-" + number)
                         .replace("{{zone}}", "zone-a")
                         .replace("{{limits.cores}}", "1")
