--- a/core/src/test/java/org/jujubefork/core/workflow/WaitingOrderLoadTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WaitingOrderLoadTest.java
@@ -33,11 +33,19 @@
 
     private static final int SEED_COUNT = 4;
 
-    /** Mean width of the gangs; they need at most 20 of the 24 places that reservations keep. */
-    private static final int MEAN_GANG_TASKS = 8;
+    /**
+     * The gangs of a load.
+     *
+     * @param meanTasks the mean number of their tasks
+     * @param perSecond how many arrive in a second outside of the burst
+     */
+    private record GangLoad(int meanTasks, double perSecond) {}
+
+    /** Gangs that need at most 20 of the 24 places that reservations can keep free. */
+    private static final GangLoad NARROW_GANGS = new GangLoad(8, 0.56);
 
-    /** Mean width of gangs of which the widest, of 25 tasks, exceed these places. */
-    private static final int MEAN_WIDE_GANG_TASKS = 10;
+    /** Gangs of the same work in a second, the widest of 25 tasks. */
+    private static final GangLoad WIDE_GANGS = new GangLoad(10, 0.45);
 
     private static final Queue SHORT = queue("short", 0, 1.5, 401);
     private static final Queue GANGS = queue("gangs", 1, 2.2, 1_201);
@@ -80,12 +88,12 @@
     }
 
     /** Returns a load of about 0.7 of the capacity before and after the burst. */
-    private static List<Arrival> load(long seed, int meanGangTasks) {
+    private static List<Arrival> load(long seed, GangLoad gangs) {
         SplittableRandom random = new SplittableRandom(seed);
         List<Arrival> load = new ArrayList<>();
-        addArrivals(load, SHORT, 3.6, meanGangTasks, random);
-        addArrivals(load, GANGS, 0.56, meanGangTasks, random);
-        addArrivals(load, BULK, 1.6, meanGangTasks, random);
+        addArrivals(load, SHORT, 3.6, gangs, random);
+        addArrivals(load, GANGS, gangs.perSecond(), gangs, random);
+        addArrivals(load, BULK, 1.6, gangs, random);
         return load;
     }
 
@@ -93,7 +101,7 @@
             List<Arrival> load,
             Queue queue,
             double perSecond,
-            int meanGangTasks,
+            GangLoad gangs,
             SplittableRandom random) {
         double at = 0;
         while (at < LOAD_MILLIS) {
@@ -102,21 +110,17 @@
             at += -Math.log(1 - random.nextDouble()) * 1_000 / rate;
             load.add(
                     new Arrival(
-                            Math.round(at),
-                            queue,
-                            LeaderFixture.TEAM,
-                            draw(queue, meanGangTasks, random)));
+                            Math.round(at), queue, LeaderFixture.TEAM, draw(queue, gangs, random)));
         }
     }
 
-    private static WorkflowDefinition draw(
-            Queue queue, int meanGangTasks, SplittableRandom random) {
+    private static WorkflowDefinition draw(Queue queue, GangLoad gangs, SplittableRandom random) {
         double factor = random.nextDouble() < 0.15 ? 2.5 : 0.4 + 0.7 * random.nextDouble();
         if (queue == SHORT) {
             return LoadReplay.job(tasks(3, factor), 2.5, 1_000, random.nextDouble() < 0.3);
         }
         return queue == GANGS
-                ? LoadReplay.job(tasks(meanGangTasks, factor), 4.5, 4_000, true)
+                ? LoadReplay.job(tasks(gangs.meanTasks(), factor), 4.5, 4_000, true)
                 : LoadReplay.job(tasks(12, factor), 1.7, 2_200, false);
     }
 
@@ -185,7 +189,7 @@
         List<Served> byAcceptance = new ArrayList<>();
         List<Served> byCost = new ArrayList<>();
         for (int seed = 1; seed <= SEED_COUNT; seed++) {
-            List<Arrival> load = load(seed, MEAN_GANG_TASKS);
+            List<Arrival> load = load(seed, NARROW_GANGS);
             byAcceptance.addAll(replay("acceptance", load));
             byCost.addAll(replay("delay-cost", load));
         }
@@ -203,19 +207,19 @@
      */
     @Test
     public void largestJobsOfEachQueueAreServed() {
-        checkLargestJobsAreServed(MEAN_GANG_TASKS);
+        checkLargestJobsAreServed(NARROW_GANGS);
     }
 
     /** Guards against gangs that starve because they are wider than what reservations keep free. */
     @Test(groups = "known-red")
     public void gangsWiderThanReservationsAreServed() {
-        checkLargestJobsAreServed(MEAN_WIDE_GANG_TASKS);
+        checkLargestJobsAreServed(WIDE_GANGS);
     }
 
-    private static void checkLargestJobsAreServed(int meanGangTasks) {
+    private static void checkLargestJobsAreServed(GangLoad gangs) {
         List<Served> served = new ArrayList<>();
         for (int seed = 1; seed <= SEED_COUNT; seed++) {
-            served.addAll(replay("delay-cost", load(seed, meanGangTasks)));
+            served.addAll(replay("delay-cost", load(seed, gangs)));
         }
         for (Queue queue : List.of(SHORT, GANGS, BULK)) {
             List<Served> byWork =
