Do not submit one job again and again in PlatformPathTest

The test polled with one job id; a first call that came before the entry knew the second evacuation was accepted, and a repeated submission of an accepted job is answered 200. Change: the test waits until both entries show two evacuated zones, and then demands 503 from a single call.

--- a/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
+++ b/standins/src/test/java/org/jujubefork/standins/platform/PlatformPathTest.java
@@ -223,12 +223,15 @@
             runJob(cell, other, 2);
             assertEquals(evacuated.starts(), List.of());
             cell.kv.put("op/evacuate/z", "{}");
-            Await.until(
-                    "rejection",
-                    () -> {
-                        String body = JOB.formatted(100);
-                        return cell.call(other, "POST", "/q/" + id(9), body).statusCode() == 503;
-                    });
+            for (PlatformCell.EntryVm entry : cell.entries) {
+                if (entry != leader) {
+                    Await.until(
+                            "second evacuation at " + entry.name,
+                            () -> cell.metrics(entry).contains("jujube_evacuated_zones 2.0"));
+                }
+            }
+            String body = JOB.formatted(100);
+            assertEquals(cell.call(other, "POST", "/q/" + id(9), body).statusCode(), 503);
             cell.kv.remove("op/evacuate/y");
             Await.until(
                     "return of the zone",
