Conclude nothing from a list of ends that may be cut

A worker lists at most 500 ends and the others once these are acknowledged, which takes a write to the store. A charged run that was in neither list counted as lost and was started again. A new leader counted a worker as known with its first answer, and started the tasks again whose ends were not listed yet; for that, no outage is needed. Ruled out by its own variant: two leaders at once (no run was started by a deposed leader), and a lost acknowledgement (the worker forgot no end before it was stored).

WorkerReport now says whether all ends are listed. A run in neither list stays charged until they are. A new leader starts tasks of earlier terms, and records a silent worker, once each worker has listed all of its ends in one answer, its runs are recorded, or its leases have ended. Usage of unknown teams still ends with the first answer, because active runs are always listed.

--- a/bench/src/main/java/org/jujubefork/bench/workflow/EmulatedWorker.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/EmulatedWorker.java
@@ -67,6 +67,6 @@
         List<RunningRun> running = new ArrayList<>();
         runs.forEach((t, r) -> running.add(new RunningRun(t, r, "", FULL_SPEED_PERCENT)));
         return new WorkerReport(
-                1, now, TreePVector.from(running), TreePVector.from(List.copyOf(ended)));
+                1, now, TreePVector.from(running), TreePVector.from(List.copyOf(ended)), true);
     }
 }
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -72,11 +72,12 @@
 
     /**
      * Returns whether all runs that earlier leaders may have started are known: each worker has
-     * answered, its runs are recorded, or its leases have expired.
+     * listed all of its runs and completions, its runs are recorded, or its leases have expired.
      */
     static boolean isRecovered(WorkflowState state) {
         return state.workers().values().stream()
-                .allMatch(w -> w.contact().areRunsKnown() || w.contact().runsUntil() < state.now());
+                .map(WorkerNode::contact)
+                .allMatch(c -> c.areCompletionsKnown() || c.runsUntil() < state.now());
     }
 
     /** Logs that all runs of earlier terms are known, once in a term. */
@@ -255,12 +256,15 @@
     /**
      * Processes that {@code answering}, which may differ from the known incarnation, has answered a
      * renewal. Logs when it begins to reject the orders that were meant for an earlier incarnation.
+     *
+     * @param allEndedListed whether the answer lists all completions that are not acknowledged
      */
     static WorkflowTransition incarnationAnswered(
-            WorkflowState state, String worker, Incarnation answering) {
+            WorkflowState state, String worker, Incarnation answering, boolean allEndedListed) {
         WorkerNode node = state.workers().get(worker);
         boolean becomesFenced = answering.isFenced() && !node.contact().incarnation().isFenced();
-        WorkerNode.Contact contact = node.contact().withRenewalAnswered(answering, state.now());
+        WorkerNode.Contact contact =
+                node.contact().withRenewalAnswered(answering, state.now(), allEndedListed);
         boolean endsStaleOrders = becomesFenced && answering.previousFence() > 0;
         if (!endsStaleOrders) {
             return WorkflowTransition.of(state.with(node.with(contact)));
--- a/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
@@ -52,13 +52,14 @@
     }
 
     /**
-     * Returns whether a worker belongs into the record. The results of all completions that it has
-     * reported must be stored first, because its record names only runs that have not ended.
+     * Returns whether a worker belongs into the record. All completions that it has not reported
+     * must belong to charged runs, and the results of those that it has reported must be stored,
+     * because the next leader starts the tasks again whose runs the record does not name.
      */
     private static boolean isRecordable(WorkflowState state, WorkerNode node) {
         WorkerNode.Contact contact = node.contact();
         boolean silent = contact.reached() ? node.isSilent(state.now()) : contact.areRunsKnown();
-        return silent && contact.areCompletionsStored();
+        return silent && contact.areCompletionsKnown() && contact.areCompletionsStored();
     }
 
     private static PMap<TaskKey, Long> runsOn(WorkerNode node) {
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -92,6 +92,9 @@
      * @param reached whether the worker has answered in this term
      * @param areRunsKnown whether all runs that may be active on the worker are charged, because it
      *     has answered or because the previous leader has recorded its runs
+     * @param areCompletionsKnown whether each run that an earlier leader may have started on the
+     *     worker is charged, or its completion is processed. A worker may list only some of its
+     *     completions, so this can be false after it has answered.
      * @param lastContactAt when the worker last answered, -1 if it has not answered yet
      * @param runsUntil the time at which all runs of the worker have ended if no further call
      *     reaches it
@@ -106,6 +109,7 @@
             Incarnation incarnation,
             boolean reached,
             boolean areRunsKnown,
+            boolean areCompletionsKnown,
             long lastContactAt,
             long runsUntil,
             boolean lastRenewalAnswered,
@@ -118,7 +122,8 @@
          * {@code runsUntil}.
          */
         public static Contact unknown(Incarnation incarnation, long runsUntil) {
-            return new Contact(incarnation, false, false, -1, runsUntil, false, false, -1, 0, 0);
+            return new Contact(
+                    incarnation, false, false, false, -1, runsUntil, false, false, -1, 0, 0);
         }
 
         /** Returns the start of the incarnation that answered last in Unix milliseconds. */
@@ -140,10 +145,14 @@
             return lastRenewalAnswered && incarnation.isFenced();
         }
 
-        /** Returns a copy in which all runs that may be active are charged. */
+        /**
+         * Returns a copy in which all runs are charged that may be active or whose completions are
+         * not processed.
+         */
         public Contact withKnownRuns() {
             Builder next = new Builder(this);
             next.areRunsKnown = true;
+            next.areCompletionsKnown = true;
             return next.build();
         }
 
@@ -172,12 +181,18 @@
             return next.build();
         }
 
-        /** Returns a copy after {@code answering} has answered a lease renewal. */
-        public Contact withRenewalAnswered(Incarnation answering, long at) {
+        /**
+         * Returns a copy after {@code answering} has answered a lease renewal.
+         *
+         * @param allEndedListed whether the answer lists all completions that are not acknowledged
+         */
+        public Contact withRenewalAnswered(Incarnation answering, long at, boolean allEndedListed) {
             Builder next = new Builder(this);
             next.incarnation = answering;
             next.reached = true;
             next.areRunsKnown = true;
+            // A completion before the end of the leases does not count any more.
+            next.areCompletionsKnown = areCompletionsKnown || allEndedListed || runsUntil < at;
             next.lastContactAt = at;
             next.lastRenewalAnswered = renewalSentAt >= confirmableSince;
             next.renewalInFlight = false;
@@ -214,6 +229,7 @@
             private Incarnation incarnation;
             private boolean reached;
             private boolean areRunsKnown;
+            private boolean areCompletionsKnown;
             private long lastContactAt;
             private long runsUntil;
             private boolean lastRenewalAnswered;
@@ -226,6 +242,7 @@
                 this.incarnation = from.incarnation();
                 this.reached = from.reached();
                 this.areRunsKnown = from.areRunsKnown();
+                this.areCompletionsKnown = from.areCompletionsKnown();
                 this.lastContactAt = from.lastContactAt();
                 this.runsUntil = from.runsUntil();
                 this.lastRenewalAnswered = from.lastRenewalAnswered();
@@ -240,6 +257,7 @@
                         incarnation,
                         reached,
                         areRunsKnown,
+                        areCompletionsKnown,
                         lastContactAt,
                         runsUntil,
                         lastRenewalAnswered,
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
@@ -44,6 +44,8 @@
                                 event.report().running().size(),
                                 "ended",
                                 event.report().ended().size(),
+                                "all_ended_listed",
+                                event.report().allEndedListed(),
                                 "recovered",
                                 Fleet.isRecovered(result.state())))
                 : result;
@@ -70,7 +72,10 @@
                         .withBorn(report.incarnation())
                         .answered(event.at(), report.clockMillis(), contact.usedFence())
                         .withProcessedSequence(lastSequence);
-        return result.then(s -> Fleet.incarnationAnswered(s, event.worker(), answering))
+        return result.then(
+                        s ->
+                                Fleet.incarnationAnswered(
+                                        s, event.worker(), answering, report.allEndedListed()))
                 .then(
                         s ->
                                 WorkflowTransition.of(
@@ -96,7 +101,7 @@
                 result =
                         result.then(s -> confirmRun(s, event.worker(), key))
                                 .then(s -> ServiceMoves.noteSpeed(s, event.worker(), runningRun));
-            } else if (isMissing(taskAndCharge.getValue(), event.sentAt())) {
+            } else if (isMissing(taskAndCharge.getValue(), event)) {
                 long missingRun = taskAndCharge.getValue().runNumber();
                 result = result.then(s -> runMissing(s, event.worker(), key, missingRun));
             }
@@ -108,11 +113,16 @@
     }
 
     /**
-     * Returns whether a run that the worker does not report is certainly not active: the renewal
-     * that the worker answered was sent after the worker had confirmed the newest command.
+     * Returns whether a run that the worker does not report is certainly not active and has no
+     * completion that the worker reports later: the worker has listed all completions, and the
+     * renewal that it answered was sent after it had confirmed the newest command.
      */
-    private static boolean isMissing(WorkerNode.Charge charge, long sentAt) {
-        return charge.sentAt() >= 0 && charge.confirmedAt() >= 0 && sentAt > charge.confirmedAt();
+    private static boolean isMissing(
+            WorkerNode.Charge charge, WorkflowEvent.LeaseRenewalAnswered event) {
+        return event.report().allEndedListed()
+                && charge.sentAt() >= 0
+                && charge.confirmedAt() >= 0
+                && event.sentAt() > charge.confirmedAt();
     }
 
     private static WorkflowTransition confirmRun(WorkflowState state, String worker, TaskKey key) {
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowEvent.java
@@ -166,13 +166,17 @@
      *     incarnation
      * @param clockMillis the time of the worker's clock
      * @param running the runs that are active
-     * @param ended the runs that have ended and are not acknowledged yet
+     * @param ended the runs that have ended and are not acknowledged yet, those that ended first if
+     *     the worker does not list all of them
+     * @param allEndedListed whether {@code ended} certainly lists all of them; if not, a run that
+     *     is in neither list may have ended
      */
     record WorkerReport(
             long incarnation,
             long clockMillis,
             PVector<RunningRun> running,
-            PVector<EndedRun> ended) {}
+            PVector<EndedRun> ended,
+            boolean allEndedListed) {}
 
     /**
      * A run that a worker reports as active.
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -259,6 +259,18 @@
             String worker,
             List<WorkflowEvent.RunningRun> running,
             List<WorkflowEvent.EndedRun> ended) {
+        answerLeaseRenewal(worker, running, ended, true);
+    }
+
+    /**
+     * Answers the lease renewal of {@code worker}, if one is in flight; {@code allEndedListed} is
+     * whether the worker lists all of its completions.
+     */
+    void answerLeaseRenewal(
+            String worker,
+            List<WorkflowEvent.RunningRun> running,
+            List<WorkflowEvent.EndedRun> ended,
+            boolean allEndedListed) {
         WorkflowEffect.RenewLease renewal = renewals.remove(worker);
         if (renewal != null) {
             post(
@@ -271,7 +283,8 @@
                                     incarnation(worker),
                                     now - startedAt.getOrDefault(worker, 0L),
                                     TreePVector.from(running),
-                                    TreePVector.from(ended))));
+                                    TreePVector.from(ended),
+                                    allEndedListed)));
         }
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/OlderRunTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/OlderRunTest.java
@@ -63,7 +63,8 @@
                                 INCARNATION,
                                 leader.now(),
                                 TreePVector.empty(),
-                                TreePVector.empty())));
+                                TreePVector.empty(),
+                                true)));
         leader.advance(100);
         leader.answerLeaseRenewal("b", List.of(running(2)), List.of());
         leader.advance(200);
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
@@ -197,7 +197,13 @@
                         runs.values().stream()
                                 .map(r -> new RunningRun(r.task(), r.runNumber(), "", 100))
                                 .toList()),
-                TreePVector.from(unacknowledgedEndedRuns));
+                TreePVector.from(listedEndedRuns()),
+                unacknowledgedEndedRuns.size() < simulation.maxListedEndedRuns);
+    }
+
+    private List<EndedRun> listedEndedRuns() {
+        int count = Math.min(simulation.maxListedEndedRuns, unacknowledgedEndedRuns.size());
+        return unacknowledgedEndedRuns.subList(0, count);
     }
 
     CommandOutcome start(
--- a/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
@@ -56,6 +56,9 @@
     /** Bound of the random part of the duration of a run. */
     int maxRunMillis = 1_500;
 
+    /** Maximum number of ended runs that a worker lists in an answer. */
+    int maxListedEndedRuns = 500;
+
     /**
      * Whether a lease renewal without an answer can be carried out by an incarnation of the worker
      * that has started after the renewal was sent.
--- a/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkerRestartTest.java
@@ -70,7 +70,8 @@
                                 born,
                                 leader.now(),
                                 TreePVector.empty(),
-                                TreePVector.from(List.of(ended)))));
+                                TreePVector.from(List.of(ended)),
+                                true)));
     }
 
     private static List<WorkflowEffect.Stop> stops(LeaderFixture leader) {
--- a/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
@@ -52,6 +52,17 @@
         play(new Simulation(seed, 3, 6));
     }
 
+    /**
+     * Guards, besides, against tasks that run again because a worker does not list all of its
+     * completions at a time.
+     */
+    @Test(dataProvider = "seeds")
+    public void invariantsHoldIfWorkersListFewCompletions(long seed) {
+        Simulation simulation = new Simulation(seed, 3, 6);
+        simulation.maxListedEndedRuns = 2;
+        play(simulation);
+    }
+
     /**
      * Guards, besides, against start commands that leave for an evacuated zone, and against work
      * that evacuations lose or stall.
--- a/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
@@ -159,7 +159,8 @@
                                     1,
                                     Clock.SYSTEM.millis(),
                                     TreePVector.from(runs),
-                                    TreePVector.empty())));
+                                    TreePVector.empty(),
+                                    true)));
         }
 
         @Override
