--- a/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
@@ -166,7 +166,7 @@
             WorkflowState state) {
         PMap<String, CommitQueue.CompletionWatermark> watermarks = HashTreePMap.empty();
         for (WorkerNode node : state.workers().values()) {
-            WorkerNode.Contact contact = node.contact();
+            WorkerContact contact = node.contact();
             if (!contact.areCompletionsStored()) {
                 watermarks =
                         watermarks.plus(
@@ -214,7 +214,7 @@
 
     private static WorkflowState withStoredSequence(
             WorkflowState state, WorkerNode node, long sequence) {
-        WorkerNode.Contact contact = node.contact();
+        WorkerContact contact = node.contact();
         return state.with(
                 node.with(contact.with(contact.incarnation().withStoredSequence(sequence))));
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -49,7 +49,7 @@
      * Returns {@code contact} after the worker list has shown a new incarnation. It may already
      * have carried out orders that were meant for the earlier one.
      */
-    private static WorkerNode.Contact withoutConfirmation(WorkerNode.Contact contact, long now) {
+    private static WorkerContact withoutConfirmation(WorkerContact contact, long now) {
         return contact.withoutConfirmation(now).withRunsUntil(WorkflowLimits.maxLeaseEnd(now));
     }
 
@@ -227,7 +227,7 @@
      */
     static WorkflowTransition workerRestarted(WorkflowState state, String worker, long born) {
         WorkerNode node = state.workers().get(worker);
-        WorkerNode.Contact contact = node.contact();
+        WorkerContact contact = node.contact();
         WorkerNode restarted =
                 node.with(
                         contact.with(Incarnation.unfenced(born, contact.usedFence()))
@@ -263,7 +263,7 @@
             WorkflowState state, String worker, Incarnation answering, boolean allEndedListed) {
         WorkerNode node = state.workers().get(worker);
         boolean becomesFenced = answering.isFenced() && !node.contact().incarnation().isFenced();
-        WorkerNode.Contact contact =
+        WorkerContact contact =
                 node.contact().withRenewalAnswered(answering, state.now(), allEndedListed);
         boolean endsStaleOrders = becomesFenced && answering.previousFence() > 0;
         if (!endsStaleOrders) {
--- a/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SilentWorkers.java
@@ -57,7 +57,7 @@
      * because the next leader starts the tasks again whose runs the record does not name.
      */
     private static boolean isRecordable(WorkflowState state, WorkerNode node) {
-        WorkerNode.Contact contact = node.contact();
+        WorkerContact contact = node.contact();
         boolean silent = contact.reached() ? node.isSilent(state.now()) : contact.areRunsKnown();
         return silent && contact.areCompletionsKnown() && contact.areCompletionsStored();
     }
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerLeases.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerLeases.java
@@ -24,7 +24,7 @@
     }
 
     private static boolean isRenewalDue(WorkflowState state, WorkerNode node) {
-        WorkerNode.Contact contact = node.contact();
+        WorkerContact contact = node.contact();
         if (!node.listed() && node.charges().isEmpty() && contact.reached()) {
             return false;
         }
@@ -35,7 +35,7 @@
     }
 
     /** Returns whether a commit has to raise the fencing token for a new incarnation. */
-    private static boolean awaitsFence(WorkflowState state, WorkerNode.Contact contact) {
+    private static boolean awaitsFence(WorkflowState state, WorkerContact contact) {
         Incarnation incarnation = contact.incarnation();
         return !incarnation.isFenced()
                 && renewalFence(state, contact) <= incarnation.previousFence();
@@ -46,7 +46,7 @@
      * revision of the newest commit: that is higher than all tokens sent before the commit, and
      * lower than the revision of the next leader's record.
      */
-    private static long renewalFence(WorkflowState state, WorkerNode.Contact contact) {
+    private static long renewalFence(WorkflowState state, WorkerContact contact) {
         return contact.incarnation().isFenced()
                 ? contact.incarnation().fence()
                 : Math.max(state.fence(), state.commitQueue().previousRevision());
@@ -56,14 +56,14 @@
      * Returns the fencing token of a command. Only lease renewals raise the token that a worker
      * knows, because their answers show that the worker has seen it.
      */
-    static long commandFence(WorkflowState state, WorkerNode.Contact contact) {
+    static long commandFence(WorkflowState state, WorkerContact contact) {
         return contact.incarnation().isFenced()
                 ? contact.incarnation().fence()
                 : Math.max(state.fence(), contact.usedFence());
     }
 
     private static WorkflowTransition renew(WorkflowState state, WorkerNode node) {
-        WorkerNode.Contact contact = node.contact();
+        WorkerContact contact = node.contact();
         boolean isConfirmed = isRecentlyConfirmed(state, node);
         // A worker outside of the stored set has no runs, so it needs no lease.
         boolean isGranted = isConfirmed && state.commitQueue().isWorkerRecorded(node.id());
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerReports.java
@@ -54,7 +54,7 @@
     private static WorkflowTransition processEndedRuns(
             WorkflowState state, WorkflowEvent.LeaseRenewalAnswered event) {
         WorkerReport report = event.report();
-        WorkerNode.Contact contact = state.workers().get(event.worker()).contact();
+        WorkerContact contact = state.workers().get(event.worker()).contact();
         Incarnation incarnation = contact.incarnation();
         List<EndedRun> newlyEnded =
                 report.ended().stream()
