Start nothing on a restarted worker before its new record is listed

A worker can start again under its identifier as one of another kind. If a renewal showed the restart before the watch of the worker list did, the service, labels and capacity of the earlier incarnation were used for the later one, until the list was read: up to 0.4 s. Ruled out: starts that were on their way at the crash. The wrong starts carried the token of the new incarnation.

A worker now gets starts only while its record in the worker list is of the incarnation that has answered last. A renewal that shows a restart first lets the list be read at once. Failures and quarantine end with the incarnation.

LeaderFixture answers a request to read the worker list, as the platform's watch does; the tests of restarts are otherwise unchanged. The emulator and WorkflowDaemonTest name one incarnation in both places.

--- a/bench/src/main/java/org/jujubefork/bench/workflow/EmulatedWorker.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/EmulatedWorker.java
@@ -16,6 +16,9 @@
 
 /** A worker of the emulator, which runs tasks and holds back answers until a run ends. */
 final class EmulatedWorker {
+    /** The only incarnation of each worker. */
+    static final long INCARNATION = 1;
+
     private static final int FULL_SPEED_PERCENT = 100;
 
     final WorkerNode.Listing listing;
@@ -67,6 +70,10 @@
         List<RunningRun> running = new ArrayList<>();
         runs.forEach((t, r) -> running.add(new RunningRun(t, r, "", FULL_SPEED_PERCENT)));
         return new WorkerReport(
-                1, now, TreePVector.from(running), TreePVector.from(List.copyOf(ended)), true);
+                INCARNATION,
+                now,
+                TreePVector.from(running),
+                TreePVector.from(List.copyOf(ended)),
+                true);
     }
 }
--- a/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
+++ b/bench/src/main/java/org/jujubefork/bench/workflow/LeaderEmulator.java
@@ -118,7 +118,7 @@
                             WORKER_CAPACITY,
                             List.of(rack),
                             rack,
-                            0);
+                            EmulatedWorker.INCARNATION);
             workers.put(listing.id(), new EmulatedWorker(listing));
         }
         post(new WorkflowEvent.ConfigurationRead(time(), time(), Optional.of(configuration())));
--- a/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Fleet.java
@@ -223,18 +223,24 @@
     /**
      * Handles a restart of a worker under the same identifier: {@code born} has answered in place
      * of the known incarnation. It may already have started some of the charged runs, so its report
-     * determines for each run whether the run is active.
+     * determines for each run whether the run is active. It gets no new tasks before the worker
+     * list shows what it is like, so the list is read at once.
      */
     static WorkflowTransition workerRestarted(WorkflowState state, String worker, long born) {
         WorkerNode node = state.workers().get(worker);
         WorkerContact contact = node.contact();
         WorkerNode restarted =
                 node.with(
-                        contact.with(Incarnation.unfenced(born, contact.usedFence()))
-                                .withRunsUntil(WorkflowLimits.maxLeaseEnd(state.now())));
+                                contact.with(Incarnation.unfenced(born, contact.usedFence()))
+                                        .withRunsUntil(WorkflowLimits.maxLeaseEnd(state.now())))
+                        .with(WorkerNode.Health.NEW);
         // The revision of the next commit is the fencing token of the new incarnation.
-        return WorkflowTransition.of(
-                        state.with(restarted).with(state.commitQueue().withFleetDirty()))
+        WorkflowTransition result =
+                WorkflowTransition.of(
+                        state.with(restarted).with(state.commitQueue().withFleetDirty()));
+        return (restarted.isListingCurrent()
+                        ? result
+                        : result.with(new WorkflowEffect.ReadWorkerList()))
                 .with(
                         WorkflowEffect.LogEvent.of(
                                 "worker-restarted",
@@ -243,6 +249,8 @@
                                 born,
                                 "born_before",
                                 contact.born(),
+                                "born_listed",
+                                node.listing().born(),
                                 "clock_offset_before",
                                 contact.incarnation().clockOffset(),
                                 "tasks",
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -270,8 +270,9 @@
      * Starts the assigned tasks of {@code key} that have valid tickets or need none, and renews the
      * tickets of the others. A gang starts only if all of its tickets are valid. Tasks that can no
      * longer start as assigned are placed again, because the wait for a ticket may take seconds:
-     * their queue may have been removed, their worker may be draining, or a member of the gang may
-     * have lost its capacity. A job whose attempts are exhausted ends instead.
+     * their queue may have been removed, their worker may be draining or of another kind, or a
+     * member of the gang may have lost its capacity. A job whose attempts are exhausted ends
+     * instead.
      */
     static WorkflowTransition startAssigned(WorkflowState state, StepKey key) {
         Job job = state.jobs().get(key.job());
@@ -280,10 +281,14 @@
         }
         Optional<Queue> queue = state.queueOf(job);
         StepProgress progress = job.progress(key);
-        Set<String> closedWorkers = closedWorkers(state, progress);
+        if (queue.isEmpty()) {
+            return unassign(state, key);
+        }
+        Set<String> closedWorkers =
+                StartCheck.closedWorkers(state, job.step(key), queue.get(), progress);
         boolean isPartialGang =
                 job.step(key).gang() && (progress.hasWaiting() || !closedWorkers.isEmpty());
-        if (queue.isEmpty() || isPartialGang) {
+        if (isPartialGang) {
             return unassign(state, key);
         }
         Optional<TaskKey> exhaustedTask = AttemptLimit.exhaustedTask(job, key, queue.get());
@@ -297,19 +302,6 @@
         return result.then(s -> startWithValidTickets(s, key, queue.get()));
     }
 
-    /** Returns the workers of assigned tasks that get no starts any more. */
-    private static Set<String> closedWorkers(WorkflowState state, StepProgress progress) {
-        Set<String> closedWorkers = new HashSet<>();
-        for (Task task : progress.tasks()) {
-            WorkerNode node = state.workers().get(task.worker());
-            if (task.phase() == Task.Phase.ASSIGNED
-                    && (node == null || !state.isOpenForStarts(node))) {
-                closedWorkers.add(task.worker());
-            }
-        }
-        return closedWorkers;
-    }
-
     private static WorkflowTransition startWithValidTickets(
             WorkflowState state, StepKey key, Queue queue) {
         Job job = state.jobs().get(key.job());
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkerNode.java
@@ -9,7 +9,9 @@
 /**
  * A worker as the leader knows it.
  *
- * @param listing its newest record in the worker list
+ * @param listing its newest record in the worker list, which an earlier or a later incarnation than
+ *     that of {@code contact} may have written; after a takeover, its record in the stored set of
+ *     workers until the list is read
  * @param listed whether the worker list still contains it
  * @param contact what the leader knows from its calls to the worker
  * @param charges the allocated capacity by task, for all assigned tasks and all runs that may be
@@ -68,7 +70,11 @@
             this(id, service, address, zone, draining, capacity, labels, rack, born, 0);
         }
 
-        /** Returns a copy of a record that the incarnation {@code newBorn} has written. */
+        /**
+         * Returns a copy that names {@code newBorn} as its incarnation. In the stored set of
+         * workers the other components can be of another incarnation than the one named, so only
+         * records of the worker list tell what an incarnation is like.
+         */
         public Listing withBorn(long newBorn) {
             return new Listing(
                     id,
@@ -202,13 +208,27 @@
 
     /** Returns whether the worker may get new tasks at {@code now}. */
     public boolean isUsable(long now) {
-        return listed
+        return isListingCurrent()
                 && !listing.draining()
                 && contact.isIncarnationConfirmed()
                 && now - contact.lastContactAt() < WorkflowLimits.WORKER_CONTACT_TIMEOUT_MILLIS
                 && health.quarantinedUntil() <= now;
     }
 
+    /**
+     * Returns whether the worker list contains the worker, with a record that the incarnation has
+     * written that answered last. A restarted worker can have another service, other labels and
+     * another capacity; the record and the answers arrive in either order.
+     */
+    boolean isListingCurrent() {
+        return listed && listing.born() == contact.born();
+    }
+
+    /** Returns whether the charges exceed the capacity, as they can after a restart. */
+    boolean isOverCapacity() {
+        return !Resources.ZERO.fitsIn(freeCapacity());
+    }
+
     /** Returns whether the worker has not answered its last calls and for some time before. */
     public boolean isSilent(long now) {
         return !contact.lastRenewalAnswered()
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowEffect.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowEffect.java
@@ -81,6 +81,9 @@
         }
     }
 
+    /** Reads the worker list now, because a worker has restarted since it was last read. */
+    record ReadWorkerList() implements WorkflowEffect {}
+
     /** Announces to the followers that this entry stops leading. */
     record Resign() implements WorkflowEffect {}
 
--- a/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LeaderFixture.java
@@ -23,19 +23,21 @@
     static final long START_MILLIS = 100_000;
 
     private static final long TICK_MILLIS = 20;
-    private static final long FIRST_INCARNATION = 7;
     private static final long WALL_OFFSET_MILLIS = 1_700_000_000_000L;
 
     final List<WorkflowEffect> effects = new ArrayList<>();
     private final Map<String, WorkflowEffect.RenewLease> renewals = new HashMap<>();
-    private final Map<String, Long> incarnations = new HashMap<>();
-    private final Map<String, Long> startedAt = new HashMap<>();
+    private final FixtureIncarnations incarnations = new FixtureIncarnations();
     private final List<WorkflowEffect.Commit> commits = new ArrayList<>();
     private WorkflowState state;
     private long now;
     private long revision = 10;
     private long nextRequestId = 1;
     private int takenAdviceRequestCount;
+    private boolean isWorkerListRequested;
+
+    /** Whether {@link #advance} answers requests to read the worker list. */
+    boolean answersWorkerListRequests = true;
 
     private LeaderFixture(CellConfiguration configuration, WorkflowState initial) {
         state = initial;
@@ -101,7 +103,7 @@
         return configuration(weight, limit, Optional.empty());
     }
 
-    /** Returns a configuration whose steps need advice, with the settings {@code advice}. */
+    /** Returns a configuration whose steps need advice. */
     static CellConfiguration configuration(AdviceSettings advice) {
         return configuration(50, Resources.ZERO, Optional.of(advice));
     }
@@ -133,7 +135,7 @@
                 Resources.of(16_000, 64_000, 0),
                 List.of(),
                 "",
-                FIRST_INCARNATION);
+                FixtureIncarnations.FIRST);
     }
 
     /** Returns a job of one task of {@code cores} cores with an estimate of one second. */
@@ -169,6 +171,9 @@
     }
 
     void post(WorkflowEvent event) {
+        if (event instanceof WorkflowEvent.LeaseRenewalAnswered answer) {
+            incarnations.answered(answer);
+        }
         WorkflowTransition next = WorkflowReducer.reduce(state, event);
         state = next.state();
         for (WorkflowEffect effect : next.effects()) {
@@ -178,6 +183,7 @@
             } else if (effect instanceof WorkflowEffect.Commit commit) {
                 commits.add(commit);
             }
+            isWorkerListRequested |= effect instanceof WorkflowEffect.ReadWorkerList;
         }
     }
 
@@ -190,6 +196,10 @@
         for (long end = now + millis; now < end; ) {
             now += TICK_MILLIS;
             confirm();
+            if (isWorkerListRequested && answersWorkerListRequests) {
+                isWorkerListRequested = false;
+                list(incarnations.listed(state));
+            }
             tick();
         }
     }
@@ -235,7 +245,7 @@
 
     /** Reports a worker list that contains {@code ids}, of which {@code draining} drains. */
     void listDraining(String draining, String... ids) {
-        list(Stream.of(ids).map(id -> worker(id, id.equals(draining))).toList());
+        list(incarnations.present(Stream.of(ids).map(id -> worker(id, id.equals(draining)))));
     }
 
     /** Reports {@code workers} as the worker list. */
@@ -281,7 +291,7 @@
                             worker,
                             new WorkflowEvent.WorkerReport(
                                     incarnation(worker),
-                                    now - startedAt.getOrDefault(worker, 0L),
+                                    incarnations.clockMillis(worker, now),
                                     TreePVector.from(running),
                                     TreePVector.from(ended),
                                     allEndedListed)));
@@ -292,13 +302,12 @@
      * Lets {@code worker} restart under its identifier, without any runs; its clock starts anew.
      */
     void restartWorker(String worker) {
-        incarnations.merge(worker, FIRST_INCARNATION + 1, (i, unused) -> i + 1);
-        startedAt.put(worker, now);
+        incarnations.restart(worker, now);
     }
 
     /** Returns the present incarnation of {@code worker}. */
     long incarnation(String worker) {
-        return incarnations.getOrDefault(worker, FIRST_INCARNATION);
+        return incarnations.of(worker);
     }
 
     /** Fails the lease renewal of {@code worker}, if one is in flight. */
--- a/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
@@ -155,7 +155,32 @@
         }
     }
 
-    /** Checks the invariants for a run that starts. */
+    /**
+     * Checks that a run that starts fits the service, the labels and the size of the present
+     * incarnation of its worker.
+     */
+    void checkKind(SimulatedWorker worker, TaskKey task, Resources size) {
+        WorkerNode.Listing kind = worker.listing;
+        String queue = simulation.callers.queueOf(task.job());
+        if (!simulation.configuration.servicesOf(queue).contains(kind.service())) {
+            violations.add(task + " starts on " + kind.id() + " of service " + kind.service());
+        }
+        String label =
+                simulation
+                        .submittedDefinitions
+                        .get(task.job())
+                        .steps()
+                        .get(task.step())
+                        .requiredLabel();
+        if (!label.isEmpty() && !kind.labels().contains(label)) {
+            violations.add(task + " starts on " + kind.id() + " without the label " + label);
+        }
+        if (!worker.used().plus(size).fitsIn(kind.capacity())) {
+            violations.add(task + " exceeds the capacity of the present " + kind.id());
+        }
+    }
+
+    /** Checks the other invariants for a run that starts. */
     void checkStart(SimulatedWorker worker, TaskKey task, Resources size) {
         for (SimulatedWorker other : simulation.workers.values()) {
             if (other.runs().containsKey(task)) {
@@ -171,7 +196,7 @@
             violations.add(
                     task + " starts after its completion was acknowledged at " + simulation.now());
         }
-        if (!worker.used().plus(size).fitsIn(worker.listing.capacity())) {
+        if (!worker.used().plus(size).fitsIn(worker.largestCapacity())) {
             violations.add("not enough free capacity for " + task + " on " + worker.listing.id());
         }
         String team = simulation.callers.teamOf(task.job());
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedConfiguration.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedConfiguration.java
@@ -3,6 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jujubefork.core.model.Resources;
 
 /** The operators' configuration in the simulation and the ones that it replaced. */
@@ -33,6 +36,15 @@
         return current.queue(queue);
     }
 
+    /** Returns the services to which any configuration has sent the tasks of {@code queue}. */
+    Set<String> servicesOf(String queue) {
+        return Stream.concat(
+                        Stream.of(current), earlierVersions.stream().map(Version::configuration))
+                .flatMap(c -> c.queue(queue).stream())
+                .map(CellConfiguration.Queue::service)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the present limit of {@code team}; a component of 0 means no limit. */
     Resources limit(String team) {
         return limit(current, team);
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedDisruptions.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedDisruptions.java
@@ -12,6 +12,15 @@
 final class SimulatedDisruptions {
     private static final int MIN_WORKERS = 6;
 
+    /** What a worker can be of another kind in. */
+    private record Kind(Resources capacity, List<String> labels) {}
+
+    private static final List<Kind> KINDS =
+            List.of(
+                    new Kind(Resources.of(32_000, 64_000, 0), List.of("a", "b")),
+                    new Kind(Resources.of(16_000, 64_000, 0), List.of("a")),
+                    new Kind(Resources.of(8_000, 64_000, 0), List.of("b")));
+
     private final Simulation simulation;
     private final SimulatedFaults faults;
     private final SplittableRandom random;
@@ -84,15 +93,9 @@
             return;
         }
         if (random.nextInt(4) == 0) {
-            // Its capacity never shrinks: a start that is on its way could exceed it.
-            boolean isLarger = random.nextBoolean();
+            Kind kind = KINDS.get(random.nextInt(KINDS.size()));
             WorkerNode.Listing listing = worker.listing;
-            worker.listing =
-                    withKind(
-                            listing,
-                            listing.draining(),
-                            isLarger ? Resources.of(32_000, 64_000, 0) : listing.capacity(),
-                            isLarger ? List.of("a", "b") : List.of("a"));
+            worker.listing = withKind(listing, listing.draining(), kind.capacity(), kind.labels());
         }
         worker.comeBack();
     }
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
@@ -44,6 +44,12 @@
 
     private long fence;
 
+    /** The largest capacity of this and the earlier incarnations. */
+    private Resources largestCapacity;
+
+    /** The highest fencing token that earlier incarnations have seen. */
+    private long earlierFence;
+
     /** When the lease expires, in the time of the simulation. */
     private long leaseExpiry;
 
@@ -53,6 +59,7 @@
         this.simulation = simulation;
         this.listing = listing;
         this.incarnation = 1;
+        this.largestCapacity = listing.capacity();
     }
 
     Map<TaskKey, Run> runs() {
@@ -118,6 +125,10 @@
         }
     }
 
+    Resources largestCapacity() {
+        return largestCapacity;
+    }
+
     long incarnation() {
         return incarnation;
     }
@@ -146,12 +157,14 @@
     void restart() {
         incarnation++;
         listing = listing.withBorn(incarnation);
+        largestCapacity = largestCapacity.max(listing.capacity());
         runs.clear();
         highestEndedRuns.clear();
         unacknowledgedEndedRuns.clear();
         unacknowledgedCompletions.clear();
         unacknowledgedFailures.clear();
         startedAt = simulation.now();
+        earlierFence = Math.max(earlierFence, fence);
         fence = 0;
         nextSequence = 1;
         leaseExpiry = 0;
@@ -230,6 +243,11 @@
             return CommandOutcome.NO_TICKET;
         }
         extendLease(start.leaseExpiry());
+        // A leader raises the token once it knows of a restart.
+        boolean isRestartKnown = start.fence() > earlierFence;
+        if (isRestartKnown || simulation.checksUnawareStarts) {
+            simulation.safetyChecker.checkKind(this, task, size);
+        }
         simulation.safetyChecker.checkStart(this, task, size);
         runs.put(task, new Run(task, runNumber, size, simulation.now() + durationMillis, outcome));
         return CommandOutcome.OK;
--- a/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
@@ -56,6 +56,9 @@
     /** Bound of the random part of the duration of a run. */
     int maxRunMillis = 1_500;
 
+    /** How often entries read the worker list; it can be older than the answers of the workers. */
+    int workerListIntervalMillis = 500;
+
     /** Maximum number of ended runs that a worker lists in an answer. */
     int maxListedEndedRuns = 500;
 
@@ -68,6 +71,13 @@
     /** Whether the same holds for commands. */
     boolean commandsOutliveRestarts;
 
+    /**
+     * Whether starts are checked against the kind of an incarnation that was not known when they
+     * were sent. Nothing keeps a worker from carrying these out before it has seen a new fencing
+     * token (issue 29).
+     */
+    boolean checksUnawareStarts;
+
     boolean storeDown;
     boolean faultsDisabled;
 
@@ -191,10 +201,15 @@
         return entry.frozenUntil < now && entry.state.leadership().leads();
     }
 
-    private void listWorkers(SimulatedEntry entry, int boot) {
+    private void watchWorkers(SimulatedEntry entry, int boot) {
         if (entry.boot != boot) {
             return;
         }
+        listWorkers(entry, boot);
+        after(workerListIntervalMillis, () -> watchWorkers(entry, boot));
+    }
+
+    private void listWorkers(SimulatedEntry entry, int boot) {
         PMap<String, WorkerNode.Listing> listings = HashTreePMap.empty();
         for (SimulatedWorker worker : workers.values()) {
             if (worker.listed) {
@@ -202,7 +217,6 @@
             }
         }
         post(entry, boot, new WorkflowEvent.WorkersListed(now, listings));
-        after(500, () -> listWorkers(entry, boot));
     }
 
     long latency() {
@@ -248,6 +262,8 @@
             case WorkflowEffect.Answer e -> callers.answered(e);
             // Not carried out: callers reach the leader without a redirect, and logs are not kept.
             case WorkflowEffect.LeaderChanged e -> {}
+            case WorkflowEffect.ReadWorkerList e ->
+                    after(latency(), () -> listWorkers(entry, boot));
             case WorkflowEffect.Resign e -> followers.resigned(entry);
             case WorkflowEffect.AnnounceSuccession e -> followers.announce(entry, e);
             case WorkflowEffect.RequestAdvice e -> advice.request(entry, boot, e);
@@ -348,7 +364,7 @@
                         now, now, Optional.of(configuration.current())));
         tick(entry, boot);
         watchLeader(entry, boot);
-        listWorkers(entry, boot);
+        watchWorkers(entry, boot);
         evacuations.watch(entry, boot);
     }
 }
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jujubefork.config.settings.HostPort;
 import org.jujubefork.core.workflow.Evacuations;
@@ -96,6 +98,10 @@
     private final PeerConnections peerConnections;
     private final CallGateway gateway;
     private final OwnTerm ownTerm = new OwnTerm();
+
+    /** Holds a permit if the worker list is to be read without a pause. */
+    private final Semaphore workerListRequests = new Semaphore(0);
+
     private volatile boolean open = true;
 
     private WorkflowDaemon(Setup setup) throws IOException {
@@ -142,7 +148,8 @@
                                 pendingCalls,
                                 peerConnections,
                                 setup.logWriter()),
-                        this::onLeaderChanged);
+                        this::onLeaderChanged,
+                        workerListRequests::release);
         loop.start(effects);
         executor.execute(this::watchOperators);
         executor.execute(this::watchLeader);
@@ -310,11 +317,19 @@
                         loop.post(
                                 new WorkflowEvent.WorkersListed(
                                         now(), watch.next(WORKERS_WATCH_WAIT)));
-                        Thread.sleep(WORKERS_WATCH_PAUSE);
+                        pauseUntilWorkerListRequest();
                     }
                 });
     }
 
+    /** Waits for {@link #WORKERS_WATCH_PAUSE}, or until the worker list is requested. */
+    private void pauseUntilWorkerListRequest() throws InterruptedException {
+        if (workerListRequests.tryAcquire(WORKERS_WATCH_PAUSE.toMillis(), TimeUnit.MILLISECONDS)) {
+            // One read serves all requests so far.
+            workerListRequests.drainPermits();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         open = false;
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowEffectExecutor.java
@@ -42,10 +42,21 @@
 
     private final Context context;
     private final Consumer<WorkflowEffect.LeaderChanged> leaderListener;
+    private final Runnable workerListReader;
 
-    WorkflowEffectExecutor(Context context, Consumer<WorkflowEffect.LeaderChanged> leaderListener) {
+    /**
+     * Creates an executor.
+     *
+     * @param leaderListener called when this entry follows a new leader or starts leading
+     * @param workerListReader lets the watch of the worker list read it now; does not block
+     */
+    WorkflowEffectExecutor(
+            Context context,
+            Consumer<WorkflowEffect.LeaderChanged> leaderListener,
+            Runnable workerListReader) {
         this.context = context;
         this.leaderListener = leaderListener;
+        this.workerListReader = workerListReader;
     }
 
     @Override
@@ -57,6 +68,7 @@
             case WorkflowEffect.LeaderChanged e -> changeLeader(e);
             case WorkflowEffect.AnnounceSuccession e ->
                     context.peerConnections().announceSuccession(e.entries());
+            case WorkflowEffect.ReadWorkerList e -> workerListReader.run();
             case WorkflowEffect.Resign e -> context.peerConnections().announceResignation();
             case WorkflowEffect.Claim e -> runAsync(() -> claimLeadership(e));
             case WorkflowEffect.Commit e -> runAsync(() -> commit(e));
--- a/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/workflow/WorkflowDaemonTest.java
@@ -210,7 +210,7 @@
 
     private static WorkerNode.Listing listing() {
         return new WorkerNode.Listing(
-                "w", "s", "w:1", "z", false, Resources.of(4_000, 4_000, 0), List.of(), "", 0);
+                "w", "s", "w:1", "z", false, Resources.of(4_000, 4_000, 0), List.of(), "", 1);
     }
 
     private static WorkflowDefinition job() {
