Renew tickets of an earlier incarnation before a start

A ticket holds for one life of a worker, but it was used for the next one as well until its time was over. The worker rejected these starts (no rule is broken; a rejection is priced, and its gang starts over). A ticket now names the incarnation for which it was requested, and is renewed if the worker has another one.

RestartedKindTest.ticketOfEarlierIncarnationIsRenewedBeforeStart fails without the change.

--- a/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/AdviceDispatcher.java
@@ -303,7 +303,13 @@
                 state.queueOf(job).flatMap(q -> q.advice()).map(a -> a.validMillis()).orElse(0L);
         long validUntil = state.now() + validMillis - WorkflowLimits.TICKET_MARGIN_MILLIS;
         Map<String, Ticket> tickets = new HashMap<>();
-        event.tickets().get().forEach((w, t) -> tickets.put(w, new Ticket(t, validUntil)));
+        event.tickets()
+                .get()
+                .forEach(
+                        (worker, token) -> {
+                            long incarnation = inFlight.incarnations().getOrDefault(worker, 0L);
+                            tickets.put(worker, new Ticket(token, validUntil, incarnation));
+                        });
         StepProgress updatedProgress =
                 progress.withAdvice(
                         progress.advice()
--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -314,7 +314,8 @@
                 continue;
             }
             Ticket ticket = progress.advice().tickets().get(task.worker());
-            boolean hasValidTicket = ticket != null && ticket.validUntil() > state.now();
+            WorkerNode node = state.workers().get(task.worker());
+            boolean hasValidTicket = ticket != null && ticket.isValidOn(node, state.now());
             if (queue.advice().isEmpty() || hasValidTicket) {
                 startableIndexes.add(i);
             } else {
--- a/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/StepProgress.java
@@ -124,7 +124,7 @@
                             nextChoiceAt,
                             received,
                             refusals,
-                            tickets.plus(worker, new Ticket(ticket.token(), 0)));
+                            tickets.plus(worker, ticket.expired()));
         }
     }
 
@@ -133,8 +133,19 @@
      *
      * @param token the opaque text that the start command carries
      * @param validUntil when the ticket expires, in milliseconds of the monotonic clock
+     * @param incarnation the incarnation of the worker when the ticket was requested; it is valid
+     *     for no other
      */
-    public record Ticket(String token, long validUntil) {}
+    public record Ticket(String token, long validUntil, long incarnation) {
+        /** Returns whether the present incarnation of {@code node} accepts the ticket. */
+        boolean isValidOn(WorkerNode node, long now) {
+            return validUntil > now && incarnation == node.contact().born();
+        }
+
+        private Ticket expired() {
+            return new Ticket(token, 0, incarnation);
+        }
+    }
 
     /** Returns the progress of a step none of whose tasks has been started. */
     public static StepProgress of(StepDefinition definition) {
--- a/core/src/test/java/org/jujubefork/core/workflow/RestartedKindTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/RestartedKindTest.java
@@ -158,6 +158,24 @@
                         true));
     }
 
+    /** Guards against starts that the worker rejects, and that are tried again with a delay. */
+    @Test
+    public void ticketOfEarlierIncarnationIsRenewedBeforeStart() {
+        LeaderFixture leader =
+                leading(LeaderFixture.configuration(new AdviceSettings(10, 1, 60_000)));
+        leader.submit("j", job());
+        advance(leader, 100);
+        leader.list(List.of(new Kind("other", "x", LARGE).listing(leader.incarnation("a"))));
+        leader.takeAdviceRequests().forEach(leader::grantAdvice);
+        advance(leader, 200);
+        restart(leader);
+        leader.list(List.of(FIRST.listing(leader.incarnation("a"))));
+        advance(leader, 600);
+        assertEquals(leader.starts(), List.of(), "a start with a ticket of the earlier life");
+        leader.takeAdviceRequests().forEach(leader::grantAdvice);
+        assertEquals(leader.startedWorkers(), List.of("a", "a"));
+    }
+
     /** Guards against a quarantine of the earlier incarnation that closes the next one. */
     @Test
     public void quarantineEndsWithRestart() {
