Check the tasks of a step on one worker in the simulation

ROUTE also forbids more tasks of a step on a worker than the step allows, and nothing in the simulation looked.

--- a/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
@@ -180,6 +180,23 @@
         }
     }
 
+    private void checkMaxPerWorker(SimulatedWorker worker, TaskKey task) {
+        int max =
+                simulation
+                        .submittedDefinitions
+                        .get(task.job())
+                        .steps()
+                        .get(task.step())
+                        .maxPerWorker();
+        long active =
+                worker.runs().keySet().stream()
+                        .filter(t -> t.stepKey().equals(task.stepKey()))
+                        .count();
+        if (max > 0 && active >= max) {
+            violations.add(task + " starts beside " + active + " tasks of its step");
+        }
+    }
+
     /** Checks the other invariants for a run that starts. */
     void checkStart(SimulatedWorker worker, TaskKey task, Resources size) {
         for (SimulatedWorker other : simulation.workers.values()) {
@@ -199,6 +216,7 @@
         if (!worker.used().plus(size).fitsIn(worker.largestCapacity())) {
             violations.add("not enough free capacity for " + task + " on " + worker.listing.id());
         }
+        checkMaxPerWorker(worker, task);
         String team = simulation.callers.teamOf(task.job());
         Resources teamUsage = teamUsage(team).plus(size);
         long limit = simulation.configuration.highestLimit(team).cpuMillis();
--- a/core/src/test/java/org/jujubefork/core/workflow/TestSteps.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/TestSteps.java
@@ -80,6 +80,29 @@
                 false);
     }
 
+    /** Returns a step with at most {@code maxPerWorker} tasks on one worker. */
+    static StepDefinition spread(
+            int taskCount,
+            Resources size,
+            List<Integer> dependencies,
+            boolean isGang,
+            int maxPerWorker) {
+        return new StepDefinition(
+                taskCount,
+                size,
+                0,
+                dependencies,
+                isGang,
+                false,
+                "",
+                "",
+                maxPerWorker,
+                false,
+                false,
+                false,
+                false);
+    }
+
     /** Returns a job of one step. */
     static WorkflowDefinition job(StepDefinition step) {
         return new WorkflowDefinition("p", List.of(step), 0, 0, 0);
--- a/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/WorkflowFaultsTest.java
@@ -34,7 +34,7 @@
         return seeds;
     }
 
-    private static WorkflowDefinition job(Simulation simulation) {
+    private static WorkflowDefinition job(Simulation simulation, int maxPerWorker) {
         List<StepDefinition> steps = new ArrayList<>();
         int stepCount = 1 + simulation.random.nextInt(2);
         for (int i = 0; i < stepCount; i++) {
@@ -42,7 +42,7 @@
             int taskCount = 1 + simulation.random.nextInt(5);
             Resources size = Resources.of(500 + simulation.random.nextInt(4_000), 1_000, 0);
             List<Integer> dependencies = i == 0 ? List.of() : List.of(i - 1);
-            steps.add(TestSteps.step(taskCount, size, 0, dependencies, isGang));
+            steps.add(TestSteps.spread(taskCount, size, dependencies, isGang, maxPerWorker));
         }
         return new WorkflowDefinition("p", steps, 0, 0, 0);
     }
@@ -52,6 +52,12 @@
         play(new Simulation(seed, 3, 6));
     }
 
+    /** Guards, besides, against more tasks of a step on one worker than the step allows. */
+    @Test(dataProvider = "seeds")
+    public void invariantsHoldForStepsThatSpread(long seed) {
+        play(new Simulation(seed, 3, 6), 2);
+    }
+
     /**
      * Guards, besides, against tasks that run again because a worker does not list all of its
      * completions at a time.
@@ -87,11 +93,15 @@
     }
 
     private static void play(Simulation simulation) {
+        play(simulation, 0);
+    }
+
+    private static void play(Simulation simulation, int maxPerWorker) {
         SimulatedFaults faults = new SimulatedFaults(simulation);
         simulation.run(2_000);
         for (int i = 0; i < JOB_COUNT; i++) {
             String id = String.format("%016x", i);
-            WorkflowDefinition job = job(simulation);
+            WorkflowDefinition job = job(simulation, maxPerWorker);
             simulation.after(
                     simulation.random.nextInt((int) FAULT_PHASE_MILLIS),
                     () -> {
