--- a/core/src/test/java/org/jujubefork/core/workflow/ChangedKindTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/ChangedKindTest.java
@@ -1,8 +1,5 @@
 package org.jujubefork.core.workflow;
 
-import static org.testng.Assert.assertEquals;
-
-import java.util.stream.LongStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -14,12 +11,12 @@
 public final class ChangedKindTest {
     @DataProvider
     public Object[][] seeds() {
-        return LongStream.range(0, 40).mapToObj(s -> new Object[] {s}).toArray(Object[][]::new);
+        return SeedSearch.seeds(40);
     }
 
     @Test(dataProvider = "seeds")
     public void startsFitThePresentIncarnation(long seed) {
-        assertEquals(String.join("\n", SeedSearch.failures(day(seed, false))), "");
+        SeedSearch.assertNothingIsBroken(day(seed, false));
     }
 
     private static SeedSearch.Day day(long seed, boolean checksUnawareStarts) {
@@ -33,9 +30,6 @@
      * leader knew of the restart.
      */
     public static void main(String[] arguments) {
-        SeedSearch.print(
-                Long.parseLong(arguments[0]),
-                Long.parseLong(arguments[1]),
-                seed -> day(seed, arguments.length > 2));
+        SeedSearch.print(arguments, seed -> day(seed, arguments.length > 2));
     }
 }
--- a/core/src/test/java/org/jujubefork/core/workflow/ProgressUnderFaultsTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/ProgressUnderFaultsTest.java
@@ -1,8 +1,5 @@
 package org.jujubefork.core.workflow;
 
-import static org.testng.Assert.assertEquals;
-
-import java.util.stream.LongStream;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -19,12 +16,12 @@
 
     @DataProvider
     public Object[][] seeds() {
-        return LongStream.range(0, 30).mapToObj(s -> new Object[] {s}).toArray(Object[][]::new);
+        return SeedSearch.seeds(30);
     }
 
     @Test(dataProvider = "seeds")
     public void acceptedWorkRunsAfterFaults(long seed) {
-        assertEquals(String.join("\n", SeedSearch.failures(day(seed, FINISH_MILLIS))), "");
+        SeedSearch.assertNothingIsBroken(day(seed, FINISH_MILLIS));
     }
 
     private static SeedSearch.Day day(long seed, long calmMillis) {
@@ -38,9 +35,6 @@
      */
     public static void main(String[] arguments) {
         long calmMillis = arguments.length > 2 ? Long.parseLong(arguments[2]) : FINISH_MILLIS;
-        SeedSearch.print(
-                Long.parseLong(arguments[0]),
-                Long.parseLong(arguments[1]),
-                seed -> day(seed, calmMillis));
+        SeedSearch.print(arguments, seed -> day(seed, calmMillis));
     }
 }
--- a/core/src/test/java/org/jujubefork/core/workflow/SeedSearch.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SeedSearch.java
@@ -1,8 +1,11 @@
 package org.jujubefork.core.workflow;
 
+import static org.testng.Assert.assertEquals;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongFunction;
+import java.util.stream.LongStream;
 
 /** Plays seeded days of the simulation and collects the rules that they break. */
 final class SeedSearch {
@@ -17,8 +20,18 @@
 
     private SeedSearch() {}
 
+    /** Returns the seeds below {@code end} for a data provider. */
+    static Object[][] seeds(long end) {
+        return LongStream.range(0, end).mapToObj(s -> new Object[] {s}).toArray(Object[][]::new);
+    }
+
+    /** Plays {@code day} and fails if it breaks a rule. */
+    static void assertNothingIsBroken(Day day) {
+        assertEquals(String.join("\n", failures(day)), "");
+    }
+
     /** Plays {@code day} and returns the rules that it breaks. */
-    static List<String> failures(Day day) {
+    private static List<String> failures(Day day) {
         day.play().run();
         List<String> failures = new ArrayList<>();
         day.simulation().violations().forEach(v -> failures.add("SAFETY " + v));
@@ -34,8 +47,13 @@
         return failures;
     }
 
-    /** Plays the seeds from {@code first} to before {@code end} and prints what they break. */
-    static void print(long first, long end, LongFunction<Day> days) {
+    /**
+     * Plays the seeds from {@code arguments[0]} to before {@code arguments[1]}, which the main
+     * method of a test has got, and prints what they break.
+     */
+    static void print(String[] arguments, LongFunction<Day> days) {
+        long first = Long.parseLong(arguments[0]);
+        long end = Long.parseLong(arguments[1]);
         long failed = 0;
         for (long seed = first; seed < end; seed++) {
             List<String> failures = new ArrayList<>();
