Play removed entries and check draining workers in the simulation

The entry of a worker that is silent for 4.5 s leaves the worker list, and comes back with the worker. SafetyChecker checks that no start command leaves for a worker 2.5 s after its entry began to say that it drains, unless the entry was frozen.

--- a/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SafetyChecker.java
@@ -12,6 +12,12 @@
 
 /** Checks the invariants of the simulation by what its workers run and report. */
 final class SafetyChecker {
+    /** Time after which no entry sends starts to a draining worker. */
+    private static final long MAX_DRAIN_NOTICE_MILLIS = 2_500;
+
+    /** Time after a freeze in which the rules with a time bound do not hold for an entry. */
+    private static final long STABLE_MILLIS = 4_000;
+
     private final Simulation simulation;
     private final Set<TaskKey> completedTasks = new HashSet<>();
     private final Set<TaskKey> acknowledgedTasks = new HashSet<>();
@@ -155,6 +161,15 @@
         }
     }
 
+    /** Checks that a start command does not leave an entry for a worker that has been draining. */
+    void checkDraining(SimulatedEntry entry, WorkflowEffect.Start start) {
+        SimulatedWorker worker = simulation.workers.get(start.worker().id());
+        boolean wasFrozen = simulation.now() < entry.frozenUntil + STABLE_MILLIS;
+        if (simulation.now() - MAX_DRAIN_NOTICE_MILLIS > worker.drainingSince && !wasFrozen) {
+            violations.add(start.command().task() + " leaves for draining " + start.worker().id());
+        }
+    }
+
     /**
      * Checks that a run that starts fits the service, the labels and the size of the present
      * incarnation of its worker.
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedDisruptions.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedDisruptions.java
@@ -125,6 +125,7 @@
         }
         WorkerNode.Listing listing = worker.listing;
         worker.listing = withKind(listing, true, listing.capacity(), listing.labels());
+        worker.drainingSince = simulation.now();
         simulation.after(2_000 + random.nextInt(4_000), () -> leave(worker));
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/SimulatedWorker.java
@@ -25,9 +25,18 @@
 
     WorkerNode.Listing listing;
 
-    /** Whether the worker list contains the worker. */
+    /** Silence after which the entry of a worker is removed: three intervals of its heartbeat. */
+    private static final long ENTRY_TTL_MILLIS = 4_500;
+
+    /** Whether the worker has not left for good. */
     boolean listed = true;
 
+    /** Since when its entry says that it drains. */
+    long drainingSince = Long.MAX_VALUE;
+
+    /** Whether its entry was removed because the worker is silent. */
+    private boolean isEntryExpired;
+
     /** Whether the process runs; a process that does not run answers no calls. */
     private boolean isUp = true;
 
@@ -145,12 +154,20 @@
     void crash() {
         restart();
         isUp = false;
+        long crashed = incarnation;
+        simulation.after(ENTRY_TTL_MILLIS, () -> isEntryExpired = !isUp && incarnation == crashed);
+    }
+
+    /** Returns whether the worker list contains the worker. */
+    boolean hasEntry() {
+        return listed && !isEntryExpired;
     }
 
     /** Starts the process again under the same identifier. */
     void comeBack() {
         restart();
         isUp = true;
+        isEntryExpired = false;
     }
 
     /** Restarts the worker under the same identifier; all earlier state is lost. */
--- a/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/Simulation.java
@@ -212,7 +212,7 @@
     private void listWorkers(SimulatedEntry entry, int boot) {
         PMap<String, WorkerNode.Listing> listings = HashTreePMap.empty();
         for (SimulatedWorker worker : workers.values()) {
-            if (worker.listed) {
+            if (worker.hasEntry()) {
                 listings = listings.plus(worker.listing.id(), worker.listing);
             }
         }
@@ -256,6 +256,7 @@
             case WorkflowEffect.RenewLease e -> workerCalls.renewLease(entry, boot, e);
             case WorkflowEffect.Start e -> {
                 evacuations.checkStart(entry, e);
+                safetyChecker.checkDraining(entry, e);
                 workerCalls.start(entry, boot, e);
             }
             case WorkflowEffect.Stop e -> workerCalls.stop(entry, boot, e);
