--- a/core/src/main/java/org/jujubefork/core/workflow/StartCheck.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/StartCheck.java
@@ -16,20 +16,26 @@
     /** Returns the workers of assigned tasks of {@code progress} on which these may not start. */
     static Set<String> closedWorkers(
             WorkflowState state, StepDefinition step, Queue queue, StepProgress progress) {
-        Set<String> closedWorkers = new HashSet<>();
+        Set<String> closedWorkers = assignedWorkers(progress);
+        closedWorkers.removeIf(w -> mayStart(state, step, queue, state.workers().get(w)));
+        return closedWorkers;
+    }
+
+    private static Set<String> assignedWorkers(StepProgress progress) {
+        Set<String> workers = new HashSet<>();
         for (Task task : progress.tasks()) {
-            WorkerNode node = state.workers().get(task.worker());
-            if (task.phase() == Task.Phase.ASSIGNED
-                    && (node == null || !mayStart(state, step, queue, node))) {
-                closedWorkers.add(task.worker());
+            if (task.phase() == Task.Phase.ASSIGNED) {
+                workers.add(task.worker());
             }
         }
-        return closedWorkers;
+        return workers;
     }
 
+    /** Returns whether tasks of {@code step} may start on {@code node}, which is null if gone. */
     private static boolean mayStart(
             WorkflowState state, StepDefinition step, Queue queue, WorkerNode node) {
-        return state.isOpenForStarts(node)
+        return node != null
+                && state.isOpenForStarts(node)
                 && StepFit.isEligible(step, queue, node)
                 && !node.isOverCapacity();
     }
