Log the load of the leader's control thread

Whether a leader decides late, or accepts more than can be served, could not be told from its log: neither the duration of its ticks nor the events that wait for it were logged or measured, and job-accepted did not say whether a job was beyond the rate of its team.

control-load is written once a second on the leader; the metrics jujube_event_backlog and jujube_longest_tick_seconds show the same. job-accepted has the field within_rate. No decision changes.

--- a/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/CommitWriter.java
@@ -284,6 +284,8 @@
                 job.team(),
                 "steps",
                 job.definition().steps().size(),
+                "within_rate",
+                job.acceptance().withinShare(),
                 "stored_ms",
                 now - job.acceptedAt());
     }
--- a/entry/src/main/java/org/jujubefork/entry/control/ReducerLoop.java
+++ b/entry/src/main/java/org/jujubefork/entry/control/ReducerLoop.java
@@ -84,6 +84,7 @@
     private final LongAdder rejectedEventCounter = new LongAdder();
     private final AtomicLong nextRejectionLogAt = new AtomicLong(Long.MIN_VALUE);
     private volatile Consumer<F> effectExecutor = effect -> {};
+    private volatile TickObserver tickObserver = (endedAt, durationMillis, queuedEvents) -> {};
     private volatile S state;
     private volatile boolean open = true;
 
@@ -105,6 +106,15 @@
         thread.start();
     }
 
+    /**
+     * Starts the control thread, which passes effects to {@code executor} and reports its ticks to
+     * {@code observer}.
+     */
+    public void start(Consumer<F> executor, TickObserver observer) {
+        tickObserver = observer;
+        start(executor);
+    }
+
     /** Returns the newest state. */
     public S state() {
         return state;
@@ -192,6 +202,7 @@
     private TickSchedule runTick(long now) {
         apply(setup.tickFactory().apply(now));
         long endedAt = setup.clock().millis();
+        tickObserver.onTick(endedAt, endedAt - now, events.size());
         return new TickSchedule(
                 now + setup.maxTickIntervalMillis(), endedAt + TICK_GAP_FACTOR * (endedAt - now));
     }
--- a/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
+++ b/entry/src/main/java/org/jujubefork/entry/telemetry/WorkflowMetrics.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
@@ -38,6 +39,7 @@
     private final Histogram requestSeconds;
     private final Histogram waitingSeconds;
     private final Histogram acceptanceSeconds;
+    private final Histogram longestTickSeconds;
     private final Counter storeCalls;
     private final Histogram storeSeconds;
 
@@ -52,6 +54,10 @@
                 histogram("jujube_waiting_seconds", "Time from ready until the start command.");
         acceptanceSeconds =
                 histogram("jujube_acceptance_seconds", "Time until an accepted job is stored.");
+        longestTickSeconds =
+                histogram(
+                        "jujube_longest_tick_seconds",
+                        "Longest tick of the control thread in each second as the leader.");
         storeCalls =
                 counter("jujube_store_calls_total", "Calls to the store.", "operation", "answer");
         storeSeconds =
@@ -88,6 +94,7 @@
         switch (logEvent.event()) {
             case "task-start" -> observeMillis(waitingSeconds, logEvent, "waited_ms");
             case "job-accepted" -> observeMillis(acceptanceSeconds, logEvent, "stored_ms");
+            case "control-load" -> observeMillis(longestTickSeconds, logEvent, "longest_tick_ms");
             default -> {
                 // No histogram is kept for the other decisions.
             }
@@ -128,6 +135,19 @@
         storeSeconds.labelValues(operation).observe(millis / MILLIS_PER_SECOND);
     }
 
+    /**
+     * Registers the gauge of the events that wait for the control thread.
+     *
+     * @param queuedEvents returns their number
+     */
+    public void registerEventGauge(IntSupplier queuedEvents) {
+        GaugeWithCallback.builder()
+                .name("jujube_event_backlog")
+                .help("Events that wait for the control thread.")
+                .callback(callback -> callback.call(queuedEvents.getAsInt()))
+                .register(registry);
+    }
+
     /**
      * Registers gauges that are computed from the control state on each scrape.
      *
--- a/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
+++ b/entry/src/main/java/org/jujubefork/entry/workflow/WorkflowDaemon.java
@@ -150,7 +150,7 @@
                                 setup.logWriter()),
                         this::onLeaderChanged,
                         workerListRequests::release);
-        loop.start(effects);
+        loop.start(effects, new ControlLoadLog(loop::state, setup.logWriter()::write));
         executor.execute(this::watchOperators);
         executor.execute(this::watchLeader);
         executor.execute(this::renewLease);
@@ -177,6 +177,11 @@
         return loop.state();
     }
 
+    /** Returns the number of events that wait for the control thread. */
+    public int queuedEvents() {
+        return loop.backlog();
+    }
+
     /** Returns the gateway that routes calls to the leader. */
     public CallGateway gateway() {
         return gateway;
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -71,6 +71,17 @@
         assertLine(page, "jujube_scheduling_policy{policy=\"order:acceptance\"} 1.0");
     }
 
+    /** Guards against an overloaded control thread that operators cannot see. */
+    @Test
+    public void loadOfTheControlThreadIsShown() throws IOException {
+        WorkflowMetrics metrics = WorkflowMetrics.create();
+        metrics.registerEventGauge(() -> 12);
+        metrics.countDecision(LogEvent.of("control-load", 3, "longest_tick_ms", 250));
+        String page = metricsPage(metrics);
+        assertLine(page, "jujube_event_backlog 12.0");
+        assertLine(page, "jujube_longest_tick_seconds_sum 0.25");
+    }
+
     /** Guards against learned durations that operators cannot see. */
     @Test
     public void learnedDurationsAreShownByQueue() throws IOException {
