--- a/core/src/test/java/org/jujubefork/core/workflow/LoadReplay.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/LoadReplay.java
@@ -14,10 +14,13 @@
 import org.jujubefork.core.workflow.WorkflowEvent.EndedRun;
 import org.jujubefork.core.workflow.WorkflowEvent.RunOutcome;
 import org.jujubefork.core.workflow.WorkflowEvent.RunningRun;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
 
 /**
- * Replays a load over the reducer. Callers submit jobs at given times and do not return when they
- * are rejected; each worker runs its tasks for their estimated time.
+ * Replays a load over the reducer. Callers submit jobs at given times and return a given number of
+ * times when they are rejected; each worker runs its tasks for their estimated time. The advice
+ * service handles the requests of one entry one after the other.
  */
 final class LoadReplay {
     private static final long TICK_MILLIS = 20;
@@ -25,6 +28,9 @@
     /** Time after the last submission in which jobs may still end, in milliseconds. */
     private static final long DRAIN_MILLIS = 40_000;
 
+    /** Number of workers for each entry, which sends advice requests. */
+    private static final int WORKERS_PER_ENTRY = 6;
+
     /**
      * A job that a caller submits.
      *
@@ -69,6 +75,12 @@
 
     private record ActiveRun(WorkflowEvent.WorkerCommand command, long endsAt) {}
 
+    /** A rejected caller that returns. */
+    private record Return(long at, String job) {}
+
+    /** An advice request whose answer is due at {@code at}. */
+    private record DueAdvice(long at, WorkflowEffect.RequestAdvice request) {}
+
     private final LeaderFixture leader;
     private final List<String> workers;
     private final Map<String, Arrival> arrivals = new HashMap<>();
@@ -76,23 +88,43 @@
     private final Map<String, Long> submittedAt = new HashMap<>();
     private final Map<String, Long> firstStartAt = new HashMap<>();
     private final Set<String> rejected = new HashSet<>();
+    private final int maxReturns;
+    private final Map<String, Integer> returnCounts = new HashMap<>();
+    private final List<Return> returns = new ArrayList<>();
+    private final Map<String, Long> advisorsFreeAt = new HashMap<>();
+    private final List<DueAdvice> dueAdvice = new ArrayList<>();
     private final Map<String, List<ActiveRun>> running = new HashMap<>();
     private final Map<String, List<EndedRun>> ended = new HashMap<>();
     private int handledEffects;
     private long nextSequence = 1;
 
-    private LoadReplay(LeaderFixture leader, List<String> workers) {
+    private LoadReplay(LeaderFixture leader, List<String> workers, int maxReturns) {
         this.leader = leader;
         this.workers = workers;
+        this.maxReturns = maxReturns;
     }
 
-    /** Replays {@code load} on {@code workerCount} workers of 16 cores. */
+    /** Replays {@code load} on {@code workerCount} workers of 16 cores; no caller returns. */
     static List<Served> run(
             SchedulingPolicies policies,
             int workerCount,
             List<Queue> queues,
             List<CellConfiguration.Team> teams,
             List<Arrival> load) {
+        return run(policies, workerCount, queues, teams, load, 0);
+    }
+
+    /**
+     * Replays {@code load} on {@code workerCount} workers of 16 cores; a rejected caller returns
+     * {@code maxReturns} times, as the answers tell it.
+     */
+    static List<Served> run(
+            SchedulingPolicies policies,
+            int workerCount,
+            List<Queue> queues,
+            List<CellConfiguration.Team> teams,
+            List<Arrival> load,
+            int maxReturns) {
         CellConfiguration configuration =
                 new CellConfiguration(
                         1,
@@ -111,12 +143,21 @@
             workers.add("w" + i);
         }
         leader.listWorkers(workers.toArray(String[]::new));
-        LoadReplay replay = new LoadReplay(leader, workers);
+        leader.post(new WorkflowEvent.FollowersChanged(leader.now(), followers(workerCount)));
+        LoadReplay replay = new LoadReplay(leader, workers, maxReturns);
         replay.runUntil(leader.now() + 200);
         replay.replay(load);
         return replay.served();
     }
 
+    private static PMap<String, Integer> followers(int workerCount) {
+        PMap<String, Integer> followers = HashTreePMap.empty();
+        for (int i = 1; i < workerCount / WORKERS_PER_ENTRY; i++) {
+            followers = followers.plus("follower" + i, 1_000);
+        }
+        return followers;
+    }
+
     private void replay(List<Arrival> load) {
         long startedAt = leader.now();
         List<Arrival> sorted = new ArrayList<>(load);
@@ -126,14 +167,28 @@
             String id = "j" + arrivals.size();
             arrivals.put(id, arrival);
             submittedAt.put(id, leader.now());
-            requests.put(
-                    leader.submit(arrival.queue().name(), arrival.team(), id, arrival.definition()),
-                    id);
-            handleEffects();
+            submit(id);
         }
         runUntil(leader.now() + DRAIN_MILLIS);
     }
 
+    private void submit(String id) {
+        Arrival arrival = arrivals.get(id);
+        requests.put(
+                leader.submit(arrival.queue().name(), arrival.team(), id, arrival.definition()),
+                id);
+        handleEffects();
+    }
+
+    private void submitReturned() {
+        for (Return due : List.copyOf(returns)) {
+            if (due.at() <= leader.now()) {
+                returns.remove(due);
+                submit(due.job());
+            }
+        }
+    }
+
     private void runUntil(long end) {
         long nextListingAt = leader.now();
         while (leader.now() < end) {
@@ -146,6 +201,8 @@
             handleEffects();
             workers.forEach(this::answer);
             handleEffects();
+            answerAdvice();
+            submitReturned();
         }
     }
 
@@ -158,6 +215,7 @@
                         ended.getOrDefault(renewal.worker().id(), new ArrayList<>())
                                 .removeIf(e -> e.sequence() <= renewal.acknowledged());
                 case WorkflowEffect.Answer answer -> noteAnswer(answer);
+                case WorkflowEffect.RequestAdvice request -> requestAdvice(request);
                 default -> {}
             }
         }
@@ -189,9 +247,48 @@
     }
 
     private void noteAnswer(WorkflowEffect.Answer answer) {
-        if (answer.reply() instanceof WorkflowEffect.Reply.Rejected) {
-            rejected.add(requests.get(answer.requestId()));
+        if (answer.reply() instanceof WorkflowEffect.Reply.Rejected rejection) {
+            String job = requests.get(answer.requestId());
+            if (returnCounts.merge(job, 1, Integer::sum) <= maxReturns) {
+                returns.add(new Return(leader.now() + rejection.retryAfterMillis(), job));
+            } else {
+                rejected.add(job);
+            }
+        }
+    }
+
+    private void requestAdvice(WorkflowEffect.RequestAdvice request) {
+        long startAt = Math.max(leader.now(), advisorsFreeAt.getOrDefault(request.advisor(), 0L));
+        long endAt = startAt + request.costMillis();
+        advisorsFreeAt.put(request.advisor(), endAt);
+        dueAdvice.add(new DueAdvice(endAt, request));
+    }
+
+    private void answerAdvice() {
+        for (DueAdvice due : List.copyOf(dueAdvice)) {
+            if (due.at() <= leader.now()) {
+                dueAdvice.remove(due);
+                leader.post(
+                        new WorkflowEvent.AdviceCompleted(
+                                leader.now(),
+                                due.request().fence(),
+                                due.request().number(),
+                                Optional.of(tickets(due.request()))));
+                handleEffects();
+            }
+        }
+    }
+
+    /** Returns tickets for half of the workers; which ones depends on the step. */
+    private static Map<String, String> tickets(WorkflowEffect.RequestAdvice request) {
+        Map<String, String> tickets = new HashMap<>();
+        for (String worker : request.workers()) {
+            int mixed = (31 * request.step().hashCode() + worker.hashCode()) * 0x9E3779B9;
+            if (((mixed >>> 16) & 1) == 0) {
+                tickets.put(worker, "ticket");
+            }
         }
+        return tickets;
     }
 
     private void end(String worker, ActiveRun run, RunOutcome outcome) {
