Count work that waits for its tickets in the expected wait of new jobs

The expected wait of a new job counted only steps that the last pass had found no room for.

JobAdmissionTest.jobBehindTooMuchWorkWithoutTicketsIsRejected: 20 jobs that each take the whole worker for a second wait for advice, and the last one, with an objective of 2.6 s, was accepted with either order; now it is rejected.

--- a/core/src/main/java/org/jujubefork/core/workflow/RoomForecast.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/RoomForecast.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.CellConfiguration.Queue;
 import org.jujubefork.core.workflow.PassRemainder.FreeWorker;
@@ -126,11 +127,9 @@
     private static Map<String, Map<Integer, Long>> serviceWork(
             WorkflowState state, PassRemainder remainder) {
         Map<String, Map<Integer, Long>> work = new HashMap<>();
-        for (Candidate candidate : remainder.unplaced()) {
-            if (candidate.rank().reservesCapacity()) {
-                addWork(state, candidate, candidate.queue().service(), work);
-            }
-        }
+        Stream.concat(remainder.unplaced().stream(), remainder.untried().stream())
+                .filter(c -> c.rank().reservesCapacity())
+                .forEach(c -> addWork(state, c, c.queue().service(), work));
         return work;
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.PassRemainder.FreeWorker;
 import org.jujubefork.core.workflow.Placement.Candidate;
@@ -30,12 +32,14 @@
      * @param work the estimated CPU time of the waiting tasks in millicores times milliseconds, by
      *     the priority of their queue
      * @param steps the steps with waiting tasks
+     * @param isWithoutRoom whether the last pass has found no room for one of the steps
      * @param room the capacity that is left for new work
      */
     public record ServiceBacklog(
             long capacityMillicores,
             Map<Integer, Long> work,
             List<WaitingStep> steps,
+            boolean isWithoutRoom,
             UnclaimedRoom room) {
         /** Copies the collections. */
         public ServiceBacklog {
@@ -44,11 +48,12 @@
         }
 
         private boolean hasWaitingWork() {
-            return !work.isEmpty() || room.isExceeded();
+            return isWithoutRoom || room.isExceeded();
         }
 
         private ServiceBacklog withClaim(long millicores) {
-            return new ServiceBacklog(capacityMillicores, work, steps, room.withClaim(millicores));
+            return new ServiceBacklog(
+                    capacityMillicores, work, steps, isWithoutRoom, room.withClaim(millicores));
         }
 
         private long expectedWaitMillis(int priority) {
@@ -82,23 +87,26 @@
     record WaitingStep(DelayCost cost, long work) {}
 
     /**
-     * Returns the backlogs that consist of the steps that a pass has not placed. Steps of teams
-     * over their share and steps that are too late are excluded, because they delay no other work.
+     * Returns the backlogs that consist of the steps that a pass has not placed or not tried. Steps
+     * of teams over their share and steps that are too late are excluded, because they delay no
+     * other work.
      *
      * @param ledger what the teams use
      */
     static ServiceBacklogs of(PassRemainder remainder, TeamLedger ledger) {
         Map<String, Map<Integer, Long>> work = new HashMap<>();
         Map<String, List<WaitingStep>> steps = new HashMap<>();
-        for (Candidate candidate : remainder.unplaced()) {
-            if (candidate.rank().reservesCapacity()
-                    && !ledger.isOverShare(candidate.job().team())) {
-                work.computeIfAbsent(candidate.queue().service(), s -> new HashMap<>())
-                        .merge(candidate.queue().priority(), candidate.waitingWork(), Long::sum);
-                steps.computeIfAbsent(candidate.queue().service(), s -> new ArrayList<>())
-                        .add(new WaitingStep(DelayCost.of(candidate), candidate.waitingWork()));
-            }
+        List<Candidate> unplaced = delaying(remainder.unplaced(), ledger);
+        List<Candidate> waiting = new ArrayList<>(unplaced);
+        waiting.addAll(delaying(remainder.untried(), ledger));
+        for (Candidate candidate : waiting) {
+            work.computeIfAbsent(candidate.queue().service(), s -> new HashMap<>())
+                    .merge(candidate.queue().priority(), candidate.waitingWork(), Long::sum);
+            steps.computeIfAbsent(candidate.queue().service(), s -> new ArrayList<>())
+                    .add(new WaitingStep(DelayCost.of(candidate), candidate.waitingWork()));
         }
+        Set<String> withoutRoom =
+                unplaced.stream().map(c -> c.queue().service()).collect(Collectors.toSet());
         Map<String, Long> free = freeMillicores(remainder);
         Map<String, Long> claimed = claimedMillicores(remainder);
         Map<String, ServiceBacklog> services = new HashMap<>();
@@ -110,6 +118,7 @@
                             capacity.getValue().cpuMillis(),
                             work.getOrDefault(service, Map.of()),
                             steps.getOrDefault(service, List.of()),
+                            withoutRoom.contains(service),
                             new UnclaimedRoom(
                                     free.getOrDefault(service, 0L),
                                     claimed.getOrDefault(service, 0L))));
@@ -117,6 +126,14 @@
         return new ServiceBacklogs(services);
     }
 
+    /** Returns those of {@code candidates} that delay other work. */
+    private static List<Candidate> delaying(List<Candidate> candidates, TeamLedger ledger) {
+        return candidates.stream()
+                .filter(c -> c.rank().reservesCapacity())
+                .filter(c -> !ledger.isOverShare(c.job().team()))
+                .toList();
+    }
+
     private static Map<String, Long> freeMillicores(PassRemainder remainder) {
         Map<String, Long> free = new HashMap<>();
         for (FreeWorker worker : remainder.freeWorkers()) {
--- a/core/src/test/java/org/jujubefork/core/workflow/JobAdmissionTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/JobAdmissionTest.java
@@ -5,7 +5,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.jujubefork.core.workflow.CellConfiguration.AdviceSettings;
 import org.jujubefork.core.workflow.WorkflowEffect.Reply;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Guards against jobs that are accepted or left waiting although they cannot be served in time. */
@@ -14,8 +16,12 @@
             new WorkflowEvent.Snapshot(List.of(), List.of(), List.of(), SilentWorkers.NONE);
 
     private static LeaderFixture leaderWithWorker(double weight) {
-        LeaderFixture leader =
-                LeaderFixture.leading(LeaderFixture.configuration(weight), EMPTY_SNAPSHOT);
+        return leaderWithWorker(LeaderFixture.configuration(weight), SchedulingPolicies.DEFAULT);
+    }
+
+    private static LeaderFixture leaderWithWorker(
+            CellConfiguration configuration, SchedulingPolicies policies) {
+        LeaderFixture leader = LeaderFixture.leading(configuration, EMPTY_SNAPSHOT, policies);
         leader.listWorkers("a");
         leader.advance(40);
         leader.answerLeaseRenewal("a");
@@ -127,4 +133,29 @@
         Reply.Rejected rejected = (Reply.Rejected) leader.answer(lastRequest).orElseThrow();
         assertTrue(rejected.retryAfterMillis() >= 1_000, "retry-after is too short: " + rejected);
     }
+
+    /**
+     * Guards against counting only the work that found no room: jobs that wait for the advice
+     * service take the room before a job that arrives after them.
+     */
+    @Test(dataProvider = "orders")
+    public void jobBehindTooMuchWorkWithoutTicketsIsRejected(String order) {
+        LeaderFixture leader =
+                leaderWithWorker(
+                        LeaderFixture.configuration(new AdviceSettings(100, 1, 2_000)),
+                        SchedulingPolicies.named(order, "jobs", "declared", "uniform"));
+        long lastRequest = 0;
+        for (int i = 0; i < 20; i++) {
+            lastRequest = leader.submit("j" + i, LeaderFixture.job(16));
+            leader.advance(60);
+            leader.storeAll();
+        }
+        assertEquals(leader.starts(), List.of());
+        assertTrue(isRejected(leader, lastRequest), "accepted although it would be too late");
+    }
+
+    @DataProvider
+    public static Object[][] orders() {
+        return new Object[][] {{"acceptance"}, {"delay-cost"}};
+    }
 }
--- a/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/telemetry/WorkflowMetricsTest.java
@@ -90,7 +90,7 @@
         WorkflowMetrics metrics = WorkflowMetrics.create();
         ServiceBacklogs.ServiceBacklog backlog =
                 new ServiceBacklogs.ServiceBacklog(
-                        16_000, Map.of(), List.of(), new UnclaimedRoom(9_000, 12_000));
+                        16_000, Map.of(), List.of(), false, new UnclaimedRoom(9_000, 12_000));
         WorkflowState state =
                 WorkflowState.initial("e", 1_000).with(new ServiceBacklogs(Map.of("s", backlog)));
         metrics.registerStateGauges(() -> state, () -> 0);
