--- a/entry/src/main/java/org/jujubefork/entry/control/ReducerLoop.java
+++ b/entry/src/main/java/org/jujubefork/entry/control/ReducerLoop.java
@@ -202,11 +202,20 @@
     private TickSchedule runTick(long now) {
         apply(setup.tickFactory().apply(now));
         long endedAt = setup.clock().millis();
-        tickObserver.onTick(endedAt, endedAt - now, events.size());
+        observeTick(endedAt, endedAt - now);
         return new TickSchedule(
                 now + setup.maxTickIntervalMillis(), endedAt + TICK_GAP_FACTOR * (endedAt - now));
     }
 
+    private void observeTick(long endedAt, long durationMillis) {
+        try {
+            tickObserver.onTick(endedAt, durationMillis, events.size());
+        } catch (RuntimeException | LinkageError e) {
+            // An error of the observer must not stop the loop.
+            log.errorf(e, "event=tick-observer-failure");
+        }
+    }
+
     /**
      * The bounds of the time of the next tick.
      *
--- a/entry/src/test/java/org/jujubefork/entry/control/ReducerLoopTest.java
+++ b/entry/src/test/java/org/jujubefork/entry/control/ReducerLoopTest.java
@@ -8,7 +8,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.Test;
 
-/** Guards against a control loop that falls behind because it runs a slow tick after each event. */
+/**
+ * Guards against a control loop that falls behind because it runs a slow tick after each event, and
+ * against one that ends because its observer fails.
+ */
 public final class ReducerLoopTest {
     private static final int EVENT_COUNT = 2_000;
     private static final long SLOW_TICK_MILLIS = 20;
@@ -50,6 +53,32 @@
         }
     }
 
+    @Test
+    public void failingObserverDoesNotStopTheLoop() throws InterruptedException {
+        int tickCount = 3;
+        CountDownLatch ticks = new CountDownLatch(tickCount);
+        ReducerLoop<Integer, String, String> loop =
+                ReducerLoop.of(
+                        new ReducerLoop.Setup<>(
+                                0,
+                                (state, event) ->
+                                        new ReducerLoop.ReducerResult<>(state + 1, List.of()),
+                                now -> TICK,
+                                10,
+                                state -> Long.MAX_VALUE,
+                                Clock.SYSTEM,
+                                EVENT_COUNT));
+        loop.start(
+                effect -> {},
+                (endedAt, durationMillis, queuedEvents) -> {
+                    ticks.countDown();
+                    throw new IllegalStateException("planted");
+                });
+        try (loop) {
+            assertTrue(ticks.await(10, TimeUnit.SECONDS), "no tick after the error");
+        }
+    }
+
     private static void pause(long millis) {
         try {
             Thread.sleep(millis);
