Judge jobs beyond the rate of their team at each placement

With share = jobs, which the deployment has selected since, accepted work beyond the rate of its team starts only while a tenth of the service is free.

RateShare keeps what jobs gives to work within the rate, which never yields. Work beyond it yields to the work of other teams that fits now, as with work, and nothing is kept idle for its sake. Waiting work counts as backlog unless the policy says that it delays nobody (TeamShare.delaysOthers), no longer by the ledger alone.

RateShareTest shows both differences: work within the rate starts in the order of acceptance (with work it yields), and the last capacity is used (with jobs it is not).

--- a/core/src/main/java/org/jujubefork/core/workflow/Placement.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Placement.java
@@ -67,9 +67,11 @@
         ShareRounds rounds = new ShareRounds(capacity, waits, Placement::place);
         result = result.then(s -> rounds.placeAll(s, candidates));
         PassRemainder remainder = capacity.remainder();
+        TeamShare share = result.state().policies().share();
+        TeamLedger ledger = result.state().teamLedger();
         WorkflowState placed =
                 result.state()
-                        .with(ServiceBacklogs.of(remainder, result.state().teamLedger()))
+                        .with(ServiceBacklogs.of(remainder, t -> share.delaysOthers(ledger, t)))
                         .with(waits.build(capacity.reservedWorkerCount()));
         return result.withState(RoomForecast.update(placed, remainder))
                 .then(s -> WaitingStepsLog.writeIfDue(s, capacity));
--- a/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/SchedulingPolicies.java
@@ -51,6 +51,8 @@
             Map.of(
                     DEFAULT_SHARE,
                     (state, job) -> job.acceptance().withinShare(),
+                    "rate",
+                    new RateShare(),
                     "work",
                     new WorkShare());
     private static final String LEARNED_DURATIONS = "learned";
--- a/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jujubefork.core.model.Resources;
 import org.jujubefork.core.workflow.PassRemainder.FreeWorker;
@@ -91,14 +92,14 @@
      * of teams over their share and steps that are too late are excluded, because they delay no
      * other work.
      *
-     * @param ledger what the teams use
+     * @param delaysOthers whether the waiting work of a team delays that of other teams
      */
-    static ServiceBacklogs of(PassRemainder remainder, TeamLedger ledger) {
+    static ServiceBacklogs of(PassRemainder remainder, Predicate<String> delaysOthers) {
         Map<String, Map<Integer, Long>> work = new HashMap<>();
         Map<String, List<WaitingStep>> steps = new HashMap<>();
-        List<Candidate> unplaced = delaying(remainder.unplaced(), ledger);
+        List<Candidate> unplaced = delaying(remainder.unplaced(), delaysOthers);
         List<Candidate> waiting = new ArrayList<>(unplaced);
-        waiting.addAll(delaying(remainder.untried(), ledger));
+        waiting.addAll(delaying(remainder.untried(), delaysOthers));
         for (Candidate candidate : waiting) {
             work.computeIfAbsent(candidate.queue().service(), s -> new HashMap<>())
                     .merge(candidate.queue().priority(), candidate.waitingWork(), Long::sum);
@@ -127,10 +128,11 @@
     }
 
     /** Returns those of {@code candidates} that delay other work. */
-    private static List<Candidate> delaying(List<Candidate> candidates, TeamLedger ledger) {
+    private static List<Candidate> delaying(
+            List<Candidate> candidates, Predicate<String> delaysOthers) {
         return candidates.stream()
                 .filter(c -> c.rank().reservesCapacity())
-                .filter(c -> !ledger.isOverShare(c.job().team()))
+                .filter(c -> delaysOthers.test(c.job().team()))
                 .toList();
     }
 
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamLedger.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamLedger.java
@@ -83,6 +83,17 @@
         return !accounts.isEmpty();
     }
 
+    /** Returns the ledger at the start of a placement pass that is to place {@code candidates}. */
+    static TeamLedger advanced(
+            WorkflowState state, PassCapacity capacity, List<Candidate> candidates) {
+        return state.teamLedger()
+                .advancedTo(
+                        state.now(),
+                        state.configuration().map(CellConfiguration::teams).orElse(List.of()),
+                        team -> capacity.teamUsage().of(team).cpuMillis(),
+                        candidates.stream().filter(capacity::mayFit).toList());
+    }
+
     /**
      * Returns the ledger at {@code now}, after the present allocations have been in use since the
      * last update. At most one tick is counted, so that a pause of the process does not count.
--- a/core/src/main/java/org/jujubefork/core/workflow/TeamShare.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/TeamShare.java
@@ -22,6 +22,20 @@
         return rank.minFreeFraction();
     }
 
+    /**
+     * Returns the fraction of a service that must be free before work of {@code rank} starts if
+     * work over a share is placed after all other work, so that no capacity has to be kept free of
+     * it.
+     */
+    static double minFreeFractionIfPlacedLast(Urgency.Rank rank) {
+        return rank == Urgency.Rank.OVER_SHARE ? 0 : rank.minFreeFraction();
+    }
+
+    /** Returns whether the waiting work of {@code team} delays that of other teams. */
+    default boolean delaysOthers(TeamLedger ledger, String team) {
+        return true;
+    }
+
     /**
      * Returns how long a new job of {@code team} in {@code queue} would wait for capacity, in
      * milliseconds.
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkShare.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkShare.java
@@ -34,18 +34,17 @@
     @Override
     public TeamLedger advanced(
             WorkflowState state, PassCapacity capacity, List<Candidate> candidates) {
-        return state.teamLedger()
-                .advancedTo(
-                        state.now(),
-                        state.configuration().map(CellConfiguration::teams).orElse(List.of()),
-                        team -> capacity.teamUsage().of(team).cpuMillis(),
-                        candidates.stream().filter(capacity::mayFit).toList());
+        return TeamLedger.advanced(state, capacity, candidates);
     }
 
-    /** No capacity is kept free of work over a share, because that work is placed last anyway. */
     @Override
     public double minFreeFraction(Urgency.Rank rank) {
-        return rank == Urgency.Rank.OVER_SHARE ? 0 : rank.minFreeFraction();
+        return TeamShare.minFreeFractionIfPlacedLast(rank);
+    }
+
+    @Override
+    public boolean delaysOthers(TeamLedger ledger, String team) {
+        return !ledger.isOverShare(team);
     }
 
     /** A job that yields also waits for its own work, which is not part of the backlog. */
--- a/core/src/test/java/org/jujubefork/core/workflow/ClaimedRoomTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/ClaimedRoomTest.java
@@ -30,6 +30,7 @@
         return new Object[][] {
             {SchedulingPolicies.DEFAULT},
             {SchedulingPolicies.named("delay-cost", "jobs", "learned", "spread")},
+            {SchedulingPolicies.named("delay-cost", "rate", "learned", "spread")},
         };
     }
 
--- a/core/src/test/java/org/jujubefork/core/workflow/TeamBurstLoadTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/TeamBurstLoadTest.java
@@ -41,7 +41,7 @@
 
     /** The policies of {@code deploy/settings.jsonc}. */
     private static final SchedulingPolicies DEPLOYED =
-            SchedulingPolicies.named("delay-cost", "jobs", "learned", "spread");
+            SchedulingPolicies.named("delay-cost", "rate", "learned", "spread");
 
     /** Ratio of the weight of a team to the jobs that it usually submits in a second. */
     private static final double WEIGHT_RATIO = 1.9;
