Let jobs without an objective yield by the work of their team

Services and scheduled jobs have no target that a delay makes them miss, so they yield by work as with share = work.

RateShareTest.servicesYieldByTheWorkOfTheirTeam.

--- a/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/Urgency.java
@@ -170,11 +170,10 @@
     /**
      * Returns the target completion time of a job, in milliseconds after its acceptance: the
      * critical path of its steps times a factor of the queue, plus a constant of the queue. It is
-     * infinite for a job without a target. Scheduled jobs and jobs with services have no target,
-     * because they must run however old they are.
+     * infinite for a job without a target.
      */
     static double objectiveMillis(WorkflowState state, WorkflowDefinition job, Queue queue) {
-        if (job.scheduledCount() > 0 || job.steps().stream().anyMatch(StepDefinition::service)) {
+        if (!job.isTimely()) {
             return Double.POSITIVE_INFINITY;
         }
         double millis =
--- a/core/src/main/java/org/jujubefork/core/workflow/WorkflowDefinition.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/WorkflowDefinition.java
@@ -50,6 +50,14 @@
                         .sum();
     }
 
+    /**
+     * Returns whether the job should complete within some time. Scheduled jobs and jobs with
+     * services have no such target, because they must run however old they are.
+     */
+    boolean isTimely() {
+        return scheduledCount == 0 && steps.stream().noneMatch(StepDefinition::service);
+    }
+
     /** Returns the number of occurrences, at least 1. */
     public int occurrenceCount() {
         return Math.max(1, scheduledCount);
--- a/core/src/test/java/org/jujubefork/core/workflow/RateShareTest.java
+++ b/core/src/test/java/org/jujubefork/core/workflow/RateShareTest.java
@@ -41,6 +41,24 @@
         assertEquals(replay.outcome("t1").started, secondStarted, share);
     }
 
+    /**
+     * Guards against services that fail again and again and take the room before the work of others
+     * each time: they have no target to miss, so they yield by the work of their team.
+     */
+    @Test
+    public void servicesYieldByTheWorkOfTheirTeam() {
+        ShareReplay replay = new ShareReplay("rate", 1, LARGE_WEIGHT, LARGE_WEIGHT);
+        Resources size = Resources.of(4_000, 1_000, 0);
+        replay.submit("t0", job(12, 4_000));
+        replay.submit("t0", job(4, 1_000));
+        replay.advance(200);
+        replay.submit("t0", TestSteps.job(TestSteps.service(size)));
+        replay.submit("t1", job(4, 1_000));
+        replay.advance(1_200);
+        assertEquals(replay.outcome("t0").started, 2);
+        assertEquals(replay.outcome("t1").started, 1);
+    }
+
     @DataProvider
     public static Object[][] sharesAndStartsBeyondRate() {
         return new Object[][] {{"rate", 3}, {"jobs", 2}};
