--- a/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
+++ b/core/src/main/java/org/jujubefork/core/workflow/ServiceBacklogs.java
@@ -89,8 +89,8 @@
 
     /**
      * Returns the backlogs that consist of the steps that a pass has not placed or not tried. Steps
-     * of teams over their share and steps that are too late are excluded, because they delay no
-     * other work.
+     * that are too late and those of teams that yield are excluded, because they delay no other
+     * work.
      *
      * @param delaysOthers whether the waiting work of a team delays that of other teams
      */
